Serve a request end to end by way of separate processes

Cause: the project was empty. This is the thin whole path: a platform stand-in, nodes (ingress, egress, link, gossip, releases, admin API), backend server stand-ins that announce themselves, a caller, an operator's release note.

Ruled out: ingress dialling backend servers directly, since no node would then see all the work of a server and "not run" would be a guess.

Left: sessions that outlive connections, real membership, detection, terms, at most once across nodes, proofs.

--- /dev/null
+++ b/packages/caller/src/caller.ts
@@ -0,0 +1,65 @@
+/** A caller of the fleet: holds terms, mints idempotency keys, sends again only what may be sent again. */
+import {request, type Dispatcher} from 'undici';
+import {
+	idempotencyHeader, ranHeader, resultHeader, termsHeader,
+} from '@limpetbarrow/core';
+
+/** A request of a caller. */
+export type CallerRequest = {
+	readonly method: Dispatcher.HttpMethod;
+	readonly path: string;
+	readonly host?: string;
+	readonly body?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly idempotencyKey?: string;
+};
+
+/** What became of it. */
+export type CallerAnswer = {
+	readonly status: number;
+	readonly text: string;
+	/** Result code of a refusal or failure; undefined for an answer of a backend server. */
+	readonly code: number | undefined;
+	/** `ran` for an answer of a backend server. */
+	readonly ran: 'ran' | 'not-run' | 'unknown';
+};
+
+/** Sends requests to ingress base URLs, such as `http://127.0.0.1:8080`. */
+export class Caller {
+	readonly #origins: readonly string[];
+	readonly #token: string | undefined;
+
+	constructor(origins: readonly string[], token?: string) {
+		this.#origins = origins;
+		this.#token = token;
+	}
+
+	/** Sends a request once, through the ingress at `index`. */
+	async send(callerRequest: CallerRequest, index = 0): Promise<CallerAnswer> {
+		const {method, path, host, body, headers = {}, idempotencyKey} = callerRequest;
+		try {
+			const answer = await request(`${this.#origins[index % this.#origins.length]}${path}`, {
+				method,
+				body: body ?? null,
+				headers: {
+					...headers,
+					...(host !== undefined && {host}),
+					...(this.#token !== undefined && {[termsHeader]: this.#token}),
+					...(idempotencyKey !== undefined && {[idempotencyHeader]: idempotencyKey}),
+				},
+			});
+			const text = await answer.body.text();
+			const code = answer.headers[resultHeader];
+			return {
+				status: answer.statusCode,
+				text,
+				code: code === undefined ? undefined : Number(code),
+				ran: code === undefined ? 'ran' : (answer.headers[ranHeader] === 'not-run' ? 'not-run' : 'unknown'),
+			};
+		} catch (error) {
+			return {
+				status: 0, text: String(error), code: undefined, ran: 'unknown',
+			};
+		}
+	}
+}
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,2 @@
+/** Library for callers. */
+export * from './caller.js';
--- /dev/null
+++ b/packages/choose/src/route-table.ts
@@ -0,0 +1,51 @@
+/** Finds the route of a request. */
+import {Left, Right, type Either} from 'purify-ts';
+import {createFailure, groupItems, type Failure} from '@limpetbarrow/core';
+import {type Configuration, type Route} from '@limpetbarrow/releases';
+
+const safeMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/** What of a request decides its route. */
+export type RouteQuery = {
+	/** Host without port, in lower case. */
+	readonly host: string;
+	readonly method: string;
+	readonly path: string;
+};
+
+/** True when running such a request twice does no harm. */
+export function isRepeatable(route: Route, method: string): boolean {
+	return route.isRepeatable || safeMethods.has(method);
+}
+
+function isPathBelow(path: string, prefix: string): boolean {
+	const [pathname = ''] = path.split('?', 1);
+	return prefix.endsWith('/') ? pathname.startsWith(prefix) : pathname === prefix || pathname.startsWith(`${prefix}/`);
+}
+
+function compareRoutes(a: Route, b: Route): number {
+	const hostOrder = Number(a.host === '*') - Number(b.host === '*');
+	return hostOrder || b.pathPrefix.length - a.pathPrefix.length || a.name.localeCompare(b.name);
+}
+
+/** The routes of one configuration, arranged for look-up by host. */
+export class RouteTable {
+	readonly #byHost: ReadonlyMap<string, readonly Route[]>;
+
+	constructor(configuration: Configuration) {
+		this.#byHost = groupItems([...configuration.routes.values()].toSorted(compareRoutes), ({host}) => host);
+	}
+
+	/** Finds the route with the longest matching path; a named host goes before `*`. */
+	findRoute({host, method, path}: RouteQuery): Either<Failure, Route> {
+		const matches = [...this.#byHost.get(host) ?? [], ...this.#byHost.get('*') ?? []].filter(({pathPrefix}) => isPathBelow(path, pathPrefix));
+		const route = matches.find(({methods}) => methods.length === 0 || methods.includes(method));
+		if (route) {
+			return Right(route);
+		}
+
+		return Left(matches.length > 0
+			? createFailure('methodNotAllowed', `${method} ${path}`)
+			: createFailure('unknownRoute', `${host}${path}`));
+	}
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The limpetbarrow command as a library. */
+export * from './admin-client.js';
+export * from './run-command-line.js';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,12 @@
+/** Shared types, result codes, log events, logger, metrics and state. */
+export * from './types.js';
+export * from './constants.js';
+export * from './result-codes.js';
+export * from './failure.js';
+export * from './fold-result.js';
+export * from './log-events.js';
+export * from './logger.js';
+export * from './store.js';
+export * from './subject.js';
+export * from './metrics.js';
+export * from './utils.js';
--- /dev/null
+++ b/packages/core/src/log-events.ts
@@ -0,0 +1,64 @@
+/**
+ * The one catalogue of log events. docs/LOG-EVENTS.md repeats it; a check keeps the two equal.
+ *
+ * Ranges follow the result codes: 100 node, 200 links, 300 egress, 400 sequencer, 500 terms and limits,
+ * 600 releases, 700 platform, 800 members and announcements.
+ */
+
+/** Severity of an event. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** One row of the catalogue. */
+export type LogEventEntry = {
+	readonly number: number;
+	readonly level: LogLevel;
+	readonly meaning: string;
+};
+
+/** All log events by name. */
+export const logEvents = {
+	// Node
+	nodeStarted: {number: 101, level: 'info', meaning: 'The node listens on its addresses.'},
+	nodeStopping: {number: 102, level: 'info', meaning: 'A planned stop began.'},
+	nodeStopped: {number: 103, level: 'info', meaning: 'The node has stopped.'},
+	nodeStopForced: {number: 104, level: 'warn', meaning: 'The stop was ended by a second signal or its bound, with requests in progress.'},
+	requestFailed: {number: 105, level: 'debug', meaning: 'A request was refused or failed.'},
+	unexpectedError: {number: 106, level: 'error', meaning: 'An unexpected error was caught.'},
+
+	// Links
+	linkOpened: {number: 201, level: 'info', meaning: 'A link session to another node began.'},
+	linkReplaced: {number: 202, level: 'warn', meaning: 'A silent connection was replaced within its session.'},
+	linkEnded: {number: 203, level: 'warn', meaning: 'A link session ended.'},
+	frameRejected: {number: 204, level: 'warn', meaning: 'A frame could not be read; its connection was closed.'},
+
+	// Egress
+	serverEjected: {number: 301, level: 'warn', meaning: 'A backend server was judged failing.'},
+	serverReturned: {number: 302, level: 'info', meaning: 'An ejected backend server takes work again.'},
+	poisonMarked: {number: 303, level: 'warn', meaning: 'A request was marked as poison.'},
+
+	// Sequencer
+	keyDropped: {number: 401, level: 'debug', meaning: 'A kept outcome expired.'},
+
+	// Terms and limits
+	keysLoaded: {number: 501, level: 'info', meaning: 'Signing keys of terms were loaded.'},
+
+	// Releases
+	releaseInForce: {number: 601, level: 'info', meaning: 'A release is in force on this node.'},
+	releaseAccepted: {number: 602, level: 'info', meaning: 'An operator\'s release was accepted.'},
+	releaseRefused: {number: 603, level: 'warn', meaning: 'An operator\'s release was refused.'},
+
+	// Platform
+	platformLost: {number: 701, level: 'warn', meaning: 'The object API does not answer.'},
+	platformBack: {number: 702, level: 'info', meaning: 'The object API answers again.'},
+
+	// Members and announcements
+	serverAnnounced: {number: 801, level: 'info', meaning: 'A backend server announced itself.'},
+	serverLeft: {number: 802, level: 'info', meaning: 'A backend server said that it leaves.'},
+	serverLapsed: {number: 803, level: 'warn', meaning: 'The announcement of a backend server lapsed.'},
+	memberJoined: {number: 804, level: 'info', meaning: 'Another node became known.'},
+	memberSuspected: {number: 805, level: 'info', meaning: 'Another node does not answer probes.'},
+	memberLost: {number: 806, level: 'warn', meaning: 'Another node was declared dead.'},
+} as const satisfies Readonly<Record<string, LogEventEntry>>;
+
+/** Name of a log event. */
+export type LogEventName = keyof typeof logEvents;
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,4 @@
+/** Signed terms and rate limits. */
+export * from './terms-token.js';
+export * from './issue-terms.js';
+export * from './rate-limiter.js';
--- /dev/null
+++ b/packages/limits/src/terms-token.ts
@@ -0,0 +1,77 @@
+/** Terms a caller holds, as a signed token. */
+import {Buffer} from 'node:buffer';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {Left, Right, type Either} from 'purify-ts';
+import {z} from 'zod';
+import {createFailure, type Failure} from '@limpetbarrow/core';
+
+const termsSchema = z.strictObject({
+	/** Id of these terms; idempotency keys start with it. */
+	id: z.string().regex(/^[\w\-]{1,32}$/v),
+	organisation: z.string().min(1).max(63),
+	/** Name of the kind of caller. */
+	kind: z.string().min(1).max(63),
+	/** Requests per second. */
+	rate: z.number().positive(),
+	/** Longest time the caller's requests may wait for an answer, in milliseconds. */
+	timeoutMs: z.int().positive(),
+	/** The run of the node that keeps the caller's idempotency keys. */
+	home: z.strictObject({id: z.string().max(63), incarnation: z.int()}),
+	/** Renewals so far. */
+	renewals: z.int().min(0),
+	/** Unix milliseconds. */
+	expiresAt: z.int(),
+}).readonly();
+
+/** Terms of one caller. */
+export type Terms = z.output<typeof termsSchema>;
+
+/** A key that signs terms. */
+export type SigningKey = {
+	readonly id: string;
+	readonly secret: Uint8Array;
+};
+
+const maxTokenLength = 2048;
+
+function signText(key: SigningKey, text: string): Uint8Array {
+	return createHmac('sha256', key.secret).update(text).digest();
+}
+
+function encodeText(bytes: Uint8Array): string {
+	return Buffer.from(bytes).toString('base64url');
+}
+
+/** Signs terms: `key id.payload.signature`, each URL-safe. */
+export function signTerms(terms: Terms, key: SigningKey): string {
+	const text = `${key.id}.${encodeText(Buffer.from(JSON.stringify(terms)))}`;
+	return `${text}.${encodeText(signText(key, text))}`;
+}
+
+function parsePayload(payload: string): Either<Failure, Terms> {
+	try {
+		const result = termsSchema.safeParse(JSON.parse(Buffer.from(payload, 'base64url').toString('utf8')));
+		return result.success ? Right(result.data) : Left(createFailure('termsInvalid', 'the payload is not terms'));
+	} catch {
+		return Left(createFailure('termsInvalid', 'the payload is not JSON'));
+	}
+}
+
+/** Checks a token's form, signature and expiry. */
+export function verifyTerms(token: string, keys: readonly SigningKey[], now: number): Either<Failure, Terms> {
+	const [keyId, payload, signature, ...rest] = token.split('.');
+	if (token.length > maxTokenLength || !keyId || !payload || !signature || rest.length > 0) {
+		return Left(createFailure('termsInvalid', 'the token is malformed'));
+	}
+
+	const key = keys.find(({id}) => id === keyId);
+	const given = Buffer.from(signature, 'base64url');
+	const expected = key && signText(key, `${keyId}.${payload}`);
+	if (given.length !== expected?.length || !timingSafeEqual(given, expected)) {
+		return Left(createFailure('termsInvalid', 'the signature is wrong'));
+	}
+
+	return parsePayload(payload).chain(terms => terms.expiresAt > now
+		? Right(terms)
+		: Left(createFailure('termsExpired', `expired at ${new Date(terms.expiresAt).toISOString()}`)));
+}
--- /dev/null
+++ b/packages/node/src/answer.ts
@@ -0,0 +1,56 @@
+/** Answers that the node itself gives to callers. */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	ranHeader, resultCodes, resultHeader, type Failure,
+} from '@limpetbarrow/core';
+
+const msPerS = 1000;
+
+/** The JSON body that reports a failure. */
+export function createFailureBody(failure: Failure): string {
+	return JSON.stringify({
+		code: failure.code,
+		name: failure.name,
+		meaning: resultCodes[failure.name].meaning,
+		detail: failure.detail,
+		ran: failure.ran,
+		resend: failure.resend,
+	});
+}
+
+/** Answers a request with a failure; the connection closes when the request's body was not read. */
+export function sendFailure(message: IncomingMessage, response: ServerResponse, failure: Failure): void {
+	const body = createFailureBody(failure);
+	response.writeHead(failure.status, {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(body),
+		[resultHeader]: String(failure.code),
+		[ranHeader]: failure.ran,
+		...(failure.resend === 'later' && {'retry-after': String(Math.ceil((failure.retryAfterMs ?? msPerS) / msPerS))}),
+		...(!message.complete && {connection: 'close'}),
+	});
+	response.end(body);
+}
+
+/** A whole answer as text, for connections that Node's `http` has given up on. */
+export function formatRawFailure(failure: Failure): string {
+	const body = createFailureBody(failure);
+	return [
+		`HTTP/1.1 ${failure.status} Refused`,
+		'connection: close',
+		'content-type: application/json',
+		`content-length: ${Buffer.byteLength(body)}`,
+		`${resultHeader}: ${failure.code}`,
+		`${ranHeader}: ${failure.ran}`,
+		'',
+		body,
+	].join('\r\n');
+}
+
+/** Answers with a value as JSON. */
+export function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	const body = JSON.stringify(value);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
+	response.end(body);
+}
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,3 @@
+/** The node daemon as a library. */
+export * from './settings.js';
+export * from './node.js';
--- /dev/null
+++ b/packages/node/src/ingress-exchange.ts
@@ -0,0 +1,143 @@
+/** Ties one HTTP request of a caller to the exchange that carries it. */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	createFailure, exchangeWindowBytes, type Carrier, type Exchange, type ExchangeHandler, type Failure, type RequestHead, type ResponseHead,
+} from '@limpetbarrow/core';
+import {sendFailure} from './answer.js';
+
+/** Bounds and reports of an ingress exchange. */
+export type IngressExchangeOptions = {
+	readonly maxBodyBytes: number;
+	readonly recordFailure: (failure: Failure) => void;
+};
+
+/** Moves bodies both ways, each side no faster than the other takes them. */
+export class IngressExchange {
+	readonly #message: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #options: IngressExchangeOptions;
+	#exchange: Exchange | undefined;
+	#credit = exchangeWindowBytes;
+	#received = 0;
+	#isOver = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(message: IncomingMessage, response: ServerResponse, options: IngressExchangeOptions) {
+		this.#message = message;
+		this.#response = response;
+		this.#options = options;
+	}
+
+	/** Opens the exchange and starts to move the request's body. */
+	open(carrier: Carrier, head: RequestHead): void {
+		this.#exchange = carrier.openExchange(head, this.#createHandler());
+		this.#timer = setTimeout(() => {
+			this.#giveUp(createFailure('answerTimeout', `no whole answer within ${head.remainingMs} ms`));
+		}, head.remainingMs);
+		this.#response.once('close', () => {
+			this.#handleClose();
+		});
+		this.#message.on('data', (chunk: Uint8Array) => {
+			this.#handleChunk(chunk);
+		});
+		this.#message.once('end', () => {
+			if (!this.#isOver) {
+				this.#exchange?.endBody();
+			}
+		});
+	}
+
+	#handleChunk(chunk: Uint8Array): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#received += chunk.length;
+		if (this.#received > this.#options.maxBodyBytes) {
+			this.#giveUp(createFailure('bodyTooLarge', `the route takes ${this.#options.maxBodyBytes} bytes`));
+			return;
+		}
+
+		this.#credit -= chunk.length;
+		if (this.#credit <= 0) {
+			this.#message.pause();
+		}
+
+		this.#exchange?.writeBody(chunk);
+	}
+
+	#createHandler(): ExchangeHandler {
+		return {
+			handleHead: head => {
+				this.#handleHead(head);
+			},
+			handleData: chunk => {
+				this.#handleData(chunk);
+			},
+			handleEnd: () => {
+				this.#finish();
+				this.#response.end();
+			},
+			handleFailure: failure => {
+				this.#handleFailure(failure);
+			},
+			handleCredit: bytes => {
+				this.#credit += bytes;
+				if (this.#credit > 0) {
+					this.#message.resume();
+				}
+			},
+		};
+	}
+
+	#handleHead({status, headers}: ResponseHead): void {
+		if (!this.#isOver) {
+			this.#response.writeHead(status, [...headers]);
+		}
+	}
+
+	#handleData(chunk: Uint8Array): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#response.write(chunk, () => {
+			this.#exchange?.grantCredit(chunk.length);
+		});
+	}
+
+	#handleFailure(failure: Failure): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#finish();
+		this.#options.recordFailure(failure);
+		if (this.#response.headersSent) {
+			this.#response.socket?.resetAndDestroy();
+		} else {
+			sendFailure(this.#message, this.#response, failure);
+		}
+	}
+
+	#giveUp(failure: Failure): void {
+		if (!this.#isOver) {
+			this.#exchange?.cancel();
+			this.#handleFailure(failure);
+		}
+	}
+
+	#handleClose(): void {
+		if (!this.#isOver) {
+			this.#finish();
+			this.#exchange?.cancel();
+			this.#options.recordFailure(createFailure('callerGone', 'the connection closed'));
+		}
+	}
+
+	#finish(): void {
+		this.#isOver = true;
+		clearTimeout(this.#timer);
+	}
+}
--- /dev/null
+++ b/packages/node/src/ingress.ts
@@ -0,0 +1,188 @@
+/** The part of a node that takes callers' requests over HTTP. */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	createFailure, createRandomId, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
+} from '@limpetbarrow/core';
+import {isRepeatable, RouteTable} from '@limpetbarrow/choose';
+import {type Terms} from '@limpetbarrow/limits';
+import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
+import {formatRawFailure, sendFailure} from './answer.js';
+import {IngressExchange} from './ingress-exchange.js';
+import {parseIngressRequest, type IngressRequest} from './ingress-request.js';
+
+/** Checks a request against the caller's terms; undefined terms where the caller holds none. */
+export type AdmitRequest = (request: IngressRequest) => Either<Failure, Terms | undefined>;
+
+/** Finds what carries a request: the home of its key, or the forwarder. */
+export type SelectNext = (request: IngressRequest, terms: Terms | undefined) => Either<Failure, Carrier>;
+
+/** Answers a request for a path the node itself serves. */
+export type HandleReserved = (message: IncomingMessage, response: ServerResponse) => void;
+
+/** What an ingress works with. */
+export type IngressOptions = {
+	readonly releases: ReleaseState;
+	readonly admitRequest: AdmitRequest;
+	readonly selectNext: SelectNext;
+	readonly handleReserved: HandleReserved;
+	readonly metrics: MetricRegistry;
+	readonly logger: Logger;
+};
+
+type Located = {
+	readonly request: IngressRequest;
+	readonly route: Route;
+	readonly terms: Terms | undefined;
+};
+
+const usPerMs = 1000;
+
+/** Serves callers. */
+export class Ingress {
+	readonly #options: IngressOptions;
+	readonly #server: Server;
+	#routes = new RouteTable({
+		release: 0, services: new Map(), routes: new Map(), terms: new Map(), organisations: new Map(),
+	});
+
+	#configuration: Configuration | undefined;
+	#inProgress = 0;
+	#isStopping = false;
+
+	constructor(options: IngressOptions) {
+		this.#options = options;
+		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true}, (message, response) => {
+			this.#handle(message, response);
+		});
+		this.#server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
+			this.#handleClientError(error, socket as Socket);
+		});
+	}
+
+	async listen({host, port}: Address): Promise<Address> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+		return {host, port: (this.#server.address() as AddressInfo).port};
+	}
+
+	/** Takes no new connections; requests on open ones are refused from now on. */
+	startStopping(): void {
+		this.#isStopping = true;
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	close(): void {
+		this.#server.closeAllConnections();
+		this.#server.close();
+	}
+
+	/** Requests in progress. */
+	countRequests(): number {
+		return this.#inProgress;
+	}
+
+	#handle(message: IncomingMessage, response: ServerResponse): void {
+		const startedAt = performance.now();
+		this.#inProgress++;
+		response.once('close', () => {
+			this.#inProgress--;
+			this.#options.metrics.recordDuration('request_duration_us', (performance.now() - startedAt) * usPerMs);
+		});
+		if (message.url?.startsWith(reservedPathPrefix)) {
+			this.#options.handleReserved(message, response);
+			return;
+		}
+
+		this.#options.metrics.addCount('ingress_requests_total');
+		parseIngressRequest(message)
+			.chain(request => this.#locate(request))
+			.chain(located => this.#open(located, message, response))
+			.ifLeft(failure => {
+				this.#refuse(message, response, failure);
+			});
+	}
+
+	#locate(request: IngressRequest): Either<Failure, Located> {
+		if (this.#isStopping) {
+			return Left(createFailure('nodeStopping', 'send to another node'));
+		}
+
+		const configuration = this.#options.releases.getConfiguration();
+		if (configuration.release === 0) {
+			return Left(createFailure('noRelease', 'no release is known yet'));
+		}
+
+		if (configuration !== this.#configuration) {
+			this.#configuration = configuration;
+			this.#routes = new RouteTable(configuration);
+		}
+
+		return this.#routes.findRoute(request)
+			.chain(route => checkSize(request, route))
+			.chain(route => this.#options.admitRequest(request).map(terms => ({request, route, terms})));
+	}
+
+	#open(located: Located, message: IncomingMessage, response: ServerResponse): Either<Failure, Carrier> {
+		const {request, route, terms} = located;
+		return this.#options.selectNext(request, terms).ifRight(carrier => {
+			const exchange = new IngressExchange(message, response, {
+				maxBodyBytes: route.maxBodyBytes,
+				recordFailure: failure => {
+					this.#recordFailure(failure);
+				},
+			});
+			exchange.open(carrier, createHead(located));
+		});
+	}
+
+	#refuse(message: IncomingMessage, response: ServerResponse, failure: Failure): void {
+		this.#recordFailure(failure);
+		sendFailure(message, response, failure);
+	}
+
+	#recordFailure(failure: Failure): void {
+		this.#options.metrics.addCount('ingress_failures_total', 1, {code: String(failure.code)});
+		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
+	}
+
+	#handleClientError(error: Error & {readonly code?: string}, socket: Socket): void {
+		if (!socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const failure = createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message);
+		this.#recordFailure(failure);
+		socket.end(formatRawFailure(failure));
+	}
+}
+
+function checkSize({contentLength}: IngressRequest, route: Route): Either<Failure, Route> {
+	return contentLength !== undefined && contentLength > route.maxBodyBytes
+		? Left(createFailure('bodyTooLarge', `the body has ${contentLength} bytes, the route takes ${route.maxBodyBytes}`))
+		: Right(route);
+}
+
+function createHead({request, route, terms}: Located): RequestHead {
+	const bounds = [request.timeoutMs, terms?.timeoutMs, route.timeoutMs].filter(bound => bound !== undefined);
+	return {
+		requestId: createRandomId(),
+		target: request.idempotencyKey === undefined ? {kind: 'egress', serverId: ''} : {kind: 'sequencer'},
+		service: route.service,
+		method: request.method,
+		path: request.path,
+		headers: request.headers,
+		remainingMs: Math.min(...bounds),
+		isRepeatable: isRepeatable(route, request.method),
+		organisation: terms?.organisation ?? '',
+		...(request.idempotencyKey !== undefined && {idempotencyKey: request.idempotencyKey}),
+	};
+}
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,183 @@
+/** One node of the fleet: ingress, egress, links, membership, releases and admin API in one process. */
+import process from 'node:process';
+import {
+	createFailure, MetricRegistry, type Carrier, type Logger, type NodeRecord, type RequestTarget,
+} from '@limpetbarrow/core';
+import {NearestChooser} from '@limpetbarrow/choose';
+import {LinkPool, LinkServer} from '@limpetbarrow/link';
+import {Announcements, Gossip, MemberTable} from '@limpetbarrow/members';
+import {HttpObjectStore} from '@limpetbarrow/platform';
+import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
+import {Sequencer} from '@limpetbarrow/sequencer';
+import {Right} from 'purify-ts';
+import {Admin} from './admin.js';
+import {sendFailure} from './answer.js';
+import {Egress} from './egress.js';
+import {Forwarder} from './forwarder.js';
+import {Ingress} from './ingress.js';
+import {ServerDirectory} from './server-directory.js';
+import {type NodeSettings} from './settings.js';
+
+const sweepMs = 500;
+const stopPollMs = 20;
+
+function createRecord(settings: NodeSettings): NodeRecord {
+	return {
+		id: settings.id,
+		incarnation: Date.now(),
+		sequence: 1,
+		placement: {region: settings.region, failureDomain: settings.failureDomain},
+		linkAddress: settings.link,
+		gossipAddress: settings.gossip,
+		ingressAddress: settings.ingress,
+		adminAddress: settings.admin,
+		state: 'serving',
+		release: 0,
+		servers: [],
+		poison: [],
+	};
+}
+
+/** Runs one node. */
+export class LimpetbarrowNode {
+	readonly #settings: NodeSettings;
+	readonly #logger: Logger;
+	readonly #metrics = new MetricRegistry();
+	readonly #platform: HttpObjectStore;
+	readonly #table: MemberTable;
+	readonly #announcements: Announcements;
+	readonly #releases = new ReleaseState();
+	readonly #follower: ReleaseFollower;
+	readonly #egress: Egress;
+	readonly #links: LinkPool;
+	readonly #linkServer: LinkServer;
+	readonly #gossip: Gossip;
+	readonly #sequencer: Sequencer;
+	readonly #ingress: Ingress;
+	readonly #admin: Admin;
+	#sweep: NodeJS.Timeout | undefined;
+	#isStopping = false;
+
+	constructor(settings: NodeSettings, logger: Logger) {
+		this.#settings = settings;
+		this.#logger = logger;
+		this.#platform = new HttpObjectStore(settings.platform);
+		this.#table = new MemberTable(createRecord(settings));
+		this.#announcements = new Announcements(logger);
+		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
+		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
+		this.#links = new LinkPool(this.#table.self);
+		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
+		this.#gossip = new Gossip(this.#table, settings.seeds);
+		const forwarder = this.#createForwarder();
+		this.#sequencer = new Sequencer(forwarder);
+		this.#ingress = this.#createIngress(forwarder);
+		this.#admin = new Admin({
+			announcements: this.#announcements,
+			table: this.#table,
+			releases: this.#releases,
+			log: new ReleaseLog(this.#platform),
+			metrics: this.#metrics,
+			logger,
+			isStopping: () => this.#isStopping,
+		});
+	}
+
+	/** Listens on all addresses and joins the fleet. */
+	async start(): Promise<NodeRecord> {
+		const settings = this.#settings;
+		const linkAddress = await this.#linkServer.listen(settings.link);
+		const adminAddress = await this.#admin.listen(settings.admin);
+		const ingressAddress = await this.#ingress.listen(settings.ingress);
+		const gossipAddress = await this.#gossip.start(settings.gossip);
+		this.#table.updateSelf(() => ({
+			linkAddress, adminAddress, ingressAddress, gossipAddress,
+		}));
+		this.#registerPublishing();
+		this.#follower.start();
+		this.#sweep = setInterval(() => {
+			this.#announcements.sweep();
+			this.#sequencer.sweep();
+		}, sweepMs);
+		this.#logger.log('nodeStarted', {ingress: `${ingressAddress.host}:${ingressAddress.port}`, admin: `${adminAddress.host}:${adminAddress.port}`});
+		return this.#table.getSelf();
+	}
+
+	/** Stops as planned: no new work, then waits for what is in progress, at most as long as the settings say. */
+	async stop(): Promise<void> {
+		this.#logger.log('nodeStopping');
+		this.#isStopping = true;
+		this.#table.updateSelf(() => ({state: 'stopping'}));
+		this.#ingress.startStopping();
+		await this.#waitUntilIdle(performance.now() + this.#settings.stopTimeoutMs);
+		await this.close();
+		this.#logger.log('nodeStopped');
+	}
+
+	/** Ends at once. */
+	async close(): Promise<void> {
+		clearInterval(this.#sweep);
+		this.#follower.stop();
+		this.#gossip.stop();
+		this.#ingress.close();
+		this.#admin.close();
+		this.#links.close();
+		await this.#linkServer.close();
+		await this.#egress.close();
+		await this.#platform.close();
+	}
+
+	#createForwarder(): Forwarder {
+		const self = {id: this.#table.self.id, placement: this.#table.getSelf().placement};
+		return new Forwarder({
+			directory: new ServerDirectory(this.#table),
+			releases: this.#releases,
+			chooser: new NearestChooser(self),
+			findEgress: nodeId => nodeId === self.id ? this.#egress : this.#findLink(nodeId),
+		});
+	}
+
+	#createIngress(forwarder: Forwarder): Ingress {
+		return new Ingress({
+			releases: this.#releases,
+			admitRequest: () => Right(undefined),
+			selectNext: ({idempotencyKey}) => Right(idempotencyKey === undefined ? forwarder : this.#sequencer),
+			handleReserved(message, response) {
+				sendFailure(message, response, createFailure('unknownRoute', message.url ?? ''));
+			},
+			metrics: this.#metrics,
+			logger: this.#logger,
+		});
+	}
+
+	#selectCarrier(target: RequestTarget): Carrier {
+		return target.kind === 'egress' ? this.#egress : this.#sequencer;
+	}
+
+	#findLink(nodeId: string): Carrier | undefined {
+		const member = this.#table.findMember(nodeId);
+		return member && this.#links.getLink({identity: member.record, address: member.record.linkAddress});
+	}
+
+	#registerPublishing(): void {
+		this.#announcements.store.registerListener(() => {
+			this.#table.updateSelf(() => ({servers: this.#egress.listServers()}));
+		});
+		this.#releases.store.registerListener(({after}) => {
+			this.#logger.log('releaseInForce', {release: after.configuration.release});
+			this.#table.updateSelf(() => ({release: after.configuration.release}));
+		});
+	}
+
+	async #waitUntilIdle(bound: number): Promise<void> {
+		const isBusy = this.#ingress.countRequests() + this.#egress.countRequests() + this.#sequencer.countRunning() > 0;
+		if (!isBusy || performance.now() > bound) {
+			return;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, stopPollMs);
+		});
+		await this.#waitUntilIdle(bound);
+	}
+}
--- /dev/null
+++ b/packages/node/src/server-directory.ts
@@ -0,0 +1,33 @@
+/** The backend servers of the fleet by service, kept from the members' records. */
+import {groupItems} from '@limpetbarrow/core';
+import {type Candidate} from '@limpetbarrow/choose';
+import {type MemberSnapshot, type MemberTable} from '@limpetbarrow/members';
+
+function groupCandidates({members}: MemberSnapshot): ReadonlyMap<string, readonly Candidate[]> {
+	const candidates = [...members.values()]
+		.filter(({status, record}) => status === 'alive' && record.state === 'serving')
+		.flatMap(({record}) => record.servers.map(server => ({nodeId: record.id, placement: record.placement, server})));
+	return groupItems(candidates, ({server}) => server.service);
+}
+
+/** Looks candidates up; the index is rebuilt when first read after a change. */
+export class ServerDirectory {
+	readonly #table: MemberTable;
+	#snapshot: MemberSnapshot | undefined;
+	#index: ReadonlyMap<string, readonly Candidate[]> = new Map();
+
+	constructor(table: MemberTable) {
+		this.#table = table;
+	}
+
+	/** The candidates of a service on live nodes. A server announced to two nodes counts at its higher generation. */
+	listCandidates(service: string): readonly Candidate[] {
+		const snapshot = this.#table.store.getState();
+		if (snapshot !== this.#snapshot) {
+			this.#snapshot = snapshot;
+			this.#index = groupCandidates(snapshot);
+		}
+
+		return this.#index.get(service) ?? [];
+	}
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,79 @@
+/** Settings of a node, from flags and environment variables. */
+import {Left, Right, type Either} from 'purify-ts';
+import {z} from 'zod';
+import {
+	createFailure, parseAddress, type Address, type Failure, type LogForm, type LogLevel,
+} from '@limpetbarrow/core';
+
+/** Checked settings of a node. */
+export type NodeSettings = {
+	readonly id: string;
+	readonly region: string;
+	readonly failureDomain: string;
+	/** Addresses to listen on; port 0 picks a free one. */
+	readonly ingress: Address;
+	readonly admin: Address;
+	readonly link: Address;
+	readonly gossip: Address;
+	/** Gossip addresses of a few other nodes. */
+	readonly seeds: readonly Address[];
+	/** Base URL of the platform's object API. */
+	readonly platform: string;
+	/** Longest time a planned stop waits for requests in progress, in milliseconds. */
+	readonly stopTimeoutMs: number;
+	readonly logForm: LogForm;
+	readonly logLevel: LogLevel;
+};
+
+/** Flags of `limpetbarrow node`, as yargs takes them. Each is also read from `LIMPETBARROW_` and its name. */
+export const nodeFlags = {
+	id: {type: 'string', demandOption: true, describe: 'Name of this node, unique in the fleet'},
+	region: {type: 'string', demandOption: true, describe: 'Region this host is in'},
+	'failure-domain': {type: 'string', demandOption: true, describe: 'Failure domain this host is in, unique across regions'},
+	ingress: {type: 'string', default: '127.0.0.1:8080', describe: 'Address for callers, as host:port'},
+	admin: {type: 'string', default: '127.0.0.1:8081', describe: 'Address for operators and backend servers, as host:port'},
+	link: {type: 'string', default: '127.0.0.1:8082', describe: 'TCP address for other nodes, as host:port'},
+	gossip: {type: 'string', default: '127.0.0.1:8083', describe: 'UDP address for other nodes, as host:port'},
+	seeds: {type: 'string', default: '', describe: 'Gossip addresses of a few other nodes, separated by commas'},
+	platform: {type: 'string', demandOption: true, describe: 'Base URL of the platform\'s object API'},
+	'stop-timeout-ms': {type: 'number', default: 30_000, describe: 'Longest time a planned stop waits, in milliseconds'},
+	'log-form': {
+		type: 'string', choices: ['text', 'json'], default: 'text', describe: 'Form of log lines',
+	},
+	'log-level': {
+		type: 'string', choices: ['debug', 'info', 'warn', 'error'], default: 'info', describe: 'Least severity that is logged',
+	},
+} as const;
+
+const addressSchema = z.string().transform((text, context) => {
+	const address = parseAddress(text);
+	if (!address) {
+		context.addIssue({code: 'custom', message: `${text} is not host:port`});
+		return z.NEVER;
+	}
+
+	return address;
+});
+
+const settingsSchema = z.object({
+	id: z.string().regex(/^[\w.\-]{1,63}$/v, 'use up to 63 letters, digits, dots and hyphens'),
+	region: z.string().min(1).max(63),
+	failureDomain: z.string().min(1).max(63),
+	ingress: addressSchema,
+	admin: addressSchema,
+	link: addressSchema,
+	gossip: addressSchema,
+	seeds: z.string().transform(text => text.split(',').filter(part => part.trim() !== '')).pipe(z.array(addressSchema)),
+	platform: z.url({protocol: /^https?$/v}).transform(url => url.replace(/\/$/v, '')),
+	stopTimeoutMs: z.int().min(0).max(3_600_000),
+	logForm: z.enum(['text', 'json']),
+	logLevel: z.enum(['debug', 'info', 'warn', 'error']),
+});
+
+/** Checks settings as yargs read them, naming every one that is wrong. */
+export function parseSettings(input: unknown): Either<Failure, NodeSettings> {
+	const result = settingsSchema.safeParse(input);
+	return result.success
+		? Right(result.data)
+		: Left(createFailure('settingsInvalid', result.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; ')));
+}
--- /dev/null
+++ b/packages/releases/src/release-note.ts
@@ -0,0 +1,86 @@
+/** Schema of a release note. */
+import {z} from 'zod';
+
+const maxNameLength = 63;
+const maxSlotsFloor = 10_000;
+const maxTimeoutMs = 600_000;
+const maxBodyBytes = 1_073_741_824;
+const defaultBodyBytes = 10_485_760;
+const defaultQueueLimit = 12;
+
+const nameSchema = z.string().regex(/^[a-z\d][a-z\d.\-]*$/v, 'use lower-case letters, digits, dots and hyphens').max(maxNameLength);
+
+/** A service. */
+export const serviceSchema = z.strictObject({
+	name: nameSchema,
+	/** Least number of backend servers that ejection leaves serving. */
+	floor: z.int().min(0).max(maxSlotsFloor).default(1),
+	/** `fast` favours detection time, `cautious` favours few false ejections. */
+	detection: z.enum(['fast', 'cautious']).default('cautious'),
+	/** Requests that may wait before one backend server. */
+	queueLimit: z.int().min(0).max(1000).default(defaultQueueLimit),
+}).readonly();
+
+/** A route. */
+export const routeSchema = z.strictObject({
+	name: nameSchema,
+	host: z.string().regex(/^(?:\*|[a-z\d.\-]+)$/v, 'use a lower-case host name or *').default('*'),
+	pathPrefix: z.string().startsWith('/').max(1024),
+	/** Methods the route takes; empty takes all. */
+	methods: z.array(z.string().regex(/^[A-Z]+$/v)).readonly().default([]),
+	service: nameSchema,
+	/** True when requests other than GET, HEAD and OPTIONS may run twice. */
+	isRepeatable: z.boolean().default(false),
+	timeoutMs: z.int().min(1).max(maxTimeoutMs).default(10_000),
+	maxBodyBytes: z.int().min(0).max(maxBodyBytes).default(defaultBodyBytes),
+}).readonly();
+
+/** Terms offered to one kind of caller. */
+export const termsSchema = z.strictObject({
+	/** Name of the kind of caller. */
+	name: nameSchema,
+	/** Requests per second of the first terms and of the most generous ones. */
+	initialRate: z.number().positive().max(1_000_000),
+	topRate: z.number().positive().max(1_000_000),
+	/** Factor by which a renewal raises rate and timeout. */
+	growth: z.number().min(1).max(10).default(2),
+	initialTimeoutMs: z.int().min(1).max(maxTimeoutMs).default(2000),
+	topTimeoutMs: z.int().min(1).max(maxTimeoutMs).default(10_000),
+	lifetimeMs: z.int().min(1000).max(86_400_000).default(600_000),
+}).readonly();
+
+/** An organisation. */
+export const organisationSchema = z.strictObject({
+	name: nameSchema,
+	/** Name of the kind of caller its callers are. */
+	terms: nameSchema,
+	/** SHA-256 of the secret its callers show, in hexadecimal. */
+	secretHash: z.string().regex(/^[\da-f]{64}$/v, 'use 64 hexadecimal digits').optional(),
+}).readonly();
+
+const itemsSchema = z.strictObject({
+	services: z.array(serviceSchema).readonly().default([]),
+	routes: z.array(routeSchema).readonly().default([]),
+	terms: z.array(termsSchema).readonly().default([]),
+	organisations: z.array(organisationSchema).readonly().default([]),
+}).readonly();
+
+const withdrawnSchema = z.strictObject({
+	services: z.array(nameSchema).readonly().default([]),
+	routes: z.array(nameSchema).readonly().default([]),
+	terms: z.array(nameSchema).readonly().default([]),
+	organisations: z.array(nameSchema).readonly().default([]),
+}).readonly();
+
+/** A release note. */
+export const releaseNoteSchema = z.strictObject({
+	/** Chosen by the operator; applying a note again under the same id changes nothing. */
+	id: z.string().regex(/^[\w.\-]{1,100}$/v),
+	operator: z.string().min(1).max(100),
+	/** Number of the release this note was written against. */
+	base: z.int().min(0),
+	comment: z.string().max(2000).default(''),
+	added: itemsSchema.prefault({}),
+	changed: itemsSchema.prefault({}),
+	withdrawn: withdrawnSchema.prefault({}),
+}).readonly();
--- /dev/null
+++ b/packages/sequencer/src/index.ts
@@ -0,0 +1,3 @@
+/** At-most-once requests. */
+export * from './idempotency-key.js';
+export * from './sequencer.js';
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,3 @@
+/** Stand-ins for what surrounds the system, and the failure rig. */
+export * from './platform-stand-in.js';
+export * from './backend-stand-in.js';
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,24 @@
+/** Formatter and linter settings; docs/DESIGN.md names the house rules that go before XO's. */
+const config = [
+	{
+		ignores: ['packages/*/dist/**', 'coverage/**'],
+	},
+	{
+		rules: {
+			// `Left`, `Right`, `Just` of purify-ts are functions with capitals.
+			'new-cap': 'off',
+			// Control flow by array methods.
+			'unicorn/no-array-for-each': 'off',
+			'unicorn/no-array-reduce': 'off',
+			'unicorn/no-array-callback-reference': 'off',
+			// Values from outside are checked by zod or by guards where they enter.
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+		},
+	},
+	{
+		files: ['packages/cli/src/run-daemon.ts'],
+		rules: {'unicorn/no-process-exit': 'off'},
+	},
+];
+
+export default config;
