Name benchmarks in one place

Cause: several benchmarks are to come side by side and need one command. Ruled out: a script for each. No figures: no benchmark is in it yet.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,7 @@
-/** Benchmarks. */
+/** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 
-/** Names of the benchmarks, as `npm run bench -- NAME` takes them. */
-export const benchmarkNames = ['latency'] as const;
+/** Runs one benchmark and prints its table. */
+export type Benchmark = () => Promise<number>;
+
+/** All benchmarks, as `npm run bench -- NAME` takes them. */
+export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>();
