Settle every outcome of an accepted release and follow by few watchers

Cause: a create whose answer was lost was settled by one read, so a write that arrived late made "not accepted" untrue; a note applied again after its base moved could be accepted twice; each node listed and watched the whole log.

Mechanism: each note's attempts are recorded by a conditional change before its release is created, a lost create is sent again instead of being given up after a read, and a refusal is confirmed against every number the note was tried under. Notes above one value are held in parts named by digest.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -46,6 +46,12 @@
 	releaseInForce: {number: 601, level: 'info', meaning: 'A release is in force on this node.'},
 	releaseAccepted: {number: 602, level: 'info', meaning: 'An operator\'s release was accepted.'},
 	releaseRefused: {number: 603, level: 'warn', meaning: 'An operator\'s release was refused.'},
+	releaseUnreadable: {number: 604, level: 'error', meaning: 'A stored release could not be read; the node stays at the one before.'},
+	releaseFetchFailed: {number: 605, level: 'debug', meaning: 'Another node did not give the releases it has.'},
+	watchStarted: {number: 606, level: 'info', meaning: 'This node watches the platform for its failure domain.'},
+	watchStopped: {number: 607, level: 'info', meaning: 'This node no longer watches the platform.'},
+	snapshotWritten: {number: 608, level: 'info', meaning: 'A snapshot of the configuration was written.'},
+	snapshotFailed: {number: 609, level: 'warn', meaning: 'A snapshot could not be written; the log has all it would hold.'},
 
 	// Platform
 	platformLost: {number: 701, level: 'warn', meaning: 'The object API does not answer.'},
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -151,6 +151,12 @@
 	releaseUnknown: {
 		code: 6004, status: 503, ran: 'none', resend: 'later', meaning: 'It is not known whether the release was accepted; apply the same note again.',
 	},
+	releaseGone: {
+		code: 6005, status: 410, ran: 'none', resend: 'never', meaning: 'The node no longer keeps the releases asked for; fetch its configuration.',
+	},
+	releaseUnreadable: {
+		code: 6006, status: 502, ran: 'none', resend: 'later', meaning: 'A stored or fetched release could not be read.',
+	},
 
 	// Platform
 	platformUnavailable: {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -7,13 +7,14 @@
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {Announcements, Gossip, MemberTable} from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/platform';
-import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
+import {ReleaseFollower, ReleaseState} from '@limpetbarrow/releases';
 import {Sequencer} from '@limpetbarrow/sequencer';
 import {Right} from 'purify-ts';
 import {Admin} from './admin.js';
 import {sendFailure} from './answer.js';
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
+import {HttpReleasePeers} from './http-release-peers.js';
 import {Ingress} from './ingress.js';
 import {ServerDirectory} from './server-directory.js';
 import {type NodeSettings} from './settings.js';
@@ -47,6 +48,7 @@
 	readonly #table: MemberTable;
 	readonly #announcements: Announcements;
 	readonly #releases = new ReleaseState();
+	readonly #peers: HttpReleasePeers;
 	readonly #follower: ReleaseFollower;
 	readonly #egress: Egress;
 	readonly #links: LinkPool;
@@ -64,7 +66,10 @@
 		this.#platform = new HttpObjectStore(settings.platform);
 		this.#table = new MemberTable(createRecord(settings));
 		this.#announcements = new Announcements(logger);
-		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
+		this.#peers = new HttpReleasePeers(this.#table);
+		this.#follower = new ReleaseFollower({
+			store: this.#platform, state: this.#releases, peers: this.#peers, expectsPeers: settings.seeds.length > 0, logger,
+		});
 		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
 		this.#links = new LinkPool(this.#table.self);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
@@ -76,7 +81,7 @@
 			announcements: this.#announcements,
 			table: this.#table,
 			releases: this.#releases,
-			log: new ReleaseLog(this.#platform),
+			platform: this.#platform,
 			metrics: this.#metrics,
 			logger,
 			isStopping: () => this.#isStopping,
@@ -124,6 +129,7 @@
 		this.#links.close();
 		await this.#linkServer.close();
 		await this.#egress.close();
+		await this.#peers.close();
 		await this.#platform.close();
 	}
 
--- a/packages/platform/src/constants.ts
+++ b/packages/platform/src/constants.ts
@@ -7,4 +7,7 @@
 export const callTimeoutMs = 3000;
 
 /** Time a watch waits for a change before it answers empty, in milliseconds. */
-export const watchWaitMs = 30_000;
+export const watchWaitMs = 10_000;
+
+/** Largest answer that is read, in bytes. */
+export const maxAnswerBytes = 33_554_432;
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -5,8 +5,11 @@
 import {
 	createFailure, FailureError, type Failure, type ResultName,
 } from '@limpetbarrow/core';
-import {callTimeoutMs, maxValueBytes, watchWaitMs} from './constants.js';
+import {
+	callTimeoutMs, maxAnswerBytes, maxValueBytes, watchWaitMs,
+} from './constants.js';
 import {ObjectStore} from './object-store.js';
+import {parseList, parseObject, parseWatch} from './parse-answers.js';
 import {
 	type CallKind, type ObjectList, type StoredObject, type WatchResult,
 } from './types.js';
@@ -45,6 +48,21 @@
 	}
 }
 
+async function readBounded(body: AsyncIterable<Uint8Array>): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of body) {
+		size += chunk.length;
+		if (size > maxAnswerBytes) {
+			throw new FailureError(createFailure('platformMalformed', `the answer has more than ${maxAnswerBytes} bytes`));
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
+
 /** Speaks to the object API at one base URL, such as `http://127.0.0.1:7000`. */
 export class HttpObjectStore extends ObjectStore {
 	readonly #origin: string;
@@ -56,11 +74,11 @@
 	}
 
 	override get(key: string): EitherAsync<Failure, StoredObject> {
-		return this.#send<StoredObject>({kind: 'get', method: 'GET', path: getObjectPath(key)});
+		return this.#send({kind: 'get', method: 'GET', path: getObjectPath(key)}, parseObject);
 	}
 
 	override list(prefix: string): EitherAsync<Failure, ObjectList> {
-		return this.#send<ObjectList>({kind: 'list', method: 'GET', path: `/objects?prefix=${encodeURIComponent(prefix)}`});
+		return this.#send({kind: 'list', method: 'GET', path: `/objects?prefix=${encodeURIComponent(prefix)}`}, parseList);
 	}
 
 	override create(key: string, value: string): EitherAsync<Failure, StoredObject> {
@@ -78,17 +96,17 @@
 	override remove(key: string, version: number): EitherAsync<Failure, void> {
 		return this.#send({
 			kind: 'delete', method: 'DELETE', path: getObjectPath(key), headers: {'if-match': String(version)},
-		});
+		}, () => undefined);
 	}
 
 	override watch(prefix: string, fromVersion: number, signal?: AbortSignal): EitherAsync<Failure, WatchResult> {
-		return this.#send<WatchResult>({
+		return this.#send({
 			kind: 'watch',
 			method: 'GET',
 			path: `/watch?prefix=${encodeURIComponent(prefix)}&from=${fromVersion}&wait=${watchWaitMs}`,
 			timeoutMs: watchWaitMs + callTimeoutMs,
 			...(signal && {signal}),
-		});
+		}, parseWatch);
 	}
 
 	/** Closes the connections; calls in progress fail. */
@@ -100,31 +118,31 @@
 		const size = Buffer.byteLength(options.body ?? '');
 		return size > maxValueBytes
 			? EitherAsync.liftEither(Left(createFailure('platformTooLarge', `the value has ${size} bytes, the bound is ${maxValueBytes}`)))
-			: this.#send<StoredObject>(options);
+			: this.#send(options, parseObject);
 	}
 
-	#send<T>(options: CallOptions): EitherAsync<Failure, T> {
+	#send<T>(options: CallOptions, parse: (value: unknown) => T): EitherAsync<Failure, T> {
 		return EitherAsync<Failure, T>(async ({throwE}) => {
 			this.recordCall(options.kind);
 			try {
-				return await this.#fetch<T>(options);
+				return parse(await this.#fetch(options));
 			} catch (error) {
 				return throwE(toFailure(error));
 			}
 		});
 	}
 
-	async #fetch<T>({method, path, headers = {}, body, timeoutMs = callTimeoutMs, signal}: CallOptions): Promise<T> {
+	async #fetch({method, path, headers = {}, body, timeoutMs = callTimeoutMs, signal}: CallOptions): Promise<unknown> {
 		const timeout = AbortSignal.timeout(timeoutMs);
 		const answer = await request(`${this.#origin}${path}`, {
 			method, headers, body: body ?? null, dispatcher: this.#agent, signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
 		});
-		const text = await answer.body.text();
+		const text = await readBounded(answer.body);
 		if (answer.statusCode >= 300) {
 			throw new FailureError(createStatusFailure(answer.statusCode, text));
 		}
 
-		return parseAnswer(text) as T;
+		return parseAnswer(text);
 	}
 }
 
--- a/packages/releases/src/configuration.ts
+++ b/packages/releases/src/configuration.ts
@@ -16,35 +16,52 @@
 	release: 0, services: new Map(), routes: new Map(), terms: new Map(), organisations: new Map(),
 };
 
-function applyItems<Item extends Named>(items: ReadonlyMap<string, Item>, set: readonly Item[], withdrawn: readonly string[]): ReadonlyMap<string, Item> {
-	if (set.length === 0 && withdrawn.length === 0) {
+function applyItems<Item extends Named>(items: ReadonlyMap<string, Item>, notes: readonly ReleaseNote[], selectSet: (note: ReleaseNote) => readonly Item[], kind: ItemKind): ReadonlyMap<string, Item> {
+	if (notes.every(note => selectSet(note).length === 0 && note.withdrawn[kind].length === 0)) {
 		return items;
 	}
 
 	const next = new Map(items);
-	withdrawn.forEach(name => {
-		next.delete(name);
-	});
-	set.forEach(item => {
-		next.set(item.name, item);
+	notes.forEach(note => {
+		note.withdrawn[kind].forEach(name => {
+			next.delete(name);
+		});
+		selectSet(note).forEach(item => {
+			next.set(item.name, item);
+		});
 	});
 	return next;
 }
 
-/** Applies a note's additions, changes and withdrawals. */
-export function applyNote(configuration: Configuration, {added, changed, withdrawn}: ReleaseNote): Configuration {
+function applyNotes(configuration: Configuration, notes: readonly ReleaseNote[]): Omit<Configuration, 'release'> {
 	return {
-		release: configuration.release,
-		services: applyItems(configuration.services, [...added.services, ...changed.services], withdrawn.services),
-		routes: applyItems(configuration.routes, [...added.routes, ...changed.routes], withdrawn.routes),
-		terms: applyItems(configuration.terms, [...added.terms, ...changed.terms], withdrawn.terms),
-		organisations: applyItems(configuration.organisations, [...added.organisations, ...changed.organisations], withdrawn.organisations),
+		services: applyItems(configuration.services, notes, ({added, changed}) => [...added.services, ...changed.services], 'services'),
+		routes: applyItems(configuration.routes, notes, ({added, changed}) => [...added.routes, ...changed.routes], 'routes'),
+		terms: applyItems(configuration.terms, notes, ({added, changed}) => [...added.terms, ...changed.terms], 'terms'),
+		organisations: applyItems(configuration.organisations, notes, ({added, changed}) => [...added.organisations, ...changed.organisations], 'organisations'),
 	};
 }
 
-/** Folds in the next release. Any other number leaves the configuration as it is, so it never goes back. */
-export function applyRelease(configuration: Configuration, {number, note}: Release): Configuration {
-	return number === configuration.release + 1
-		? {...applyNote(configuration, note), release: number}
-		: configuration;
+/** Selects the releases that follow a number without a gap, in order; the others are passed over. */
+export function selectSuccessors(number: number, releases: readonly Release[]): readonly Release[] {
+	const byNumber = new Map(releases.map(release => [release.number, release]));
+	const successors: Release[] = [];
+	let next = byNumber.get(number + 1);
+	while (next) {
+		successors.push(next);
+		next = byNumber.get(next.number + 1);
+	}
+
+	return successors;
+}
+
+/**
+ * Folds in the releases that follow without a gap, in whatever order they come. Any other number changes nothing, so
+ * the configuration never goes back. Each kind of item is copied at most once.
+ */
+export function applyReleases(configuration: Configuration, releases: readonly Release[]): Configuration {
+	const successors = selectSuccessors(configuration.release, releases);
+	return successors.length === 0
+		? configuration
+		: {...applyNotes(configuration, successors.map(({note}) => note)), release: configuration.release + successors.length};
 }
--- /dev/null
+++ b/packages/releases/src/note-fault.ts
@@ -0,0 +1,35 @@
+/** Faults of a release note, each named by its path. */
+import {createFailure, type Failure} from '@limpetbarrow/core';
+
+/** One fault in a release note. */
+export type NoteFault = {
+	/** Such as `added.routes[2].service`. */
+	readonly path: string;
+	readonly message: string;
+};
+
+const maxReportedFaults = 50;
+const maxPathLength = 120;
+const maxMessageLength = 200;
+
+/** Formats a path as `added.routes[2].service`. */
+export function formatPath(path: readonly PropertyKey[]): string {
+	return path
+		.map(part => typeof part === 'number' ? `[${part}]` : `.${String(part)}`)
+		.join('')
+		.replace(/^\./v, '')
+		.slice(0, maxPathLength);
+}
+
+function formatFault({path, message}: NoteFault): string {
+	return `${path === '' ? 'note' : path}: ${message.slice(0, maxMessageLength)}`;
+}
+
+/** The failure that reports a note's faults; a long list is cut and its length told. */
+export function createNoteFailure(faults: readonly NoteFault[]): Failure {
+	const hidden = faults.length - maxReportedFaults;
+	return createFailure('releaseInvalid', [
+		...faults.slice(0, maxReportedFaults).map(fault => formatFault(fault)),
+		...(hidden > 0 ? [`and ${hidden} more faults`] : []),
+	].join('; '));
+}
--- /dev/null
+++ b/packages/releases/src/peer-follower.ts
@@ -0,0 +1,97 @@
+/** Fetches the releases that other nodes have and this one lacks. */
+import {EitherAsync, Left} from 'purify-ts';
+import {type Failure, type Logger} from '@limpetbarrow/core';
+import {computeBackOff} from './back-off.js';
+import {type ReleasePeer, type ReleasePeers} from './release-peers.js';
+import {type ReleaseState} from './release-state.js';
+
+/** What a peer follower reads from and writes to. */
+export type PeerFollowerOptions = {
+	readonly peers: ReleasePeers;
+	readonly state: ReleaseState;
+	readonly logger: Logger;
+	readonly random: () => number;
+};
+
+type Refusal = {
+	readonly failures: number;
+	readonly retryAt: number;
+};
+
+/** Asks one peer at a time; a peer that failed is passed over for a while. */
+export class PeerFollower {
+	readonly #options: PeerFollowerOptions;
+	#refusals: ReadonlyMap<string, Refusal> = new Map();
+	#isFetching = false;
+
+	constructor(options: PeerFollowerOptions) {
+		this.#options = options;
+	}
+
+	/** Fetches until no live peer that answers is ahead. */
+	async run(live: readonly ReleasePeer[]): Promise<void> {
+		if (this.#isFetching) {
+			return;
+		}
+
+		this.#isFetching = true;
+		try {
+			await this.#fetchAll(live);
+		} finally {
+			this.#isFetching = false;
+		}
+	}
+
+	async #fetchAll(live: readonly ReleasePeer[]): Promise<void> {
+		const peer = this.#pickPeer(live);
+		if (!peer) {
+			return;
+		}
+
+		const before = this.#options.state.getNumber();
+		const result = await this.#fetch(peer).run();
+		const hasProgress = this.#options.state.getNumber() > before;
+		this.#recordOutcome(peer, hasProgress);
+		result.ifLeft(({code, detail}) => {
+			this.#options.logger.log('releaseFetchFailed', {peer: peer.id, code, detail});
+		});
+		await this.#fetchAll(live);
+	}
+
+	#pickPeer(live: readonly ReleasePeer[]): ReleasePeer | undefined {
+		const {peers, state, random} = this.#options;
+		const selfId = peers.getSelfId();
+		const domain = live.find(({id}) => id === selfId)?.failureDomain;
+		const now = performance.now();
+		const ahead = live
+			.filter(({id, release}) => id !== selfId && release > state.getNumber())
+			.filter(({id}) => (this.#refusals.get(id)?.retryAt ?? 0) <= now);
+		const near = ahead.filter(({failureDomain}) => failureDomain === domain);
+		const candidates = near.length > 0 ? near : ahead;
+		return candidates[Math.floor(random() * candidates.length)];
+	}
+
+	#fetch(peer: ReleasePeer): EitherAsync<Failure, void> {
+		const {peers, state} = this.#options;
+		return peers.fetchReleases(peer.id, state.getNumber())
+			.ifRight(releases => {
+				state.apply(releases);
+			})
+			.void()
+			.chainLeft(failure => failure.name === 'releaseGone'
+				? peers.fetchConfiguration(peer.id).ifRight(configuration => {
+					state.applyConfiguration(configuration);
+				}).void()
+				: EitherAsync.liftEither(Left(failure)));
+	}
+
+	#recordOutcome({id}: ReleasePeer, hasProgress: boolean): void {
+		const next = new Map([...this.#refusals].filter(([, {retryAt}]) => retryAt > performance.now()));
+		if (!hasProgress) {
+			const failures = (this.#refusals.get(id)?.failures ?? 0) + 1;
+			next.set(id, {failures, retryAt: performance.now() + computeBackOff(failures, this.#options.random)});
+		}
+
+		this.#refusals = next;
+	}
+}
--- /dev/null
+++ b/packages/releases/src/release-acceptor.ts
@@ -0,0 +1,172 @@
+/** Accepts release notes: the one way a release comes into being. */
+import {EitherAsync, Left, Right} from 'purify-ts';
+import {createFailure, type Failure, type ResultName} from '@limpetbarrow/core';
+import {type ObjectStore} from '@limpetbarrow/platform';
+import {NoteAttempts} from './note-attempts.js';
+import {createNoteFailure} from './note-fault.js';
+import {flattenToParts, hashText} from './part-text.js';
+import {hashNote, isWhole} from './release-codec.js';
+import {getNotePartKey, getReleaseKey} from './release-keys.js';
+import {type ReleaseLog} from './release-log.js';
+import {type ReleaseReader} from './release-reader.js';
+import {checkNote, parseNote} from './validate-note.js';
+import {type Configuration, type Release, type ReleaseNote} from './types.js';
+
+const maxCreateTries = 3;
+const refusals: ReadonlySet<ResultName> = new Set(['releaseConflict', 'releaseInvalid']);
+
+type Outcome = EitherAsync<Failure, Release>;
+
+function createFault(name: 'releaseConflict' | 'releaseNotAccepted' | 'releaseUnknown', detail: string): EitherAsync<Failure, never> {
+	return EitherAsync.liftEither(Left(createFailure(name, detail)));
+}
+
+function createSuccess<T>(value: T): EitherAsync<Failure, T> {
+	return EitherAsync.liftEither(Right(value));
+}
+
+function formatRelease({number, note}: Release): string {
+	return `release ${number} is ${note.id} by ${note.operator}`;
+}
+
+function toNotAccepted({detail}: Failure): Failure {
+	return createFailure('releaseNotAccepted', `nothing was written by this call: ${detail}`);
+}
+
+function checkBaseExists({base}: ReleaseNote, configuration: Configuration): EitherAsync<Failure, Configuration> {
+	return base > configuration.release
+		? EitherAsync.liftEither(Left(createNoteFailure([{path: 'base', message: `release ${base} does not exist, the last one is ${configuration.release}`}])))
+		: createSuccess(configuration);
+}
+
+function checkContent(found: Release, note: ReleaseNote): Outcome {
+	return hashNote(found.note) === hashNote(note)
+		? createSuccess(found)
+		: createFault('releaseConflict', `${formatRelease(found)}, with other content under the same id`);
+}
+
+/** Checks notes against the log and appends them to it. */
+export class ReleaseAcceptor {
+	readonly #store: ObjectStore;
+	readonly #log: ReleaseLog;
+	readonly #reader: ReleaseReader;
+	readonly #attempts: NoteAttempts;
+
+	constructor(store: ObjectStore, log: ReleaseLog, reader: ReleaseReader) {
+		this.#store = store;
+		this.#log = log;
+		this.#reader = reader;
+		this.#attempts = new NoteAttempts(store);
+	}
+
+	/** Checks a note against the newest configuration and writes nothing. */
+	check(input: unknown): EitherAsync<Failure, ReleaseNote> {
+		return EitherAsync.liftEither(parseNote(input).mapLeft(faults => createNoteFailure(faults)))
+			.chain(note => this.#reader.readConfiguration()
+				.chain(configuration => checkBaseExists(note, configuration))
+				.chain(configuration => this.#checkBase(note, configuration).chain(async () => checkNote(configuration, note).mapLeft(faults => createNoteFailure(faults)))));
+	}
+
+	/**
+	 * Accepts a note as the next release. The conditional create of that release is the commit point.
+	 *
+	 * The note's attempt is recorded before, so applying the same note again finds what became of earlier attempts. A
+	 * lost answer is settled by sending the same create again: either it succeeds, or the number is taken by then and
+	 * the release found there tells. Whatever cannot be settled is `releaseUnknown`.
+	 */
+	accept(input: unknown): Outcome {
+		return EitherAsync.liftEither(parseNote(input).mapLeft(faults => createNoteFailure(faults)))
+			.chain(note => this.#reader.readConfiguration().mapLeft(failure => toNotAccepted(failure))
+				.chain(configuration => checkBaseExists(note, configuration))
+				.chain(configuration => this.#attempts.record(note.id, note.base + 1).mapLeft(failure => toNotAccepted(failure))
+					.chain(numbers => this.#acceptAttempt(note, configuration, numbers))));
+	}
+
+	#acceptAttempt(note: ReleaseNote, configuration: Configuration, numbers: readonly number[]): Outcome {
+		return this.#findAccepted(note, configuration, numbers).chain(found => {
+			if (found) {
+				return checkContent(found, note);
+			}
+
+			return this.#checkBase(note, configuration)
+				.chain(async () => checkNote(configuration, note).mapLeft(faults => createNoteFailure(faults)))
+				.chain(() => this.#writeNext(note))
+				.chainLeft(failure => this.#settleRefusal(failure, note, numbers));
+		});
+	}
+
+	/** Looks for the note under the numbers it was tried; numbers of the log that cannot be read settle nothing. */
+	#findAccepted(note: ReleaseNote, {release}: Configuration, numbers: readonly number[]): EitherAsync<Failure, Release | undefined> {
+		const reads = numbers.map(number => this.#log.read(number)
+			.map<Release | undefined>(found => found)
+			.chainLeft(async failure => failure.name === 'platformNotFound' && number > release
+				? Right(undefined)
+				: Left(createFailure('releaseUnknown', `whether release ${number} is this note: ${failure.detail}`))));
+		return EitherAsync.sequence(reads).map(found => found.find(candidate => candidate?.note.id === note.id));
+	}
+
+	#checkBase(note: ReleaseNote, {release}: Configuration): EitherAsync<Failure, void> {
+		if (note.base === release) {
+			return createSuccess(undefined);
+		}
+
+		return this.#log.read(note.base + 1)
+			.chainLeft(() => createFault('releaseConflict', `the note is based on release ${note.base}, the last one is ${release}`))
+			.chain(winner => createFault('releaseConflict', `the note is based on release ${note.base}; ${formatRelease(winner)}`));
+	}
+
+	#writeNext(note: ReleaseNote): Outcome {
+		const release = {number: note.base + 1, acceptedAt: Date.now(), note};
+		const text = JSON.stringify(release);
+		return isWhole(text)
+			? this.#create(release, text)
+			: this.#writeParts(release).chain(divided => this.#create(release, divided));
+	}
+
+	#writeParts({number, acceptedAt, note}: Release): EitherAsync<Failure, string> {
+		const noteText = JSON.stringify(note);
+		const digest = hashText(noteText);
+		const parts = flattenToParts(noteText);
+		const writes = parts.map((part, index) => this.#store.create(getNotePartKey(note.id, digest, index), part)
+			.void()
+			.chainLeft(async failure => failure.name === 'platformConflict' ? Right(undefined) : Left(toNotAccepted(failure))));
+		return EitherAsync.sequence(writes).map(() => JSON.stringify({
+			number, acceptedAt, noteId: note.id, digest, partCount: parts.length,
+		}));
+	}
+
+	#create(release: Release, text: string, triesLeft = maxCreateTries): Outcome {
+		return this.#store.create(getReleaseKey(release.number), text)
+			.map(() => release)
+			.chainLeft(failure => {
+				if (failure.name === 'platformConflict') {
+					return this.#settleConflict(release);
+				}
+
+				if (failure.name === 'platformTooLarge') {
+					return EitherAsync.liftEither(Left(toNotAccepted(failure)));
+				}
+
+				return triesLeft > 1 ? this.#create(release, text, triesLeft - 1) : createFault('releaseUnknown', failure.detail);
+			});
+	}
+
+	#settleConflict(release: Release): Outcome {
+		return this.#log.read(release.number)
+			.chainLeft(({detail}) => createFault('releaseUnknown', `release ${release.number} is taken and cannot be read: ${detail}`))
+			.chain(winner => winner.note.id === release.note.id ? checkContent(winner, release.note) : createFault('releaseConflict', formatRelease(winner)));
+	}
+
+	/** Refuses for good only when every number the note was tried under is known to hold another note. */
+	#settleRefusal(failure: Failure, note: ReleaseNote, numbers: readonly number[]): Outcome {
+		const others = numbers.filter(number => number !== note.base + 1);
+		return refusals.has(failure.name) && others.length > 0
+			? EitherAsync.sequence(others.map(number => this.#log.read(number)))
+				.chainLeft(({detail}) => createFault('releaseUnknown', `an earlier attempt of this note: ${detail}`))
+				.chain(found => {
+					const accepted = found.find(candidate => candidate.note.id === note.id);
+					return accepted ? checkContent(accepted, note) : EitherAsync.liftEither(Left(failure));
+				})
+			: EitherAsync.liftEither(Left(failure));
+	}
+}
--- a/packages/releases/src/release-follower.ts
+++ b/packages/releases/src/release-follower.ts
@@ -1,68 +1,108 @@
-/** Keeps a node's releases up to date from the platform. */
-import {setTimeout as wait} from 'node:timers/promises';
+/**
+ * Keeps a node's releases up to date.
+ *
+ * A few nodes of each failure domain watch the platform. The others hear by gossip which number other nodes have in
+ * force and fetch what they lack from them. Besides, every node reads the platform now and then at a rate that, summed
+ * over the fleet, does not depend on its size; so a release is found also when every watcher is cut off.
+ */
 import {type Logger} from '@limpetbarrow/core';
 import {type ObjectStore} from '@limpetbarrow/platform';
-import {parseRelease, releasePrefix, ReleaseLog} from './release-log.js';
+import {PeerFollower} from './peer-follower.js';
+import {ReleaseLog} from './release-log.js';
+import {type ReleasePeer, type ReleasePeers} from './release-peers.js';
+import {ReleaseReader} from './release-reader.js';
 import {type ReleaseState} from './release-state.js';
+import {selectWatchers} from './select-watchers.js';
+import {SnapshotStore} from './snapshot-store.js';
+import {StoreWatcher} from './store-watcher.js';
 
-const retryMs = 1000;
+/** Time between two looks at the other nodes, in milliseconds. */
+export const followPeriodMs = 500;
 
-/** Watches the log while started. */
+/** Time between two reads of the platform by nodes that do not watch, over the whole fleet, in milliseconds. */
+export const fleetPollMs = 2000;
+
+/** Time after a start in which a node that expects others hears of them before it may watch, in milliseconds. */
+export const joinGraceMs = 3000;
+
+/** What a follower reads from and writes to. */
+export type ReleaseFollowerOptions = {
+	readonly store: ObjectStore;
+	readonly state: ReleaseState;
+	readonly peers: ReleasePeers;
+	/** True when the node was told of others to join. */
+	readonly expectsPeers: boolean;
+	readonly logger: Logger;
+	readonly random?: () => number;
+};
+
+/** Follows releases while started. */
 export class ReleaseFollower {
-	readonly #store: ObjectStore;
-	readonly #state: ReleaseState;
-	readonly #logger: Logger;
-	#abort = new AbortController();
-	#isPlatformLost = false;
+	readonly #options: ReleaseFollowerOptions;
+	readonly #random: () => number;
+	readonly #reader: ReleaseReader;
+	readonly #watcher: StoreWatcher;
+	readonly #peerFollower: PeerFollower;
+	#timer: NodeJS.Timeout | undefined;
+	#mayWatchAt = 0;
 
-	constructor(store: ObjectStore, state: ReleaseState, logger: Logger) {
-		this.#store = store;
-		this.#state = state;
-		this.#logger = logger;
+	constructor(options: ReleaseFollowerOptions) {
+		const {store, state, peers, logger, random = Math.random} = options;
+		const log = new ReleaseLog(store);
+		this.#options = options;
+		this.#random = random;
+		this.#reader = new ReleaseReader(log, new SnapshotStore(store), state);
+		this.#watcher = new StoreWatcher({
+			store, log, reader: this.#reader, state, logger, random,
+		});
+		this.#peerFollower = new PeerFollower({
+			peers, state, logger, random,
+		});
 	}
 
 	start(): void {
-		this.#abort = new AbortController();
-		void this.#run(this.#abort.signal);
+		this.#mayWatchAt = performance.now() + (this.#options.expectsPeers ? joinGraceMs + (this.#random() * followPeriodMs) : 0);
+		this.#runStep();
 	}
 
 	stop(): void {
-		this.#abort.abort();
+		clearTimeout(this.#timer);
+		this.#timer = undefined;
+		this.#watcher.stop();
 	}
 
-	async #run(signal: AbortSignal): Promise<void> {
-		const listed = await new ReleaseLog(this.#store).readAll().run();
-		listed.ifRight(releases => {
-			this.#state.apply(releases);
-		});
-		await this.#watch(0, signal);
+	isWatching(): boolean {
+		return this.#watcher.isRunning();
 	}
 
-	async #watch(from: number, signal: AbortSignal): Promise<void> {
-		if (signal.aborted) {
-			return;
-		}
+	#runStep(): void {
+		const live = this.#options.peers.listLive();
+		this.#updateWatching(live);
+		void this.#peerFollower.run(live);
+		this.#readSometimes(live);
+		this.#timer = setTimeout(() => {
+			this.#runStep();
+		}, followPeriodMs * (0.75 + (this.#random() / 2)));
+	}
 
-		const result = await this.#store.watch(releasePrefix, from, signal).run();
-		if (signal.aborted) {
+	#updateWatching(live: readonly ReleasePeer[]): void {
+		const isChosen = performance.now() >= this.#mayWatchAt && selectWatchers(live).has(this.#options.peers.getSelfId());
+		if (isChosen === this.#watcher.isRunning()) {
 			return;
 		}
 
-		this.#reportPlatform(result.isLeft());
-		result.ifRight(({events}) => {
-			this.#state.apply(events.filter(event => event.value !== undefined).map(({value}) => parseRelease({value: value!})));
-		});
-		if (result.isLeft()) {
-			await wait(retryMs, undefined, {signal}).catch(() => undefined);
+		this.#options.logger.log(isChosen ? 'watchStarted' : 'watchStopped');
+		if (isChosen) {
+			this.#watcher.start();
+		} else {
+			this.#watcher.stop();
 		}
-
-		await this.#watch(result.map(({version}) => version).orDefault(from), signal);
 	}
 
-	#reportPlatform(isLost: boolean): void {
-		if (isLost !== this.#isPlatformLost) {
-			this.#isPlatformLost = isLost;
-			this.#logger.log(isLost ? 'platformLost' : 'platformBack');
+	#readSometimes(live: readonly ReleasePeer[]): void {
+		const isDue = this.#random() < followPeriodMs / (fleetPollMs * Math.max(1, live.length));
+		if (isDue && performance.now() >= this.#mayWatchAt) {
+			void this.#reader.readConfiguration().run();
 		}
 	}
 }
--- a/packages/releases/src/release-log.ts
+++ b/packages/releases/src/release-log.ts
@@ -1,27 +1,17 @@
-/** The numbered log of releases in the platform's object API. */
-import {EitherAsync} from 'purify-ts';
-import {createFailure, foldResult, type Failure} from '@limpetbarrow/core';
-import {type ObjectStore, type StoredObject} from '@limpetbarrow/platform';
-import {applyRelease, emptyConfiguration} from './configuration.js';
-import {createNoteFailure, validateNote} from './validate-note.js';
-import {type Configuration, type Release} from './types.js';
-
-/** Prefix of the keys that hold releases. */
-export const releasePrefix = 'releases/';
-
-const numberDigits = 9;
-
-/** Key of a release. */
-export function getReleaseKey(number: number): string {
-	return `${releasePrefix}${String(number).padStart(numberDigits, '0')}`;
-}
-
-/** Reads a stored release. */
-export function parseRelease({value}: Pick<StoredObject, 'value'>): Release {
-	return JSON.parse(value) as Release;
-}
-
-/** Reads and extends the log. */
+/** Reads the numbered log of releases in the platform's object API. */
+import {EitherAsync, Right} from 'purify-ts';
+import {type Failure} from '@limpetbarrow/core';
+import {type ObjectStore} from '@limpetbarrow/platform';
+import {selectSuccessors} from './configuration.js';
+import {
+	isDivided, parseDividedNote, parseStoredRelease, type DividedRelease,
+} from './release-codec.js';
+import {
+	getBucketPrefix, getNotePartKey, getReleaseKey, releasesPerBucket,
+} from './release-keys.js';
+import {type Release} from './types.js';
+
+/** Reads releases. Each is immutable, so one that was found is never out of date; a missing one may be. */
 export class ReleaseLog {
 	readonly #store: ObjectStore;
 
@@ -29,46 +19,38 @@
 		this.#store = store;
 	}
 
-	/** Reads all releases, oldest first. */
-	readAll(): EitherAsync<Failure, readonly Release[]> {
-		return this.#store.list(releasePrefix).map(({objects}) => objects.map(object => parseRelease(object)));
+	/** Reads one release. */
+	read(number: number): EitherAsync<Failure, Release> {
+		return this.#store.get(getReleaseKey(number)).chain(({value}) => this.parse(value));
 	}
 
-	/** Reads the configuration after the last release. */
-	readConfiguration(): EitherAsync<Failure, Configuration> {
-		return this.readAll().map(releases => releases.reduce((configuration, release) => applyRelease(configuration, release), emptyConfiguration));
+	/** Reads the releases that follow `after` without a gap, at most `limit` rounded up to whole lists. */
+	readAfter(after: number, limit = Number.POSITIVE_INFINITY): EitherAsync<Failure, readonly Release[]> {
+		return this.#readBucket(after).chain(found => {
+			const last = found.at(-1)?.number ?? after;
+			const isBucketFull = last > after && (last + 1) % releasesPerBucket === 0;
+			return isBucketFull && found.length < limit
+				? this.readAfter(last, limit - found.length).map(rest => [...found, ...rest])
+				: EitherAsync.liftEither(Right(found));
+		});
 	}
 
-	/**
-	 * Accepts a release note as the next release. The conditional create of its number is the commit point; a lost
-	 * answer is settled by reading the number again.
-	 */
-	accept(input: unknown): EitherAsync<Failure, Release> {
-		return EitherAsync(async ({fromPromise, liftEither, throwE}) => {
-			const configuration = await fromPromise(this.readConfiguration().mapLeft(failure => createFailure('releaseNotAccepted', failure.detail)).run());
-			const note = await liftEither(validateNote(configuration, input).mapLeft(faults => createNoteFailure(faults)));
-			if (note.base !== configuration.release) {
-				return throwE(createFailure('releaseConflict', `the note is based on release ${note.base}, release ${configuration.release} is in force`));
-			}
+	/** Reads a stored release, fetching the parts of its note when it is divided. */
+	parse(text: string): EitherAsync<Failure, Release> {
+		return EitherAsync.liftEither(parseStoredRelease(text))
+			.chain(stored => isDivided(stored) ? this.#readParts(stored) : EitherAsync.liftEither(Right(stored)));
+	}
 
-			const release = {number: note.base + 1, acceptedAt: Date.now(), note};
-			const created = await this.#store.create(getReleaseKey(release.number), JSON.stringify(release)).run();
-			return fromPromise(foldResult(
-				created,
-				async failure => this.#settle(release, failure).run(),
-				async () => created.map(() => release),
-			));
-		});
+	#readBucket(after: number): EitherAsync<Failure, readonly Release[]> {
+		return this.#store.list(getBucketPrefix(after + 1)).chain(({objects}) => {
+			const texts = objects.filter(({key}) => key > getReleaseKey(after)).map(({value}) => value);
+			return EitherAsync.sequence(texts.map(text => this.parse(text)));
+		}).map(releases => selectSuccessors(after, releases));
 	}
 
-	#settle(release: Release, failure: Failure): EitherAsync<Failure, Release> {
-		return this.#store.get(getReleaseKey(release.number))
-			.mapLeft(({name, detail}) => name === 'platformNotFound'
-				? createFailure('releaseNotAccepted', failure.detail)
-				: createFailure('releaseUnknown', detail))
-			.map(object => parseRelease(object))
-			.chain(async winner => EitherAsync<Failure, Release>(async ({throwE}) => winner.note.id === release.note.id
-				? winner
-				: throwE(createFailure('releaseConflict', `release ${winner.number} is ${winner.note.id} by ${winner.note.operator}`))).run());
+	#readParts(stored: DividedRelease): EitherAsync<Failure, Release> {
+		const keys = Array.from({length: stored.partCount}, (_, index) => getNotePartKey(stored.noteId, stored.digest, index));
+		return EitherAsync.sequence(keys.map(key => this.#store.get(key)))
+			.chain(async parts => parseDividedNote(stored, parts.map(({value}) => value).join('')));
 	}
 }
--- a/packages/releases/src/release-state.ts
+++ b/packages/releases/src/release-state.ts
@@ -1,16 +1,37 @@
 /** The releases a node knows and the configuration they make. */
 import {Store} from '@limpetbarrow/core';
-import {applyRelease, emptyConfiguration} from './configuration.js';
+import {
+	applyReleases, emptyConfiguration, itemKinds, selectSuccessors,
+} from './configuration.js';
 import {type Configuration, type Release} from './types.js';
 
 /** Snapshot of what a node knows. */
 export type ReleaseSnapshot = {
 	readonly configuration: Configuration;
-	/** All releases in force, oldest first. */
+	/** The newest releases in force, oldest first, without a gap. */
 	readonly releases: readonly Release[];
 };
 
-/** Holds the releases in force on a node. The number only grows. */
+const maxKeptReleases = 500;
+const maxKeptItems = 20_000;
+const maxPageReleases = 100;
+
+function countItems({note}: Release): number {
+	return itemKinds.reduce((sum, kind) => sum + note.added[kind].length + note.changed[kind].length + note.withdrawn[kind].length, 0);
+}
+
+/** Selects the newest releases within the bounds, at least the last one. */
+function selectKept(releases: readonly Release[]): readonly Release[] {
+	let items = 0;
+	const first = releases.findLastIndex((release, index) => {
+		items += countItems(release);
+		const age = releases.length - index;
+		return age > 1 && (age > maxKeptReleases || items > maxKeptItems);
+	});
+	return releases.slice(first + 1);
+}
+
+/** Holds the configuration in force on a node. Its number only grows. */
 export class ReleaseState {
 	readonly store = new Store<ReleaseSnapshot>({configuration: emptyConfiguration, releases: []});
 
@@ -23,20 +44,29 @@
 		return this.store.getState().configuration;
 	}
 
-	/** Releases with a number above `after`, oldest first. */
-	selectAfter(after: number): readonly Release[] {
-		return this.store.getState().releases.slice(after);
+	/** Releases that follow `after`, oldest first, at most a page; undefined when some are no longer kept. */
+	selectAfter(after: number): readonly Release[] | undefined {
+		const {configuration, releases} = this.store.getState();
+		const firstKept = configuration.release - releases.length + 1;
+		return after + 1 < firstKept && after < configuration.release
+			? undefined
+			: releases.filter(({number}) => number > after).slice(0, maxPageReleases);
 	}
 
-	/** Puts releases in force, in order; those already in force or out of order are passed over. */
+	/** Puts releases in force that follow without a gap; others are passed over. */
 	apply(releases: readonly Release[]): void {
-		this.store.update('applyReleases', snapshot => releases.reduce((current, release) => applyOne(current, release), snapshot));
+		this.store.update('applyReleases', snapshot => {
+			const configuration = applyReleases(snapshot.configuration, releases);
+			return configuration === snapshot.configuration
+				? snapshot
+				: {configuration, releases: selectKept([...snapshot.releases, ...selectSuccessors(snapshot.configuration.release, releases)])};
+		});
 	}
-}
 
-function applyOne(snapshot: ReleaseSnapshot, release: Release): ReleaseSnapshot {
-	const configuration = applyRelease(snapshot.configuration, release);
-	return configuration === snapshot.configuration
-		? snapshot
-		: {configuration, releases: [...snapshot.releases, release]};
+	/** Puts a whole configuration in force if its number is higher. */
+	applyConfiguration(configuration: Configuration): void {
+		this.store.update('applyConfiguration', snapshot => configuration.release > snapshot.configuration.release
+			? {configuration, releases: []}
+			: snapshot);
+	}
 }
--- /dev/null
+++ b/packages/releases/src/store-watcher.ts
@@ -0,0 +1,115 @@
+/** Watches the log in the platform while it is switched on. */
+import {EitherAsync, Right, type Either} from 'purify-ts';
+import {type Failure, type Logger} from '@limpetbarrow/core';
+import {type ObjectStore} from '@limpetbarrow/platform';
+import {computeBackOff} from './back-off.js';
+import {releasePrefix} from './release-keys.js';
+import {type ReleaseLog} from './release-log.js';
+import {type ReleaseReader} from './release-reader.js';
+import {type ReleaseState} from './release-state.js';
+import {type Release} from './types.js';
+
+/** Prefix without objects; a list of it tells the store's version. */
+const emptyPrefix = `${releasePrefix}none`;
+
+/** What a watcher reads from and writes to. */
+export type StoreWatcherOptions = {
+	readonly store: ObjectStore;
+	readonly log: ReleaseLog;
+	readonly reader: ReleaseReader;
+	readonly state: ReleaseState;
+	readonly logger: Logger;
+	readonly random: () => number;
+};
+
+/**
+ * Watches from the store's version that the last watch ended at. It reads the log again when it starts, after each
+ * failure, and when a release arrives whose predecessor did not.
+ */
+export class StoreWatcher {
+	readonly #options: StoreWatcherOptions;
+	#abort: AbortController | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#failures = 0;
+	/** Version to watch from; undefined while the log must be read first. */
+	#version: number | undefined;
+
+	constructor(options: StoreWatcherOptions) {
+		this.#options = options;
+	}
+
+	isRunning(): boolean {
+		return this.#abort !== undefined;
+	}
+
+	start(): void {
+		if (this.#abort) {
+			return;
+		}
+
+		this.#abort = new AbortController();
+		this.#version = undefined;
+		this.#startTimer(this.#abort.signal, 0);
+	}
+
+	stop(): void {
+		clearTimeout(this.#timer);
+		this.#abort?.abort();
+		this.#abort = undefined;
+	}
+
+	#startTimer(signal: AbortSignal, delayMs: number): void {
+		this.#timer = setTimeout(() => {
+			void this.#runStep(signal);
+		}, delayMs);
+	}
+
+	async #runStep(signal: AbortSignal): Promise<void> {
+		const result = await (this.#version === undefined ? this.#resume() : this.#watch(this.#version, signal)).run();
+		if (signal.aborted) {
+			return;
+		}
+
+		this.#recordResult(result);
+		this.#startTimer(signal, this.#failures === 0 ? 0 : computeBackOff(this.#failures, this.#options.random));
+	}
+
+	/** Takes the store's version before it reads the log, so that no change falls between the two. */
+	#resume(): EitherAsync<Failure, number> {
+		const {store, reader} = this.#options;
+		return store.list(emptyPrefix).chain(({version}) => reader.readConfiguration().map(() => version));
+	}
+
+	#watch(fromVersion: number, signal: AbortSignal): EitherAsync<Failure, number> {
+		const {store, log, reader, state} = this.#options;
+		return store.watch(releasePrefix, fromVersion, signal).chain(({events, version}) => {
+			const texts = events.map(({value}) => value).filter(value => value !== undefined);
+			return EitherAsync.sequence(texts.map(text => log.parse(text))).chain(releases => {
+				state.apply(releases);
+				return hasGap(releases, state.getNumber())
+					? reader.readConfiguration().map(() => version)
+					: EitherAsync.liftEither(Right(version));
+			});
+		});
+	}
+
+	#recordResult(result: Either<Failure, number>): void {
+		const {logger} = this.#options;
+		if (this.#failures === 0) {
+			result.ifLeft(({name, detail}) => {
+				logger.log(name === 'releaseUnreadable' ? 'releaseUnreadable' : 'platformLost', {detail});
+			});
+		}
+
+		if (result.isRight() && this.#failures > 0) {
+			logger.log('platformBack');
+		}
+
+		this.#failures = result.isLeft() ? this.#failures + 1 : 0;
+		this.#version = result.map<number | undefined>(version => version).orDefault(undefined);
+	}
+}
+
+function hasGap(releases: readonly Release[], inForce: number): boolean {
+	return releases.some(({number}) => number > inForce);
+}
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -6,6 +6,7 @@
 import {type AddressInfo} from 'node:net';
 import {type Address, Subject} from '@limpetbarrow/core';
 import {type ObjectEvent, type StoredObject} from '@limpetbarrow/platform';
+import {ObjectHistory} from './object-history.js';
 
 /** Faults of the platform. All are off at first. */
 export type PlatformFaults = {
@@ -20,10 +21,14 @@
 	readonly staleVersion: number;
 	/** Ends every watch with an error. */
 	readonly breaksWatches: boolean;
+	/** Answers watches without the changes they waited for. */
+	readonly dropsEvents: boolean;
+	/** Answers with text that is not JSON. */
+	readonly garblesAnswers: boolean;
 };
 
 const noFaults: PlatformFaults = {
-	isDown: false, delayMs: 0, lostAnswers: 0, staleReads: 0, staleVersion: 0, breaksWatches: false,
+	isDown: false, delayMs: 0, lostAnswers: 0, staleReads: 0, staleVersion: 0, breaksWatches: false, dropsEvents: false, garblesAnswers: false,
 };
 const maxBodyBytes = 1_048_576;
 
@@ -35,7 +40,7 @@
 /** Keeps the objects and their whole history in memory and serves them over HTTP. */
 export class PlatformStandIn {
 	#faults: PlatformFaults = noFaults;
-	#history: readonly ObjectEvent[] = [];
+	readonly #history = new ObjectHistory();
 	#callCount = 0;
 	readonly #writes = new Subject<ObjectEvent>();
 	readonly #server: Server;
@@ -78,7 +83,7 @@
 
 	/** All changes so far, oldest first. */
 	getHistory(): readonly ObjectEvent[] {
-		return this.#history;
+		return this.#history.selectEvents('', 0);
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -108,7 +113,7 @@
 		}
 
 		response.writeHead(answer.status, {'content-type': 'application/json'});
-		response.end(answer.body === undefined ? '' : JSON.stringify(answer.body));
+		response.end(this.#faults.garblesAnswers ? '<html>' : JSON.stringify(answer.body) ?? '');
 	}
 
 	async #answer(request: IncomingMessage, body: string): Promise<Answer | undefined> {
@@ -123,7 +128,7 @@
 
 		const key = decodeURIComponent(url.pathname.slice('/objects/'.length));
 		if (request.method === 'GET') {
-			const object = this.#readState().get(key);
+			const object = this.#get(key);
 			return object ? {status: 200, body: object} : {status: 404};
 		}
 
@@ -136,11 +141,21 @@
 		return answer;
 	}
 
+	#get(key: string): StoredObject | undefined {
+		return this.#takeStaleRead() ? this.#history.findObjectAt(key, this.#faults.staleVersion) : this.#history.findObject(key);
+	}
+
 	#list(prefix: string): Answer {
-		const objects = [...this.#readState().values()]
-			.filter(({key}) => key.startsWith(prefix))
-			.toSorted((a, b) => a.key.localeCompare(b.key));
-		return {status: 200, body: {objects, version: this.#history.length}};
+		return {status: 200, body: this.#takeStaleRead() ? this.#history.listAt(prefix, this.#faults.staleVersion) : this.#history.list(prefix)};
+	}
+
+	#takeStaleRead(): boolean {
+		const isStale = this.#faults.staleReads > 0;
+		if (isStale) {
+			this.setFaults({staleReads: this.#faults.staleReads - 1});
+		}
+
+		return isStale;
 	}
 
 	#write(key: string, request: IncomingMessage, body: string): Answer {
@@ -148,15 +163,13 @@
 			return {status: 413};
 		}
 
-		const current = foldHistory(this.#history).get(key);
 		const expected = request.headers['if-none-match'] === '*' ? 0 : Number(request.headers['if-match']);
-		if ((current?.version ?? 0) !== expected) {
-			return {status: 409, body: current};
+		const isDelete = request.method === 'DELETE';
+		const event = this.#history.write(key, expected, isDelete ? undefined : body);
+		if (!event) {
+			return {status: 409, body: this.#history.findObject(key)};
 		}
 
-		const isDelete = request.method === 'DELETE';
-		const event = {key, version: this.#history.length + 1, ...(!isDelete && {value: body})};
-		this.#history = [...this.#history, event];
 		this.#writes.publish(event);
 		return {status: 200, body: isDelete ? null : event};
 	}
@@ -169,13 +182,13 @@
 			return undefined;
 		}
 
-		if (this.#selectEvents(prefix, from).length === 0) {
+		if (this.#history.selectEvents(prefix, from).length === 0) {
 			await this.#waitForWrite(prefix, waitMs);
 		}
 
 		return this.#faults.breaksWatches
 			? undefined
-			: {status: 200, body: {events: this.#selectEvents(prefix, from), version: this.#history.length}};
+			: {status: 200, body: {events: this.#faults.dropsEvents ? [] : this.#history.selectEvents(prefix, from), version: this.#history.getVersion()}};
 	}
 
 	async #waitForWrite(prefix: string, waitMs: number): Promise<void> {
@@ -195,24 +208,6 @@
 			});
 		});
 	}
-
-	#selectEvents(prefix: string, from: number): readonly ObjectEvent[] {
-		return this.#history.slice(from).filter(({key}) => key.startsWith(prefix));
-	}
-
-	#readState(): ReadonlyMap<string, StoredObject> {
-		if (this.#faults.staleReads > 0) {
-			this.setFaults({staleReads: this.#faults.staleReads - 1});
-			return foldHistory(this.#history.slice(0, this.#faults.staleVersion));
-		}
-
-		return foldHistory(this.#history);
-	}
-}
-
-function foldHistory(history: readonly ObjectEvent[]): ReadonlyMap<string, StoredObject> {
-	const latest = new Map(history.map(event => [event.key, event]));
-	return new Map([...latest].filter((entry): entry is [string, StoredObject] => entry[1].value !== undefined));
 }
 
 async function readBody(request: IncomingMessage): Promise<string> {
