Prove that following releases outlives its watchers

Cause: nothing showed that the few watchers suffice when they die, are cut off, or miss changes. Ruled out: one abort signal for all watches of a run; each watch left a listener on it (Node warned after 11), so each step now has its own. Tests with paused time, seed 1: 40 nodes in 4 domains have 8 watchers and a release in force on all within 6 s; half the nodes cut, watches broken or without changes, all watchers cut, all watchers dead, peers silent, platform down an hour. Not shown by a test: the grace after a start (off, all still pass).

--- a/packages/releases/src/__tests__/unit/notes.ts
+++ b/packages/releases/src/__tests__/unit/notes.ts
@@ -22,6 +22,7 @@
 	readonly store: MemoryObjectStore;
 	readonly state: ReleaseState;
 	readonly log: ReleaseLog;
+	readonly reader: ReleaseReader;
 	readonly acceptor: ReleaseAcceptor;
 	readonly snapshots: SnapshotStore;
 };
@@ -32,8 +33,9 @@
 	const state = new ReleaseState();
 	const log = new ReleaseLog(store);
 	const snapshots = new SnapshotStore(store);
-	const acceptor = new ReleaseAcceptor(store, log, new ReleaseReader(log, snapshots, state));
+	const reader = new ReleaseReader(log, snapshots, state);
+	const acceptor = new ReleaseAcceptor(store, log, reader);
 	return {
-		store, state, log, acceptor, snapshots,
+		store, state, log, reader, acceptor, snapshots,
 	};
 }
--- /dev/null
+++ b/packages/releases/src/__tests__/unit/release-follower.test.ts
@@ -0,0 +1,243 @@
+import {setImmediate as waitForPromises} from 'node:timers/promises';
+import {expect} from 'chai';
+import {install} from '@sinonjs/fake-timers';
+import {SilentLogger} from '@limpetbarrow/core';
+import {type CallKind} from '@limpetbarrow/platform';
+import {MemoryObjectStore, MemoryPlatform, type MemoryFault} from '@limpetbarrow/stand-ins';
+import {
+	fleetPollMs, MemoryFleet, selectWatchers, StoreWatcher, watchersPerDomain, type ReleasePeer,
+} from '../../index.js';
+import {createNote, createOperator} from './notes.js';
+
+const inForceBoundMs = 6000;
+const settleMs = 10_000;
+const hourMs = 3_600_000;
+const domains = ['a-1', 'a-2', 'b-1', 'b-2'];
+const gossipDelayMs = 1000;
+/** Least delay between two tries once many have failed. */
+const leastRetryMs = 2000;
+
+/** A generator of numbers from 0 to 1 that gives the same ones in each run. */
+function createRandom(seed: number): () => number {
+	let state = seed;
+	return () => {
+		state = ((state * 48_271) + 11) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+}
+
+describe('following releases', () => {
+	let clock: ReturnType<typeof install>;
+	let platform: MemoryPlatform;
+	let fleet: MemoryFleet;
+	let chooseFault: (nodeId: string, kind: CallKind) => MemoryFault;
+	let canFetch: (fromId: string, toId: string) => boolean;
+	let releaseCount = 0;
+
+	/** Steps the clock and lets promises settle between the steps. */
+	async function advance(ms: number, stepMs = 50): Promise<void> {
+		await Array.from({length: Math.ceil(ms / stepMs)}).reduce<Promise<void>>(async before => {
+			await before;
+			clock.tick(stepMs);
+			await waitForPromises();
+		}, Promise.resolve());
+	}
+
+	async function applyNote(): Promise<void> {
+		const result = await createOperator(platform).acceptor.accept(createNote(`note-${releaseCount}`, releaseCount)).run();
+		expect(result.isRight(), result.isLeft() ? JSON.stringify(result.extract()) : '').to.equal(true);
+		releaseCount++;
+	}
+
+	function listNumbers(): readonly number[] {
+		return [...new Set(fleet.listNodes().map(({state}) => state.getNumber()))];
+	}
+
+	async function startNodes(count: number): Promise<void> {
+		Array.from({length: count}, (_, index) => fleet.startNode(`node-${index}`, domains[index % domains.length]!));
+		await advance(settleMs);
+	}
+
+	beforeEach(() => {
+		clock = install({toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+		platform = new MemoryPlatform();
+		releaseCount = 0;
+		chooseFault = () => 'none';
+		canFetch = () => true;
+		const random = createRandom(1);
+		fleet = new MemoryFleet({
+			createStore: id => new MemoryObjectStore(platform, kind => chooseFault(id, kind)),
+			gossipDelayMs,
+			random,
+			canFetch: (fromId, toId) => canFetch(fromId, toId),
+		});
+	});
+
+	afterEach(() => {
+		fleet.listNodes().forEach(({id}) => {
+			fleet.crashNode(id);
+		});
+		clock.uninstall();
+	});
+
+	it('puts a release in force everywhere within its bound, with few watchers', async () => {
+		await startNodes(40);
+		expect(fleet.listWatching().length).to.equal(domains.length * watchersPerDomain);
+		await applyNote();
+		await advance(inForceBoundMs);
+		expect(listNumbers()).to.deep.equal([1]);
+	});
+
+	it('makes as many calls of the platform with many nodes as with few', async () => {
+		await startNodes(16);
+		const countCalls = async (): Promise<number> => {
+			const before = fleet.countPlatformCalls();
+			await advance(300_000, 100);
+			return fleet.countPlatformCalls() - before;
+		};
+
+		const few = await countCalls();
+		Array.from({length: 64}, (_, index) => fleet.startNode(`more-${index}`, domains[index % domains.length]!));
+		await advance(settleMs);
+		const many = await countCalls();
+		expect(many).to.be.lessThan(few * 1.5);
+	});
+
+	describe('with faults', () => {
+		const cases: ReadonlyArray<{readonly name: string; readonly fault: (nodeId: string, kind: CallKind) => MemoryFault}> = [
+			{name: 'half the nodes cut from the platform', fault: id => Number(id.slice(5)) % 4 < 2 ? 'refused' : 'none'},
+			{name: 'watches that leave out changes', fault: (_, kind) => kind === 'watch' ? 'stale' : 'none'},
+			{name: 'watches that break', fault: (_, kind) => kind === 'watch' ? 'refused' : 'none'},
+		];
+		cases.forEach(({name, fault}) => {
+			it(`${name}: a release is in force everywhere within its bound`, async () => {
+				await startNodes(24);
+				chooseFault = fault;
+				await advance(settleMs);
+				await applyNote();
+				await advance(inForceBoundMs);
+				expect(listNumbers()).to.deep.equal([1]);
+			});
+		});
+
+		it('every watcher cut from the platform: a release is found nonetheless', async () => {
+			await startNodes(24);
+			const cut = new Set(fleet.listWatching().map(({id}) => id));
+			chooseFault = id => cut.has(id) ? 'refused' : 'none';
+			await applyNote();
+			await advance(5 * inForceBoundMs);
+			expect(listNumbers()).to.deep.equal([1]);
+		});
+
+		it('watchers that die are replaced', async () => {
+			await startNodes(24);
+			const before = fleet.listWatching().map(({id}) => id);
+			before.forEach(id => {
+				fleet.crashNode(id);
+			});
+			await advance(1000);
+			expect(fleet.listWatching().length).to.equal(domains.length * watchersPerDomain);
+			await applyNote();
+			await advance(inForceBoundMs);
+			expect(listNumbers()).to.deep.equal([1]);
+		});
+
+		it('peers that do not answer are passed over, with a bounded number of tries', async () => {
+			await startNodes(24);
+			const watching = new Set(fleet.listWatching().map(({id}) => id));
+			canFetch = (_, toId) => !watching.has(toId) || toId === [...watching][0];
+			await applyNote();
+			await advance(inForceBoundMs);
+			expect(listNumbers()).to.deep.equal([1]);
+			expect(fleet.getFetchCount()).to.be.lessThan(24 * watching.size);
+		});
+
+		it('platform down for hours: releases stay, replaced nodes learn them, calls are few, and it goes on after', async () => {
+			await startNodes(16);
+			await applyNote();
+			await advance(inForceBoundMs);
+			chooseFault = () => 'refused';
+			const callsBefore = fleet.countPlatformCalls();
+			await advance(hourMs, 500);
+			const mostCalls = (domains.length * watchersPerDomain * hourMs / leastRetryMs) + (hourMs / fleetPollMs);
+			expect(fleet.countPlatformCalls() - callsBefore).to.be.lessThan(mostCalls);
+			fleet.listNodes().slice(0, 12).forEach(({id, failureDomain}) => {
+				fleet.crashNode(id);
+				fleet.startNode(`${id}-new`, failureDomain);
+			});
+			await advance(inForceBoundMs);
+			expect(listNumbers()).to.deep.equal([1]);
+			chooseFault = () => 'none';
+			await applyNote();
+			await advance(inForceBoundMs);
+			expect(listNumbers()).to.deep.equal([2]);
+		}).timeout(60_000);
+
+		it('a node frozen over many releases: it catches up and never goes back', async () => {
+			await startNodes(8);
+			const frozen = fleet.listNodes()[3]!;
+			frozen.follower.stop();
+			await Array.from({length: 30}).reduce<Promise<void>>(async before => {
+				await before;
+				await applyNote();
+			}, Promise.resolve());
+			await advance(settleMs);
+			expect(frozen.state.getNumber()).to.equal(0);
+			chooseFault = id => id === frozen.id ? 'stale' : 'none';
+			frozen.follower.start();
+			await advance(inForceBoundMs);
+			expect(listNumbers()).to.deep.equal([30]);
+		});
+	});
+});
+
+describe('a watch of the log', () => {
+	it('reads the log again when a change was left out', async () => {
+		const clock = install({toFake: ['setTimeout', 'clearTimeout']});
+		const platform = new MemoryPlatform();
+		let watchCount = 0;
+		const {
+			store, log, reader, state,
+		} = createOperator(platform, kind => kind === 'watch' && watchCount++ === 0 ? 'stale' : 'none');
+		const watcher = new StoreWatcher({
+			store, log, reader, state, logger: new SilentLogger(), random: () => 0,
+		});
+		const applyNote = async (id: string, base: number): Promise<void> => {
+			await createOperator(platform).acceptor.accept(createNote(id, base)).run();
+			clock.tick(10);
+			await waitForPromises();
+		};
+
+		watcher.start();
+		clock.tick(10);
+		await waitForPromises();
+		clock.tick(10);
+		await waitForPromises();
+		await applyNote('a', 0);
+		expect(state.getNumber()).to.equal(0);
+		await applyNote('b', 1);
+		expect(state.getNumber()).to.equal(2);
+		watcher.stop();
+		clock.uninstall();
+	});
+});
+
+describe('the choice of watchers', () => {
+	const peers: readonly ReleasePeer[] = Array.from({length: 40}, (_, index) => ({
+		id: `node-${index}`, failureDomain: domains[index % 4]!, release: 0, isServing: index !== 7,
+	}));
+
+	it('is the same in any order and leaves out nodes that stop', () => {
+		const chosen = selectWatchers(peers);
+		expect([...selectWatchers(peers.toReversed())].toSorted()).to.deep.equal([...chosen].toSorted());
+		expect(chosen.size).to.equal(8);
+		expect(chosen.has('node-7')).to.equal(false);
+	});
+
+	it('changes by one when one watcher goes', () => {
+		const before = selectWatchers(peers);
+		const [first] = before;
+		const after = selectWatchers(peers.filter(({id}) => id !== first));
+		expect([...after].filter(id => !before.has(id)).length).to.equal(1);
+	});
+});
--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -13,4 +13,6 @@
 export * from './snapshot-store.js';
 export * from './select-watchers.js';
 export * from './release-peers.js';
+export * from './store-watcher.js';
 export * from './release-follower.js';
+export * from './memory-fleet.js';
--- a/packages/releases/src/store-watcher.ts
+++ b/packages/releases/src/store-watcher.ts
@@ -28,7 +28,9 @@
  */
 export class StoreWatcher {
 	readonly #options: StoreWatcherOptions;
-	#abort: AbortController | undefined;
+	#isRunning = false;
+	/** Ends the step in progress. Each step has one of its own, so that none gathers listeners. */
+	#abort = new AbortController();
 	#timer: NodeJS.Timeout | undefined;
 	#failures = 0;
 	/** Version to watch from; undefined while the log must be read first. */
@@ -39,28 +41,29 @@
 	}
 
 	isRunning(): boolean {
-		return this.#abort !== undefined;
+		return this.#isRunning;
 	}
 
 	start(): void {
-		if (this.#abort) {
+		if (this.#isRunning) {
 			return;
 		}
 
-		this.#abort = new AbortController();
+		this.#isRunning = true;
 		this.#version = undefined;
-		this.#startTimer(this.#abort.signal, 0);
+		this.#startTimer(0);
 	}
 
 	stop(): void {
+		this.#isRunning = false;
 		clearTimeout(this.#timer);
-		this.#abort?.abort();
-		this.#abort = undefined;
+		this.#abort.abort();
 	}
 
-	#startTimer(signal: AbortSignal, delayMs: number): void {
+	#startTimer(delayMs: number): void {
 		this.#timer = setTimeout(() => {
-			void this.#runStep(signal);
+			this.#abort = new AbortController();
+			void this.#runStep(this.#abort.signal);
 		}, delayMs);
 	}
 
@@ -71,7 +74,7 @@
 		}
 
 		this.#recordResult(result);
-		this.#startTimer(signal, this.#failures === 0 ? 0 : computeBackOff(this.#failures, this.#options.random));
+		this.#startTimer(this.#failures === 0 ? 0 : computeBackOff(this.#failures, this.#options.random));
 	}
 
 	/** Takes the store's version before it reads the log, so that no change falls between the two. */
--- a/packages/stand-ins/src/memory-object-store.ts
+++ b/packages/stand-ins/src/memory-object-store.ts
@@ -15,7 +15,7 @@
  * - `refused`: it fails and changes nothing.
  * - `lost`: it takes effect and its answer is lost.
  * - `late`: it fails, and takes effect only after `MemoryPlatform.finishLateWrites`.
- * - `stale`: a read sees the state as it was `staleVersions` changes ago.
+ * - `stale`: a read sees the state as it was `staleVersions` changes ago; a watch ends without its changes.
  */
 export type MemoryFault = 'none' | 'refused' | 'lost' | 'late' | 'stale';
 
@@ -93,7 +93,8 @@
 	override watch(prefix: string, fromVersion: number, signal?: AbortSignal): EitherAsync<Failure, WatchResult> {
 		return EitherAsync(async ({throwE}) => {
 			this.recordCall('watch');
-			if (this.#chooseFault('watch') !== 'none') {
+			const fault = this.#chooseFault('watch');
+			if (fault !== 'none' && fault !== 'stale') {
 				return throwE(unavailable);
 			}
 
@@ -101,7 +102,7 @@
 				await this.#waitForWrite(prefix, signal);
 			}
 
-			return {events: this.#platform.history.selectEvents(prefix, fromVersion), version: this.#platform.history.getVersion()};
+			return {events: fault === 'stale' ? [] : this.#platform.history.selectEvents(prefix, fromVersion), version: this.#platform.history.getVersion()};
 		});
 	}
 
@@ -151,6 +152,7 @@
 			const finish = (): void => {
 				clearTimeout(timer);
 				unregister();
+				signal?.removeEventListener('abort', finish);
 				resolve();
 			};
 
