--- a/packages/demo/src/child-process.ts
+++ b/packages/demo/src/child-process.ts
@@ -15,7 +15,12 @@
 
 /** Starts `limpetbarrow` with `args` and resolves when it is ready. */
 export async function startProcess(args: readonly string[]): Promise<StartedProcess> {
-	const child = spawn(process.execPath, [commandPath, ...args], {stdio: ['ignore', 'pipe', 'inherit']});
+	return startScript(commandPath, args);
+}
+
+/** Starts a Node.js script that prints one line of JSON when it is ready. */
+export async function startScript(script: string, args: readonly string[]): Promise<StartedProcess> {
+	const child = spawn(process.execPath, [script, ...args], {stdio: ['ignore', 'pipe', 'inherit']});
 	const ready = await new Promise<unknown>((resolve, reject) => {
 		const timer = setTimeout(() => {
 			reject(new Error(`not ready in time: ${args.join(' ')}`));
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -15,6 +15,7 @@
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
 import {Ingress} from './ingress.js';
+import {registerProcessGauges} from './process-gauges.js';
 import {ServerDirectory} from './server-directory.js';
 import {type NodeSettings} from './settings.js';
 
@@ -61,6 +62,7 @@
 	constructor(settings: NodeSettings, logger: Logger) {
 		this.#settings = settings;
 		this.#logger = logger;
+		registerProcessGauges(this.#metrics);
 		this.#platform = new HttpObjectStore(settings.platform);
 		this.#table = new MemberTable(createRecord(settings));
 		this.#announcements = new Announcements(logger);
