Show both workloads under a gray failure and a planned stop in the demo

Cause: the demo only counted whole answers. It now compares what callers saw with the backend servers' ledgers, lets one server fail gray, stops one node as planned, prints a table and exits non-zero when a property broke.

--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -3,3 +3,5 @@
 
 export * from './child-process.js';
 export * from './fleet.js';
+export * from './ledger.js';
+export * from './workload.js';
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,15 +1,27 @@
-/** `npm run demo`: both workloads on a small fleet. */
+/** `npm run demo`: both workloads on a small fleet, with a backend server that fails gray and a planned stop. */
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
-import {Caller, type CallerAnswer} from '@limpetbarrow/caller';
-import {formatAddress} from '@limpetbarrow/core';
+import {formatAddress, type ServerRecord} from '@limpetbarrow/core';
 import {request} from 'undici';
+import {stopProcess} from './child-process.js';
 import {
 	startFleet, stopFleet, type Fleet, type HostPlan,
 } from './fleet.js';
+import {
+	computeTally, fetchLedger, isSound, setBackendFaults, type Tally,
+} from './ledger.js';
+import {sendWorkload, serviceNames} from './workload.js';
 
-const serviceNames = ['fitting-desk', 'catalogue', 'harvest-ledger', 'fleet-desk'] as const;
 const settleMs = 4000;
+const requests = 4000;
+const ratePerS = 200;
+const grayAfterMs = 5000;
+const grayFailShare = 0.7;
+const stopAfterMs = 10_000;
+const msPerS = 1000;
+
+/** Services whose operators weigh detection time more. */
+const fastServices: ReadonlySet<string> = new Set(['fitting-desk', 'catalogue']);
 
 const hostPlans: readonly HostPlan[] = ['a', 'b', 'c', 'd'].map((name, index) => ({
 	id: `node-${name}`,
@@ -23,13 +35,21 @@
 	operator: 'demo',
 	base: 0,
 	added: {
-		services: serviceNames.map(name => ({name, floor: 2, detection: name === 'fitting-desk' || name === 'catalogue' ? 'fast' : 'cautious'})),
+		services: serviceNames.map(name => ({name, floor: 2, detection: fastServices.has(name) ? 'fast' : 'cautious'})),
 		routes: serviceNames.map(name => ({
 			name, host: '*', pathPrefix: `/${name}`, service: name,
 		})),
 	},
 };
 
+type GrayFault = {
+	readonly serverId: string;
+	/** Unix milliseconds. */
+	readonly startedAt: number;
+};
+
+type ServerRow = ServerRecord & {readonly node: string};
+
 async function applyRelease({nodes}: Fleet): Promise<void> {
 	const answer = await request(`http://${formatAddress(nodes[0]!.record.adminAddress)}/releases`, {method: 'POST', body: JSON.stringify(releaseNote)});
 	const text = await answer.body.text();
@@ -38,18 +58,36 @@
 	}
 }
 
-async function sendWorkloads(caller: Caller): Promise<readonly CallerAnswer[]> {
-	return Promise.all(Array.from({length: 200}, async (_, index) => {
-		await wait(index * 5);
-		const service = serviceNames[index % serviceNames.length]!;
-		const isOrder = index % 3 === 0;
-		return caller.send({
-			method: isOrder ? 'POST' : 'GET',
-			path: `/${service}/${isOrder ? 'orders' : 'fittings'}/${index}`,
-			...(isOrder && {body: JSON.stringify({shoe: index})}),
-			headers: {'x-request-tag': `demo-${index}`},
-		}, index);
-	}));
+async function startGrayFault({backends}: Fleet): Promise<GrayFault> {
+	await wait(grayAfterMs);
+	const gray = backends.find(({id}) => id === 'node-c-fitting-desk')!;
+	await setBackendFaults(gray, {failShare: grayFailShare});
+	return {serverId: gray.id, startedAt: Date.now()};
+}
+
+async function stopOneNode({nodes}: Fleet): Promise<number | undefined> {
+	await wait(stopAfterMs);
+	return stopProcess(nodes.at(-1)!.process);
+}
+
+async function fetchServers({nodes}: Fleet): Promise<readonly ServerRow[]> {
+	const answer = await request(`http://${formatAddress(nodes[0]!.record.adminAddress)}/servers`);
+	return await answer.body.json() as readonly ServerRow[];
+}
+
+function printReport(tally: Tally, rows: ReadonlyArray<readonly [string, string | number]>): void {
+	const all: ReadonlyArray<readonly [string, string | number]> = [
+		['sent', tally.sent],
+		['answered whole', tally.whole],
+		['refused not run', tally.notRun],
+		['unknown', tally.unknown],
+		['run twice', tally.runTwice],
+		['refused not run, but ran', tally.notRunButRan],
+		['answer of another request', tally.foreignAnswers],
+		['answered whole, but not run', tally.wholeButNotRun],
+		...rows,
+	];
+	process.stdout.write(`${all.map(([name, value]) => `${name.padEnd(40)} ${value}`).join('\n')}\n`);
 }
 
 async function runDemo(): Promise<number> {
@@ -57,12 +95,24 @@
 	try {
 		await applyRelease(fleet);
 		await wait(settleMs);
-		const caller = new Caller(fleet.nodes.map(({record}) => `http://${formatAddress(record.ingressAddress)}`));
-		const answers = await sendWorkloads(caller);
-		const whole = answers.filter(({ran}) => ran === 'ran').length;
-		const notRun = answers.filter(({ran}) => ran === 'not-run').length;
-		process.stdout.write(`sent ${answers.length}, answered whole ${whole}, refused not run ${notRun}, unknown ${answers.length - whole - notRun}\n`);
-		return whole === answers.length ? 0 : 1;
+		const origins = fleet.nodes.map(({record}) => `http://${formatAddress(record.ingressAddress)}`);
+		const [sent, gray, stopCode] = await Promise.all([sendWorkload(origins, {requests, ratePerS, label: 'demo'}), startGrayFault(fleet), stopOneNode(fleet)]);
+		const ledgers = await Promise.all(fleet.backends.map(async backend => fetchLedger(backend)));
+		const ledger = ledgers.flat();
+		const grayRuns = ledger.filter(({serverId, startedAt}) => serverId === gray.serverId && startedAt >= gray.startedAt);
+		const servers = await fetchServers(fleet);
+		const ejected = servers.filter(({state}) => state === 'ejected' || state === 'probation').map(({id}) => id);
+		const falseEjections = ejected.filter(id => id !== gray.serverId).length;
+		const lastGrayRun = Math.max(gray.startedAt, ...grayRuns.map(({startedAt}) => startedAt));
+		const tally = computeTally(sent, ledger);
+		printReport(tally, [
+			['gray server ejected', ejected.includes(gray.serverId) ? 'yes' : 'no'],
+			['detection time, s', ((lastGrayRun - gray.startedAt) / msPerS).toFixed(2)],
+			['requests sent to the gray server', grayRuns.length],
+			['false ejections', falseEjections],
+			['planned stop ended with code', String(stopCode)],
+		]);
+		return isSound(tally) && stopCode === 0 ? 0 : 1;
 	} finally {
 		await stopFleet(fleet);
 	}
