Count exchanges in progress at both ends of a link

A planned stop has to know what is in progress at either end of a request. LinkServer counts what other nodes opened, LinkPool what this node opened; closeIdle closes links without exchanges. Ruled out: deriving the server's count from the egress, which does not see exchanges bound for the sequencer.

--- a/packages/link/src/link-pool.ts
+++ b/packages/link/src/link-pool.ts
@@ -24,6 +24,21 @@
 		return link;
 	}
 
+	/** Number of exchanges in progress that this node opened on its links. */
+	countExchanges(): number {
+		return [...this.#links.values()].reduce((sum, link) => sum + link.countExchanges(), 0);
+	}
+
+	/** Closes the links without exchanges in progress. */
+	closeIdle(): void {
+		[...this.#links]
+			.filter(([, link]) => link.countExchanges() === 0)
+			.forEach(([key, link]) => {
+				link.close();
+				this.#links.delete(key);
+			});
+	}
+
 	/** Closes every link; exchanges in progress fail. */
 	close(): void {
 		[...this.#links.values()].forEach(link => {
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -19,6 +19,7 @@
 	readonly #logger: Logger;
 	readonly #server: Server;
 	readonly #connections = new Set<FrameConnection>();
+	#exchangeCount = 0;
 
 	constructor(self: NodeIdentity, selectCarrier: SelectCarrier, logger: Logger) {
 		this.#self = self;
@@ -37,6 +38,11 @@
 		return {host, port: (this.#server.address() as AddressInfo).port};
 	}
 
+	/** Number of exchanges in progress that other nodes opened. */
+	countExchanges(): number {
+		return this.#exchangeCount;
+	}
+
 	async close(): Promise<void> {
 		[...this.#connections].forEach(connection => {
 			connection.close();
@@ -65,12 +71,20 @@
 		connection.closes.registerListener(() => {
 			clearInterval(heartbeat);
 			this.#connections.delete(connection);
+			this.#exchangeCount -= exchanges.size;
 			[...exchanges.values()].forEach(exchange => {
 				exchange.cancel();
 			});
+			exchanges.clear();
 		});
 	}
 
+	#forget(exchanges: Map<number, Exchange>, stream: number): void {
+		if (exchanges.delete(stream)) {
+			this.#exchangeCount--;
+		}
+	}
+
 	#handleFrame(connection: FrameConnection, exchanges: Map<number, Exchange>, frame: Frame, payload: Uint8Array): void {
 		switch (frame.kind) {
 			case 'hello': {
@@ -81,8 +95,9 @@
 			case 'request': {
 				const {stream, head} = frame;
 				const handler = createReplyHandler(connection, stream, () => {
-					exchanges.delete(stream);
+					this.#forget(exchanges, stream);
 				});
+				this.#exchangeCount++;
 				exchanges.set(stream, this.#selectCarrier(head.target).openExchange(head, handler));
 				break;
 			}
@@ -104,7 +119,7 @@
 
 			case 'cancel': {
 				exchanges.get(frame.stream)?.cancel();
-				exchanges.delete(frame.stream);
+				this.#forget(exchanges, frame.stream);
 				break;
 			}
 
