Give the backend stand-in faults of many kinds

Cause: tests of detection, stops and leaving need a backend server that is slow for a share of its requests, flaps, starts cold, streams answers at a given pace, reports its health late or falsely, and leaves and comes back. The ledger was copied for each run, so its cost grew with the square of the runs; it is appended to now. Conclusion: faults are one read-only value with defaults, and a seed fixes every share.

--- a/packages/stand-ins/src/backend-stand-in.ts
+++ b/packages/stand-ins/src/backend-stand-in.ts
@@ -8,6 +8,10 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {request as sendRequest} from 'undici';
 import {formatAddress, type Address} from '@limpetbarrow/core';
+import {
+	createRunPlan, createSeededRandom, isFaulty, noFaults, type BackendFaults,
+} from './backend-faults.js';
+import {HealthHistory, type HealthReport} from './health-history.js';
 
 /** One run of a request, as the ledger keeps it. */
 export type LedgerEntry = {
@@ -20,16 +24,6 @@
 	readonly startedAt: number;
 };
 
-/** Faults of the server's real work. Its health endpoint keeps saying that all is well. */
-export type BackendFaults = {
-	/** Share of requests that fail with status 500, from 0 to 1. */
-	readonly failShare: number;
-	/** Time a run takes, in milliseconds. */
-	readonly workMs: number;
-	/** Paths that crash the process. */
-	readonly crashPath: string;
-};
-
 /** What the server announces and where. */
 export type BackendOptions = {
 	readonly id: string;
@@ -39,28 +33,39 @@
 	readonly nodes: readonly Address[];
 	readonly renewMs?: number;
 	readonly workMs?: number;
+	/** Seed of the random numbers that faults with a share use. */
+	readonly seed?: number;
 	/** Called in place of ending the process when the crash path is run. */
 	readonly crash?: () => void;
 };
 
 const defaultRenewMs = 1000;
-const defaultWorkMs = 5;
 const announceTimeoutMs = 1000;
+const healthSampleMs = 250;
+const failedStatus = 500;
 
 /** Runs one backend server. */
 export class BackendStandIn {
 	readonly #options: BackendOptions;
 	readonly #server: Server;
+	readonly #ledger: LedgerEntry[] = [];
+	readonly #history = new HealthHistory();
+	readonly #pickNext: () => number;
+	readonly #startedAt = performance.now();
 	#faults: BackendFaults;
-	#ledger: readonly LedgerEntry[] = [];
+	#faultsSetAt = performance.now();
 	#nodeIndex = 0;
 	#generation = 1;
+	#isLeaving = false;
+	#running = 0;
 	#address: Address = {host: '127.0.0.1', port: 0};
 	#renewal: NodeJS.Timeout | undefined;
+	#sampling: NodeJS.Timeout | undefined;
 
 	constructor(options: BackendOptions) {
 		this.#options = options;
-		this.#faults = {failShare: 0, workMs: options.workMs ?? defaultWorkMs, crashPath: ''};
+		this.#pickNext = createSeededRandom(options.seed ?? 1);
+		this.#faults = {...noFaults, workMs: options.workMs ?? noFaults.workMs};
 		this.#server = createServer((request, response) => {
 			void this.#handle(request, response);
 		});
@@ -72,6 +77,9 @@
 			this.#server.listen(port, host, resolve);
 		});
 		this.#address = {host, port: (this.#server.address() as AddressInfo).port};
+		this.#sampling = setInterval(() => {
+			this.#history.record(this.#createHealth());
+		}, healthSampleMs);
 		await this.announce();
 		this.#renewal = setInterval(() => {
 			void this.announce();
@@ -81,7 +89,7 @@
 
 	/** Ends at once, as a crash would. */
 	async crash(): Promise<void> {
-		clearInterval(this.#renewal);
+		this.#stopTimers();
 		this.#server.closeAllConnections();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
@@ -92,8 +100,8 @@
 
 	/** Says that it leaves, waits for what runs, then ends. */
 	async leave(): Promise<void> {
-		clearInterval(this.#renewal);
-		await this.#sendAnnouncement(true);
+		await this.drain();
+		this.#stopTimers();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -102,18 +110,32 @@
 		});
 	}
 
+	/** Says that it leaves and goes on running what still comes; renewals keep saying so. */
+	async drain(): Promise<void> {
+		this.#isLeaving = true;
+		await this.announce();
+	}
+
+	/** Takes work again after `drain`, under a higher generation. */
+	async resume(): Promise<void> {
+		this.#isLeaving = false;
+		this.#generation++;
+		await this.announce();
+	}
+
 	/** Announces to the preferred node, moving on to the next when it does not answer or is stopping. */
 	async announce(): Promise<void> {
-		const isAccepted = await this.#sendAnnouncement(false);
+		const isAccepted = await this.#sendAnnouncement();
 		if (!isAccepted) {
-			this.#nodeIndex = (this.#nodeIndex + 1) % this.#options.nodes.length;
+			this.#nodeIndex = (this.#nodeIndex + 1) % Math.max(1, this.#options.nodes.length);
 			this.#generation++;
-			await this.#sendAnnouncement(false);
+			await this.#sendAnnouncement();
 		}
 	}
 
 	setFaults(faults: Partial<BackendFaults>): void {
 		this.#faults = {...this.#faults, ...faults};
+		this.#faultsSetAt = performance.now();
 	}
 
 	/** Every run so far, oldest first. */
@@ -121,7 +143,17 @@
 		return this.#ledger;
 	}
 
-	async #sendAnnouncement(isLeaving: boolean): Promise<boolean> {
+	/** Requests running. */
+	countRunning(): number {
+		return this.#running;
+	}
+
+	#stopTimers(): void {
+		clearInterval(this.#renewal);
+		clearInterval(this.#sampling);
+	}
+
+	async #sendAnnouncement(): Promise<boolean> {
 		const node = this.#options.nodes[this.#nodeIndex];
 		if (!node) {
 			return false;
@@ -129,7 +161,7 @@
 
 		const {id, service, slots} = this.#options;
 		const body = JSON.stringify({
-			id, service, slots, address: formatAddress(this.#address), generation: this.#generation, isLeaving,
+			id, service, slots, address: formatAddress(this.#address), generation: this.#generation, isLeaving: this.#isLeaving,
 		});
 		try {
 			const answer = await sendRequest(`http://${formatAddress(node)}/announce`, {
@@ -149,35 +181,98 @@
 			return;
 		}
 
-		this.#ledger = [...this.#ledger, {
+		this.#ledger.push({
 			serverId: this.#options.id, tag: readTag(request), method: request.method ?? '', path, startedAt: Date.now(),
-		}];
+		});
 		if (this.#faults.crashPath !== '' && path.startsWith(this.#faults.crashPath)) {
 			(this.#options.crash ?? process.exit)();
 			request.socket.destroy();
 			return;
 		}
 
-		const chunks = await request.toArray() as Uint8Array[];
-		await wait(this.#faults.workMs);
-		const isFailing = Math.random() < this.#faults.failShare;
-		response.writeHead(isFailing ? 500 : 200, {'content-type': 'application/json', 'x-server': this.#options.id});
+		this.#running++;
+		response.once('close', () => {
+			this.#running--;
+		});
+		await this.#run(path, request, response);
+	}
+
+	async #run(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const now = performance.now();
+		const plan = createRunPlan(this.#faults, now - this.#faultsSetAt, now - this.#startedAt, this.#pickNext);
+		const chunks = await request.toArray().catch(() => []) as Uint8Array[];
+		await wait(plan.workMs);
+		const {answerBytes} = this.#faults;
+		const status = plan.isFailing ? failedStatus : 200;
+		if (answerBytes > 0) {
+			response.writeHead(status, {'content-type': 'application/octet-stream', 'content-length': answerBytes, 'x-server': this.#options.id});
+			await this.#writeChunks(response, answerBytes);
+			return;
+		}
+
+		response.writeHead(status, {'content-type': 'application/json', 'x-server': this.#options.id});
 		response.end(JSON.stringify({
 			server: this.#options.id, path, tag: readTag(request), received: Buffer.concat(chunks).length,
 		}));
 	}
 
+	async #writeChunks(response: ServerResponse, left: number): Promise<void> {
+		if (response.destroyed) {
+			return;
+		}
+
+		const {chunkBytes, chunkMs} = this.#faults;
+		const size = Math.min(left, chunkBytes);
+		const isTaken = response.write(Buffer.alloc(size, this.#options.id));
+		if (left === size) {
+			response.end();
+			return;
+		}
+
+		await (isTaken ? wait(chunkMs) : waitForDrain(response));
+		await this.#writeChunks(response, left - size);
+	}
+
+	#createHealth(): HealthReport {
+		const isNow = isFaulty(this.#faults, performance.now() - this.#faultsSetAt);
+		return {healthy: !isNow || (this.#faults.failShare === 0 && this.#faults.slowShare === 0), running: this.#running};
+	}
+
 	async #handleControl(path: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const text = Buffer.concat(await request.toArray() as Uint8Array[]).toString('utf8');
-		if (path === '/stand-in/faults') {
-			this.setFaults(JSON.parse(text) as Partial<BackendFaults>);
+		switch (path) {
+			case '/stand-in/faults': {
+				this.setFaults(JSON.parse(text) as Partial<BackendFaults>);
+
+				break;
+			}
+
+			case '/stand-in/leave': {
+				await this.drain();
+
+				break;
+			}
+
+			case '/stand-in/resume': {
+				await this.resume();
+
+				break;
+			}
+		// No default
 		}
 
 		response.writeHead(200, {'content-type': 'application/json'});
-		response.end(JSON.stringify(path === '/stand-in/ledger' ? this.#ledger : {healthy: true}));
+		response.end(JSON.stringify(path === '/stand-in/ledger' ? this.#ledger : this.#history.createReport(this.#faults, this.#createHealth())));
 	}
 }
 
+async function waitForDrain(response: ServerResponse): Promise<void> {
+	await new Promise<void>(resolve => {
+		response.once('drain', resolve);
+		response.once('close', resolve);
+	});
+}
+
 function readTag(request: IncomingMessage): string {
 	return String(request.headers['x-request-tag'] ?? request.headers['idempotency-key'] ?? '');
 }
