--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -75,7 +75,7 @@
 	return await answer.body.json() as readonly ServerRow[];
 }
 
-function printReport(tally: Tally, rows: ReadonlyArray<readonly [string, string | number]>): void {
+function reportTally(tally: Tally, rows: ReadonlyArray<readonly [string, string | number]>): void {
 	const all: ReadonlyArray<readonly [string, string | number]> = [
 		['sent', tally.sent],
 		['answered whole', tally.whole],
@@ -105,7 +105,7 @@
 		const falseEjections = ejected.filter(id => id !== gray.serverId).length;
 		const lastGrayRun = Math.max(gray.startedAt, ...grayRuns.map(({startedAt}) => startedAt));
 		const tally = computeTally(sent, ledger);
-		printReport(tally, [
+		reportTally(tally, [
 			['gray server ejected', ejected.includes(gray.serverId) ? 'yes' : 'no'],
 			['detection time, s', ((lastGrayRun - gray.startedAt) / msPerS).toFixed(2)],
 			['requests sent to the gray server', grayRuns.length],
