Let a link's session outlive its connections

A silent or broken connection lost answers and turned requests into unknown ones. Each side now numbers the frames of a session, keeps them until they are acknowledged, and sends them again over the next connection; the receiver takes each number once. A request counts as not run only when it was never handed to a greeted connection or when the other side says that it never received it; everything else is unknown.

Ruled out: requests sent along with the hello (one round trip less on a cold link, but a stalled hello could then run a request that was already refused as not run).

--- /dev/null
+++ b/packages/link/src/client-exchange.ts
@@ -0,0 +1,83 @@
+/** One exchange seen from the side of the link that opened it. */
+import {Exchange, type ExchangeHandler} from '@limpetbarrow/core';
+import {type ExchangeFrame} from './types.js';
+import {writeParts} from './utils.js';
+
+/** What an exchange needs of its link. */
+export type ExchangeOwner = {
+	readonly send: (frame: ExchangeFrame, payload?: Uint8Array) => void;
+	/** Called once, when the opener gives the exchange up. */
+	readonly handleCancel: (stream: number) => void;
+};
+
+/** Sends what the opener says until the exchange is over. */
+export class ClientExchange extends Exchange {
+	readonly stream: number;
+	readonly handler: ExchangeHandler;
+	readonly #owner: ExchangeOwner;
+	#isOver = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(stream: number, handler: ExchangeHandler, owner: ExchangeOwner) {
+		super();
+		this.stream = stream;
+		this.handler = handler;
+		this.#owner = owner;
+	}
+
+	/** Calls back when the deadline passes before the exchange is over. */
+	startTimer(remainingMs: number, handleDeadline: () => void): void {
+		this.#timer = setTimeout(handleDeadline, remainingMs);
+	}
+
+	/** Says that nothing follows either way. */
+	finish(): void {
+		this.#isOver = true;
+		clearTimeout(this.#timer);
+	}
+
+	override writeBody(chunk: Uint8Array): void {
+		writeParts(chunk, part => {
+			this.#send({kind: 'data', stream: this.stream}, part);
+		});
+	}
+
+	override endBody(): void {
+		this.#send({kind: 'end', stream: this.stream});
+	}
+
+	override grantCredit(bytes: number): void {
+		this.#send({kind: 'credit', stream: this.stream, bytes});
+	}
+
+	override cancel(): void {
+		if (!this.#isOver) {
+			this.#owner.handleCancel(this.stream);
+		}
+	}
+
+	#send(frame: ExchangeFrame, payload?: Uint8Array): void {
+		if (!this.#isOver) {
+			this.#owner.send(frame, payload);
+		}
+	}
+}
+
+/** An exchange that the link refused; nothing of it is sent. */
+export class RefusedExchange extends Exchange {
+	override writeBody(_chunk: Uint8Array): void {
+		// Refused already.
+	}
+
+	override endBody(): void {
+		// Refused already.
+	}
+
+	override grantCredit(_bytes: number): void {
+		// Refused already.
+	}
+
+	override cancel(): void {
+		// Refused already.
+	}
+}
--- a/packages/link/src/frame-codec.ts
+++ b/packages/link/src/frame-codec.ts
@@ -4,69 +4,98 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {createFailure, maxFrameBytes, type Failure} from '@limpetbarrow/core';
 import {framePrefixBytes} from './constants.js';
-import {type Frame, type FrameWithPayload} from './types.js';
+import {parseWireArray, toWireArray} from './frame-fields.js';
+import {type Packet} from './types.js';
 
 const codec = new Encoder({useRecords: false, mapsAsObjects: true, tagUint8Array: false});
 const emptyBytes = new Uint8Array(0);
-const headerLengthOffset = 4;
+const lengthBytes = 4;
+const headerLengthBytes = 2;
+const byteValues = 256;
+const maxHeaderLength = 65_535;
 
 /** Encodes prefix and header; the payload is written after it, uncopied. */
-export function encodeFrameHeader(frame: Frame, payloadLength: number): Uint8Array {
-	const header = codec.encode(frame);
+export function encodePacketHeader({frame, sequence, acknowledged, payload}: Packet): Uint8Array {
+	const header = codec.encode(toWireArray(frame, sequence, acknowledged));
 	const buffer = Buffer.allocUnsafe(framePrefixBytes + header.length);
-	buffer.writeUInt32BE(2 + header.length + payloadLength, 0);
-	buffer.writeUInt16BE(header.length, headerLengthOffset);
+	buffer.writeUInt32BE(headerLengthBytes + header.length + payload.length, 0);
+	buffer.writeUInt16BE(Math.min(header.length, maxHeaderLength), lengthBytes);
 	buffer.set(header, framePrefixBytes);
 	return buffer;
 }
 
-function readUint16(bytes: Uint8Array): number {
-	return new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength).getUint16(0);
+function readUint16(bytes: Uint8Array, offset: number): number {
+	return (bytes[offset]! * byteValues) + bytes[offset + 1]!;
 }
 
-function readUint32(bytes: Uint8Array): number {
-	return new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength).getUint32(0);
+function readUint32(bytes: Uint8Array, offset: number): number {
+	return (readUint16(bytes, offset) * byteValues * byteValues) + readUint16(bytes, offset + 2);
 }
 
-function decodeBody(body: Uint8Array): Either<Failure, FrameWithPayload> {
-	const headerLength = readUint16(body);
-	if (headerLength + 2 > body.length) {
+function decodeBody(body: Uint8Array): Either<Failure, Packet> {
+	const headerEnd = headerLengthBytes + readUint16(body, 0);
+	if (headerEnd > body.length) {
 		return Left(createFailure('malformedFrame', 'the header is longer than the frame'));
 	}
 
+	const payload = body.length > headerEnd ? body.subarray(headerEnd) : emptyBytes;
 	try {
-		const frame = codec.decode(body.subarray(2, 2 + headerLength)) as Frame;
-		return typeof frame === 'object' && frame !== null && typeof frame.kind === 'string'
-			? Right({frame, payload: body.length > 2 + headerLength ? body.subarray(2 + headerLength) : emptyBytes})
-			: Left(createFailure('malformedFrame', 'the header is not a frame'));
+		return parseWireArray(codec.decode(body.subarray(headerLengthBytes, headerEnd)))
+			.chain(numbered => checkPayload({...numbered, payload}));
 	} catch (error) {
 		return Left(createFailure('malformedFrame', String(error)));
 	}
 }
 
-/** Collects bytes and yields whole frames. After a failure the stream is unusable. */
+function checkPayload(packet: Packet): Either<Failure, Packet> {
+	return packet.payload.length > 0 && packet.frame.kind !== 'data'
+		? Left(createFailure('malformedFrame', `${packet.frame.kind} has a payload`))
+		: Right(packet);
+}
+
+/** Collects bytes and yields whole packets. After a failure the stream is unusable. */
 export class FrameDecoder {
-	#pending: Uint8Array = Buffer.alloc(0);
+	#chunks: Uint8Array[] = [];
+	#pendingBytes = 0;
+	#neededBytes = lengthBytes;
+
+	/** Adds bytes and returns the packets they complete, up to the first that is malformed. */
+	decode(chunk: Uint8Array): ReadonlyArray<Either<Failure, Packet>> {
+		this.#chunks.push(chunk);
+		this.#pendingBytes += chunk.length;
+		return this.#pendingBytes < this.#neededBytes ? [] : this.#decodePending();
+	}
+
+	#decodePending(): ReadonlyArray<Either<Failure, Packet>> {
+		const bytes = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks);
+		const packets: Array<Either<Failure, Packet>> = [];
+		let start = 0;
+		let needed = lengthBytes;
+		while (bytes.length - start >= lengthBytes) {
+			const length = readUint32(bytes, start);
+			if (length < headerLengthBytes || length > maxFrameBytes) {
+				packets.push(Left(createFailure('frameTooLarge', `the frame has ${length} bytes`)));
+				break;
+			}
 
-	/** Adds bytes and returns the frames they complete, up to the first that is malformed. */
-	decode(chunk: Uint8Array): ReadonlyArray<Either<Failure, FrameWithPayload>> {
-		this.#pending = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
-		const frames: Array<Either<Failure, FrameWithPayload>> = [];
-		while (this.#pending.length >= 4) {
-			const length = readUint32(this.#pending);
-			if (length < 2 || length > maxFrameBytes) {
-				frames.push(Left(createFailure('frameTooLarge', `the frame has ${length} bytes`)));
-				return frames;
+			const end = start + lengthBytes + length;
+			if (end > bytes.length) {
+				needed = lengthBytes + length;
+				break;
 			}
 
-			if (this.#pending.length < 4 + length) {
-				return frames;
+			const packet = decodeBody(bytes.subarray(start + lengthBytes, end));
+			packets.push(packet);
+			if (packet.isLeft()) {
+				break;
 			}
 
-			frames.push(decodeBody(this.#pending.subarray(4, 4 + length)));
-			this.#pending = this.#pending.subarray(4 + length);
+			start = end;
 		}
 
-		return frames;
+		this.#chunks = start < bytes.length ? [bytes.subarray(start)] : [];
+		this.#pendingBytes = bytes.length - start;
+		this.#neededBytes = needed;
+		return packets;
 	}
 }
--- a/packages/link/src/frame-connection.ts
+++ b/packages/link/src/frame-connection.ts
@@ -1,79 +1,105 @@
-/** One TCP connection that carries frames. */
-import {type Buffer} from 'node:buffer';
+/** A TCP connection that carries frames. */
+import process from 'node:process';
 import {type Socket} from 'node:net';
-import {foldResult, Subject, type Failure} from '@limpetbarrow/core';
-import {encodeFrameHeader, FrameDecoder} from './frame-codec.js';
-import {type Frame, type FrameWithPayload} from './types.js';
+import {foldResult, type Unregister} from '@limpetbarrow/core';
+import {Connection, type ConnectionHandler} from './connection.js';
+import {encodePacketHeader, FrameDecoder} from './frame-codec.js';
+import {type Packet} from './types.js';
 
-const emptyBytes = new Uint8Array(0);
+const endTimeoutMs = 1000;
 
-/** Writes each frame in one go and publishes what it reads. */
-export class FrameConnection {
-	readonly frames = new Subject<FrameWithPayload>();
-	readonly failures = new Subject<Failure>();
-	readonly closes = new Subject<void>();
+/** Writes the frames of one turn together, and hands on what it reads. */
+export class FrameConnection extends Connection {
 	readonly #socket: Socket;
 	readonly #decoder = new FrameDecoder();
+	#handler: ConnectionHandler | undefined;
 	#heardAt = performance.now();
+	#isRefused = false;
+	#isCorked = false;
 
 	constructor(socket: Socket) {
+		super();
 		this.#socket = socket;
 		socket.setNoDelay(true);
-		socket.on('data', chunk => {
+		socket.on('data', (chunk: Uint8Array) => {
 			this.#handleChunk(chunk);
 		});
-		socket.on('error', () => {
+		socket.on('error', (error: Error & {readonly code?: string}) => {
+			this.#isRefused = error.code === 'ECONNREFUSED';
 			socket.destroy();
 		});
 		socket.on('close', () => {
-			this.closes.publish();
+			this.#handler?.handleClose(this.#isRefused);
 		});
 	}
 
-	/** Monotonic time of the last byte heard, in milliseconds. */
-	getHeardAt(): number {
+	override getHeardAt(): number {
 		return this.#heardAt;
 	}
 
-	/** Sends a frame. */
-	send(frame: Frame, payload: Uint8Array = emptyBytes): void {
-		if (this.#socket.destroyed) {
-			return;
-		}
+	override registerHandler(handler: ConnectionHandler): Unregister {
+		this.#handler = handler;
+		return () => {
+			this.#handler = undefined;
+		};
+	}
 
-		const header = encodeFrameHeader(frame, payload.length);
-		if (payload.length === 0) {
+	override send(packet: Packet): number {
+		const header = encodePacketHeader(packet);
+		if (!this.#socket.destroyed) {
+			this.#pauseWrites();
 			this.#socket.write(header);
-			return;
+			if (packet.payload.length > 0) {
+				this.#socket.write(packet.payload);
+			}
 		}
 
-		this.#socket.cork();
-		this.#socket.write(header);
-		this.#socket.write(payload);
-		this.#socket.uncork();
+		return header.length + packet.payload.length;
 	}
 
-	/** Closes after what was sent has gone out. */
-	end(): void {
+	override end(): void {
 		this.#socket.end();
+		const timer = setTimeout(() => {
+			this.#socket.destroy();
+		}, endTimeoutMs);
+		timer.unref();
+		this.#socket.once('close', () => {
+			clearTimeout(timer);
+		});
 	}
 
-	/** Closes at once. */
-	close(): void {
+	override close(): void {
 		this.#socket.destroy();
 	}
 
+	#pauseWrites(): void {
+		if (this.#isCorked) {
+			return;
+		}
+
+		this.#isCorked = true;
+		this.#socket.cork();
+		process.nextTick(() => {
+			this.#isCorked = false;
+			this.#socket.uncork();
+		});
+	}
+
 	#handleChunk(chunk: Uint8Array): void {
+		if (!this.#handler) {
+			return;
+		}
+
 		this.#heardAt = performance.now();
 		this.#decoder.decode(chunk).forEach(decoded => {
 			foldResult(
 				decoded,
 				failure => {
-					this.failures.publish(failure);
+					this.#handler?.handleFailure(failure);
 					this.close();
 				},
-				frame => {
-					this.frames.publish(frame);
+				packet => {
+					this.#handler?.handlePacket(packet);
 				},
 			);
 		});
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -1,177 +1,225 @@
 /** The side of a link that opens exchanges. */
-import {connect} from 'node:net';
 import {
-	Carrier, createFailure, createRandomId, Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RequestHead,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RequestHead,
 } from '@limpetbarrow/core';
-import {connectTimeoutMs, heartbeatMs, silenceBoundMs} from './constants.js';
-import {FrameConnection} from './frame-connection.js';
-import {type Frame, type FrameWithPayload, type LinkPeer} from './types.js';
-
-class ClientExchange extends Exchange {
-	readonly #send: (frame: Frame, payload?: Uint8Array) => void;
-	readonly #stream: number;
-	readonly #forget: () => void;
-
-	constructor(stream: number, send: (frame: Frame, payload?: Uint8Array) => void, forget: () => void) {
-		super();
-		this.#stream = stream;
-		this.#send = send;
-		this.#forget = forget;
-	}
-
-	override writeBody(chunk: Uint8Array): void {
-		this.#send({kind: 'data', stream: this.#stream}, chunk);
-	}
-
-	override endBody(): void {
-		this.#send({kind: 'end', stream: this.#stream});
-	}
-
-	override grantCredit(bytes: number): void {
-		this.#send({kind: 'credit', stream: this.#stream, bytes});
-	}
-
-	override cancel(): void {
-		this.#forget();
-		this.#send({kind: 'cancel', stream: this.#stream});
-	}
-}
+import {ClientExchange, RefusedExchange} from './client-exchange.js';
+import {ClientSession, type ClientSessionOptions, type SessionEnd} from './client-session.js';
+import {maxExchanges, refusePauseMs, softRetainedBytes} from './constants.js';
+import {type ExchangeFrame, type LinkPeer} from './types.js';
 
 /** Carries exchanges to one run of one node. */
 export class LinkClient extends Carrier {
-	readonly #peer: LinkPeer;
-	readonly #self: NodeIdentity;
-	readonly #session = createRandomId();
-	readonly #handlers = new Map<number, ExchangeHandler>();
-	#connection: FrameConnection | undefined;
-	#isGreeted = false;
+	readonly #options: ClientSessionOptions;
+	readonly #exchanges = new Map<number, ClientExchange>();
+	#session: ClientSession | undefined;
 	#nextStream = 1;
-	#heartbeat: NodeJS.Timeout | undefined;
+	#refuseUntil = 0;
+	#isClosed = false;
 
-	constructor(self: NodeIdentity, peer: LinkPeer) {
+	constructor(options: ClientSessionOptions) {
 		super();
-		this.#self = self;
-		this.#peer = peer;
+		this.#options = options;
 	}
 
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
-		const stream = this.#nextStream++;
-		this.#handlers.set(stream, handler);
-		this.#getConnection().send({kind: 'request', stream, head});
-		return new ClientExchange(stream, (frame, payload) => {
-			this.#connection?.send(frame, payload);
-		}, () => {
-			this.#handlers.delete(stream);
+		const refusal = this.#findRefusal();
+		if (refusal !== undefined) {
+			queueMicrotask(() => {
+				handler.handleFailure(this.#createFailure('linkUnreachable', refusal));
+			});
+			return new RefusedExchange();
+		}
+
+		const session = this.#startSession();
+		const exchange = new ClientExchange(this.#nextStream++, handler, {
+			send(frame, payload) {
+				session.state.send(frame, payload);
+			},
+			handleCancel: stream => {
+				this.#cancel(stream);
+			},
 		});
+		this.#exchanges.set(exchange.stream, exchange);
+		session.state.send({kind: 'request', stream: exchange.stream, head});
+		exchange.startTimer(head.remainingMs, () => {
+			this.#handleDeadline(exchange.stream);
+		});
+		return exchange;
+	}
+
+	/** Whom the link goes to. */
+	getPeer(): LinkPeer {
+		return this.#options.peer;
 	}
 
 	/** Number of exchanges in progress. */
 	countExchanges(): number {
-		return this.#handlers.size;
+		return this.#exchanges.size;
 	}
 
+	/** True while a session is open, busy or not. */
+	hasSession(): boolean {
+		return this.#session !== undefined;
+	}
+
+	/** Ends the session; exchanges in progress fail. */
 	close(): void {
-		this.#connection?.close();
+		this.#isClosed = true;
+		this.#session?.end(createFailure('linkLost', 'this node closed the link'));
 	}
 
-	#getConnection(): FrameConnection {
-		if (this.#connection) {
-			return this.#connection;
+	#findRefusal(): string | undefined {
+		if (this.#isClosed) {
+			return 'the link is closed';
 		}
 
-		const socket = connect({...this.#peer.address});
-		const connection = new FrameConnection(socket);
-		const startedAt = performance.now();
-		this.#connection = connection;
-		this.#isGreeted = false;
-		connection.frames.registerListener(frame => {
-			this.#handleFrame(frame);
-		});
-		connection.closes.registerListener(() => {
-			this.#handleClose();
-		});
-		this.#heartbeat = setInterval(() => {
-			this.#checkConnection(connection, startedAt);
-		}, heartbeatMs);
-		this.#heartbeat.unref();
-		connection.send({kind: 'hello', session: this.#session, node: this.#self});
-		return connection;
-	}
+		if (performance.now() < this.#refuseUntil) {
+			return 'no connection';
+		}
 
-	#checkConnection(connection: FrameConnection, startedAt: number): void {
-		const now = performance.now();
-		const isSilent = this.#isGreeted ? now - connection.getHeardAt() > silenceBoundMs : now - startedAt > connectTimeoutMs;
-		if (isSilent) {
-			connection.close();
-			return;
+		if (this.#session?.isUnheard()) {
+			return 'the other node does not acknowledge';
 		}
 
-		connection.send({kind: 'heartbeat'});
+		if (this.#exchanges.size >= maxExchanges) {
+			return 'too many exchanges in progress';
+		}
+
+		return (this.#session?.state.countBytes() ?? 0) >= softRetainedBytes ? 'too many bytes unacknowledged' : undefined;
 	}
 
-	#handleFrame({frame, payload}: FrameWithPayload): void {
-		if (frame.kind === 'hello') {
-			this.#isGreeted = true;
-			return;
+	#startSession(): ClientSession {
+		this.#session ??= new ClientSession(this.#options, {
+			countExchanges: () => this.#exchanges.size,
+			handleFrame: (frame, payload) => {
+				this.#dispatchFrame(frame, payload);
+			},
+			handleUnreachable: () => {
+				this.#handleUnreachable();
+			},
+			handleEnd: end => {
+				this.#handleEnd(end);
+			},
+		});
+		if (this.#exchanges.size === 0) {
+			this.#session.startBusy();
 		}
 
-		if (frame.kind === 'heartbeat') {
+		return this.#session;
+	}
+
+	#dispatchFrame(frame: ExchangeFrame, payload: Uint8Array): void {
+		const exchange = this.#exchanges.get(frame.stream);
+		if (!exchange) {
+			this.#options.metrics.addCount('link_late_frames_total', frame.kind === 'credit' ? 0 : 1);
 			return;
 		}
 
-		const handler = this.#handlers.get(frame.stream);
-		if (handler) {
-			this.#dispatchFrame(frame, payload, handler);
-		}
-	}
-
-	#dispatchFrame(frame: Exclude<Frame, {readonly kind: 'hello' | 'heartbeat'}>, payload: Uint8Array, handler: ExchangeHandler): void {
 		switch (frame.kind) {
 			case 'response': {
-				handler.handleHead(frame.head);
+				exchange.handler.handleHead(frame.head);
 				break;
 			}
 
 			case 'data': {
-				handler.handleData(payload);
+				exchange.handler.handleData(payload);
 				break;
 			}
 
 			case 'credit': {
-				handler.handleCredit(frame.bytes);
+				exchange.handler.handleCredit(frame.bytes);
 				break;
 			}
 
 			case 'end': {
-				this.#handlers.delete(frame.stream);
-				handler.handleEnd();
+				this.#forget(exchange);
+				exchange.handler.handleEnd();
 				break;
 			}
 
 			case 'failure': {
-				this.#handlers.delete(frame.stream);
-				handler.handleFailure(frame.failure);
+				this.#forget(exchange);
+				exchange.handler.handleFailure(frame.failure);
 				break;
 			}
 
 			case 'request':
 			case 'cancel': {
-				this.#connection?.close();
+				this.#session?.end(createFailure('malformedFrame', `${frame.kind} from the serving side`));
 				break;
 			}
 		}
 	}
 
-	#handleClose(): void {
-		clearInterval(this.#heartbeat);
-		this.#connection = undefined;
-		const failure: Failure = this.#isGreeted
-			? createFailure('linkLost', `node ${this.#peer.identity.id}`)
-			: createFailure('linkUnreachable', `node ${this.#peer.identity.id}`);
-		const handlers = [...this.#handlers.values()];
-		this.#handlers.clear();
-		handlers.forEach(handler => {
-			handler.handleFailure(failure);
+	#cancel(stream: number): void {
+		const exchange = this.#exchanges.get(stream);
+		const state = this.#session?.state;
+		if (!exchange || !state) {
+			return;
+		}
+
+		this.#forget(exchange);
+		if (state.isWaiting(stream)) {
+			state.forgetWaiting(stream);
+		} else {
+			state.send({kind: 'cancel', stream});
+		}
+	}
+
+	#handleDeadline(stream: number): void {
+		const exchange = this.#exchanges.get(stream);
+		if (!exchange) {
+			return;
+		}
+
+		const isWaiting = this.#session?.state.isWaiting(stream);
+		this.#cancel(stream);
+		exchange.handler.handleFailure(this.#createFailure(isWaiting ? 'deadlinePassed' : 'answerTimeout', 'no whole answer over the link'));
+	}
+
+	/** Fails what was never sent, and refuses new exchanges for a while. */
+	#handleUnreachable(): void {
+		const state = this.#session?.state;
+		const unsent = [...this.#exchanges.values()].filter(({stream}) => state?.isWaiting(stream));
+		this.#refuseUntil = performance.now() + refusePauseMs;
+		unsent.forEach(exchange => {
+			this.#forget(exchange);
+			state?.forgetWaiting(exchange.stream);
+		});
+		unsent.forEach(({handler}) => {
+			handler.handleFailure(this.#createFailure('linkUnreachable', 'no connection'));
+		});
+	}
+
+	/** Fails every exchange: as not run where the other side provably never had the request. */
+	#handleEnd({failure, received}: SessionEnd): void {
+		const state = this.#session?.state;
+		const exchanges = [...this.#exchanges.values()];
+		const unreceived = new Set(exchanges.filter(({stream}) => received === undefined
+			? state?.isWaiting(stream)
+			: state?.isUnreceived(stream, received)));
+		this.#session = undefined;
+		exchanges.forEach(exchange => {
+			this.#forget(exchange);
+		});
+		if (exchanges.length > 0) {
+			this.#options.logger.log('linkEnded', {node: this.#options.peer.identity.id, code: failure.code, detail: failure.detail});
+		}
+
+		exchanges.forEach(exchange => {
+			exchange.handler.handleFailure(unreceived.has(exchange) ? this.#createFailure('linkUnreachable', failure.detail) : failure);
 		});
 	}
+
+	#forget(exchange: ClientExchange): void {
+		exchange.finish();
+		this.#exchanges.delete(exchange.stream);
+		if (this.#exchanges.size === 0) {
+			this.#session?.startIdle();
+		}
+	}
+
+	#createFailure(name: 'linkUnreachable' | 'linkLost' | 'deadlinePassed' | 'answerTimeout', detail: string): Failure {
+		return createFailure(name, `node ${this.#options.peer.identity.id}: ${detail}`);
+	}
 }
--- a/packages/link/src/link-pool.ts
+++ b/packages/link/src/link-pool.ts
@@ -1,25 +1,47 @@
 /** The links a node has opened, one for each run of another node. */
-import {type Carrier, type NodeIdentity} from '@limpetbarrow/core';
+import {connect} from 'node:net';
+import {
+	MetricRegistry, SilentLogger, type Carrier, type NodeIdentity,
+} from '@limpetbarrow/core';
+import {type OpenConnection} from './client-session.js';
+import {FrameConnection} from './frame-connection.js';
 import {LinkClient} from './link-client.js';
+import {type LinkOptions} from './link-options.js';
 import {type LinkPeer} from './types.js';
 
+function connectSocket({address}: LinkPeer): FrameConnection {
+	return new FrameConnection(connect({host: address.host, port: address.port}));
+}
+
 function getPeerKey({identity, address}: LinkPeer): string {
 	return `${identity.id}/${identity.incarnation}/${address.host}:${address.port}`;
 }
 
-/** Opens links as they are asked for. */
+/** Opens links as they are asked for, and drops those that are not used. */
 export class LinkPool {
 	readonly #self: NodeIdentity;
+	readonly #options: LinkOptions;
+	readonly #openConnection: OpenConnection;
 	readonly #links = new Map<string, LinkClient>();
 
-	constructor(self: NodeIdentity) {
+	constructor(self: NodeIdentity, options: Partial<LinkOptions> = {}, openConnection: OpenConnection = connectSocket) {
 		this.#self = self;
+		this.#options = {logger: options.logger ?? new SilentLogger(), metrics: options.metrics ?? new MetricRegistry()};
+		this.#openConnection = openConnection;
 	}
 
 	/** The link to a node; it connects when first used. */
 	getLink(peer: LinkPeer): Carrier {
 		const key = getPeerKey(peer);
-		const link = this.#links.get(key) ?? new LinkClient(this.#self, peer);
+		const known = this.#links.get(key);
+		if (known) {
+			return known;
+		}
+
+		this.#forgetUnused();
+		const link = new LinkClient({
+			...this.#options, self: this.#self, peer, openConnection: this.#openConnection,
+		});
 		this.#links.set(key, link);
 		return link;
 	}
@@ -29,6 +51,11 @@
 		return [...this.#links.values()].reduce((sum, link) => sum + link.countExchanges(), 0);
 	}
 
+	/** Number of links with an open session. */
+	countSessions(): number {
+		return [...this.#links.values()].filter(link => link.hasSession()).length;
+	}
+
 	/** Closes the links without exchanges in progress. */
 	closeIdle(): void {
 		[...this.#links]
@@ -46,4 +73,12 @@
 		});
 		this.#links.clear();
 	}
+
+	#forgetUnused(): void {
+		[...this.#links]
+			.filter(([, link]) => !link.hasSession())
+			.forEach(([key]) => {
+				this.#links.delete(key);
+			});
+	}
 }
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -1,33 +1,41 @@
 /** The side of a link that serves exchanges. */
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import {
-	createServer, type AddressInfo, type Server, type Socket,
-} from 'node:net';
-import {
-	type Address, type Carrier, type Exchange, type ExchangeHandler, type Logger, type NodeIdentity, type RequestTarget,
+	createFailure, MetricRegistry, type Address, type Carrier, type Failure, type Logger, type NodeIdentity, type RequestTarget,
 } from '@limpetbarrow/core';
-import {heartbeatMs} from './constants.js';
+import {type Connection} from './connection.js';
+import {connectTimeoutMs, heartbeatMs, maxSessions} from './constants.js';
 import {FrameConnection} from './frame-connection.js';
-import {type Frame} from './types.js';
+import {ServerSession} from './server-session.js';
+import {type HelloFrame, type Packet} from './types.js';
+import {isSameNode} from './utils.js';
 
 /** Finds what serves a target on this node. */
 export type SelectCarrier = (target: RequestTarget) => Carrier;
 
-/** Accepts connections of other nodes. */
+/** Accepts connections of other nodes and keeps their sessions. */
 export class LinkServer {
 	readonly #self: NodeIdentity;
 	readonly #selectCarrier: SelectCarrier;
 	readonly #logger: Logger;
+	readonly #metrics: MetricRegistry;
 	readonly #server: Server;
-	readonly #connections = new Set<FrameConnection>();
-	#exchangeCount = 0;
+	readonly #sessions = new Map<string, ServerSession>();
+	readonly #ungreeted = new Set<Connection>();
+	readonly #tick: NodeJS.Timeout;
 
-	constructor(self: NodeIdentity, selectCarrier: SelectCarrier, logger: Logger) {
+	constructor(self: NodeIdentity, selectCarrier: SelectCarrier, logger: Logger, metrics = new MetricRegistry()) {
 		this.#self = self;
 		this.#selectCarrier = selectCarrier;
 		this.#logger = logger;
+		this.#metrics = metrics;
 		this.#server = createServer(socket => {
-			this.#handleSocket(socket);
+			this.acceptConnection(new FrameConnection(socket));
 		});
+		this.#tick = setInterval(() => {
+			this.#check();
+		}, heartbeatMs);
+		this.#tick.unref();
 	}
 
 	async listen({host, port}: Address): Promise<Address> {
@@ -38,15 +46,62 @@
 		return {host, port: (this.#server.address() as AddressInfo).port};
 	}
 
+	/** Takes a connection; its first frame must be a hello. */
+	acceptConnection(connection: Connection): void {
+		if (this.#ungreeted.size >= maxSessions) {
+			connection.close();
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			connection.close();
+		}, connectTimeoutMs);
+		const finish = (): void => {
+			clearTimeout(timer);
+			this.#ungreeted.delete(connection);
+		};
+
+		this.#ungreeted.add(connection);
+		connection.registerHandler({
+			handlePacket: packet => {
+				finish();
+				this.#handleFirstPacket(connection, packet);
+			},
+			handleFailure: failure => {
+				this.#logRejected(failure);
+			},
+			handleClose: finish,
+		});
+	}
+
 	/** Number of exchanges in progress that other nodes opened. */
 	countExchanges(): number {
-		return this.#exchangeCount;
+		return [...this.#sessions.values()].reduce((sum, session) => sum + session.countExchanges(), 0);
 	}
 
+	/** Number of sessions kept, with or without a connection. */
+	countSessions(): number {
+		return this.#sessions.size;
+	}
+
+	/** Ends the sessions without exchanges in progress; the other nodes learn that nothing more is taken. */
+	closeIdle(): void {
+		[...this.#sessions.values()]
+			.filter(session => session.countExchanges() === 0)
+			.forEach(session => {
+				session.end('idle at a stop');
+			});
+	}
+
+	/** Ends every session; exchanges in progress are cancelled. */
 	async close(): Promise<void> {
-		[...this.#connections].forEach(connection => {
+		clearInterval(this.#tick);
+		[...this.#ungreeted].forEach(connection => {
 			connection.close();
 		});
+		[...this.#sessions.values()].forEach(session => {
+			session.end('this node closes');
+		});
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -54,106 +109,62 @@
 		});
 	}
 
-	#handleSocket(socket: Socket): void {
-		const connection = new FrameConnection(socket);
-		const exchanges = new Map<number, Exchange>();
-		const heartbeat = setInterval(() => {
-			connection.send({kind: 'heartbeat'});
-		}, heartbeatMs);
-		heartbeat.unref();
-		this.#connections.add(connection);
-		connection.frames.registerListener(({frame, payload}) => {
-			this.#handleFrame(connection, exchanges, frame, payload);
-		});
-		connection.failures.registerListener(failure => {
-			this.#logger.log('frameRejected', {code: failure.code, detail: failure.detail});
-		});
-		connection.closes.registerListener(() => {
-			clearInterval(heartbeat);
-			this.#connections.delete(connection);
-			this.#exchangeCount -= exchanges.size;
-			[...exchanges.values()].forEach(exchange => {
-				exchange.cancel();
-			});
-			exchanges.clear();
-		});
-	}
+	#handleFirstPacket(connection: Connection, {frame}: Packet): void {
+		if (frame.kind !== 'hello') {
+			this.#logRejected(createFailure('malformedFrame', `${frame.kind} before hello`));
+			connection.close();
+			return;
+		}
+
+		const session = this.#findSession(frame);
+		if (!session) {
+			this.#refuse(connection);
+			return;
+		}
 
-	#forget(exchanges: Map<number, Exchange>, stream: number): void {
-		if (exchanges.delete(stream)) {
-			this.#exchangeCount--;
+		if (!session.resume(connection, frame)) {
+			connection.close();
 		}
 	}
 
-	#handleFrame(connection: FrameConnection, exchanges: Map<number, Exchange>, frame: Frame, payload: Uint8Array): void {
-		switch (frame.kind) {
-			case 'hello': {
-				connection.send({kind: 'hello', session: frame.session, node: this.#self});
-				break;
-			}
-
-			case 'request': {
-				const {stream, head} = frame;
-				const handler = createReplyHandler(connection, stream, () => {
-					this.#forget(exchanges, stream);
-				});
-				this.#exchangeCount++;
-				exchanges.set(stream, this.#selectCarrier(head.target).openExchange(head, handler));
-				break;
-			}
-
-			case 'data': {
-				exchanges.get(frame.stream)?.writeBody(payload);
-				break;
-			}
-
-			case 'end': {
-				exchanges.get(frame.stream)?.endBody();
-				break;
-			}
-
-			case 'credit': {
-				exchanges.get(frame.stream)?.grantCredit(frame.bytes);
-				break;
-			}
-
-			case 'cancel': {
-				exchanges.get(frame.stream)?.cancel();
-				this.#forget(exchanges, frame.stream);
-				break;
-			}
-
-			case 'heartbeat': {
-				break;
-			}
-
-			case 'response':
-			case 'failure': {
-				connection.close();
-				break;
-			}
+	/** A session that was greeted before and is not known any more can't be resumed. */
+	#findSession(hello: HelloFrame): ServerSession | undefined {
+		const known = this.#sessions.get(hello.session);
+		if (known) {
+			return known.isFrom(hello.node) ? known : undefined;
 		}
+
+		if (hello.isResumed || !isSameNode(hello.peer, this.#self) || this.#sessions.size >= maxSessions) {
+			return undefined;
+		}
+
+		const session = new ServerSession(hello, {
+			self: this.#self,
+			logger: this.#logger,
+			metrics: this.#metrics,
+			openRequest: (head, handler) => this.#selectCarrier(head.target).openExchange(head, handler),
+			handleEnd: () => {
+				this.#sessions.delete(hello.session);
+			},
+		});
+		this.#sessions.set(hello.session, session);
+		return session;
+	}
+
+	#refuse(connection: Connection): void {
+		connection.send({
+			frame: {kind: 'close', received: undefined}, sequence: 0, acknowledged: 0, payload: new Uint8Array(0),
+		});
+		connection.end();
 	}
-}
 
-function createReplyHandler(connection: FrameConnection, stream: number, forget: () => void): ExchangeHandler {
-	return {
-		handleHead(head) {
-			connection.send({kind: 'response', stream, head});
-		},
-		handleData(chunk) {
-			connection.send({kind: 'data', stream}, chunk);
-		},
-		handleEnd() {
-			forget();
-			connection.send({kind: 'end', stream});
-		},
-		handleFailure(failure) {
-			forget();
-			connection.send({kind: 'failure', stream, failure});
-		},
-		handleCredit(bytes) {
-			connection.send({kind: 'credit', stream, bytes});
-		},
-	};
+	#check(): void {
+		[...this.#sessions.values()].forEach(session => {
+			session.check();
+		});
+	}
+
+	#logRejected(failure: Failure): void {
+		this.#logger.log('frameRejected', {code: failure.code, detail: failure.detail});
+	}
 }
--- /dev/null
+++ b/packages/link/src/server-exchange.ts
@@ -0,0 +1,103 @@
+/** One exchange seen from the side of the link that serves it. */
+import {
+	createFailure, exchangeWindowBytes, maxFrameBytes, type Carrier, type Exchange, type ExchangeHandler, type Failure, type RequestHead,
+} from '@limpetbarrow/core';
+import {type LinkSession} from './link-session.js';
+import {writeParts} from './utils.js';
+
+/** Hands a request on and sends back what becomes of it. */
+export class ServerExchange {
+	readonly #stream: number;
+	readonly #session: LinkSession;
+	readonly #handleOver: () => void;
+	readonly #exchange: Exchange;
+	#credit = exchangeWindowBytes;
+	#isOver = false;
+
+	constructor(stream: number, session: LinkSession, handleOver: () => void, open: (handler: ExchangeHandler) => Exchange) {
+		this.#stream = stream;
+		this.#session = session;
+		this.#handleOver = handleOver;
+		this.#exchange = open(this.#createHandler());
+	}
+
+	/** Takes a part of the request's body; a failure when the other side ignores its credit. */
+	writeBody(payload: Uint8Array): Failure | undefined {
+		this.#credit -= payload.length;
+		if (this.#credit < -maxFrameBytes) {
+			return createFailure('malformedFrame', `exchange ${this.#stream} has no credit`);
+		}
+
+		this.#exchange.writeBody(payload);
+		return undefined;
+	}
+
+	isOver(): boolean {
+		return this.#isOver;
+	}
+
+	endBody(): void {
+		this.#exchange.endBody();
+	}
+
+	grantCredit(bytes: number): void {
+		this.#exchange.grantCredit(bytes);
+	}
+
+	/** Gives the exchange up; nothing more of it is sent. */
+	cancel(): void {
+		this.#isOver = true;
+		this.#exchange.cancel();
+	}
+
+	#createHandler(): ExchangeHandler {
+		const stream = this.#stream;
+		return {
+			handleHead: head => {
+				this.#send(() => {
+					this.#session.send({kind: 'response', stream, head});
+				});
+			},
+			handleData: chunk => {
+				this.#send(() => {
+					writeParts(chunk, part => {
+						this.#session.send({kind: 'data', stream}, part);
+					});
+				});
+			},
+			handleEnd: () => {
+				this.#finish(() => {
+					this.#session.send({kind: 'end', stream});
+				});
+			},
+			handleFailure: failure => {
+				this.#finish(() => {
+					this.#session.send({kind: 'failure', stream, failure});
+				});
+			},
+			handleCredit: bytes => {
+				this.#credit += bytes;
+				this.#send(() => {
+					this.#session.send({kind: 'credit', stream, bytes});
+				});
+			},
+		};
+	}
+
+	#send(send: () => void): void {
+		if (!this.#isOver) {
+			send();
+		}
+	}
+
+	#finish(send: () => void): void {
+		this.#send(() => {
+			this.#isOver = true;
+			send();
+			this.#handleOver();
+		});
+	}
+}
+
+/** Opens a request at what serves its target. */
+export type OpenRequest = (head: RequestHead, handler: ExchangeHandler) => ReturnType<Carrier['openExchange']>;
--- /dev/null
+++ b/packages/link/src/server-session.ts
@@ -0,0 +1,273 @@
+/** One session of the side that serves exchanges. It outlives its connections for a bounded time. */
+import {
+	createFailure, foldResult, type Failure, type NodeIdentity,
+} from '@limpetbarrow/core';
+import {type Connection} from './connection.js';
+import {
+	acknowledgeAfterFrames, idleCloseMs, maxExchanges, maxRetainedBytes, sessionKeepMs, silenceBoundMs,
+} from './constants.js';
+import {type LinkOptions} from './link-options.js';
+import {LinkSession} from './link-session.js';
+import {ServerExchange, type OpenRequest} from './server-exchange.js';
+import {
+	type ExchangeFrame, type HelloFrame, type Packet, type RequestFrame,
+} from './types.js';
+import {isSameNode} from './utils.js';
+
+/** What a session works with. */
+export type ServerSessionOptions = LinkOptions & {
+	readonly self: NodeIdentity;
+	readonly openRequest: OpenRequest;
+	/** Called once, when the session is over. */
+	readonly handleEnd: () => void;
+};
+
+type Attached = {
+	readonly connection: Connection;
+	/** Stops hearing the connection. */
+	readonly release: () => void;
+};
+
+const idleEndMs = 2 * idleCloseMs;
+
+/** Serves the exchanges of one other node. */
+export class ServerSession {
+	readonly #id: string;
+	readonly #peer: NodeIdentity;
+	readonly #options: ServerSessionOptions;
+	readonly #state = new LinkSession();
+	readonly #exchanges = new Map<number, ServerExchange>();
+	#attached: Attached | undefined;
+	#attempt = 0;
+	#lastStream = 0;
+	#lostAt = performance.now();
+	#busySince = performance.now();
+	#isEnded = false;
+
+	constructor({session, node}: HelloFrame, options: ServerSessionOptions) {
+		this.#id = session;
+		this.#peer = node;
+		this.#options = options;
+	}
+
+	/** True when that run of a node began the session. */
+	isFrom(node: NodeIdentity): boolean {
+		return isSameNode(node, this.#peer);
+	}
+
+	/** Goes on over a connection that said hello; a late hello of a connection already replaced is not taken. */
+	resume(connection: Connection, hello: HelloFrame): boolean {
+		if (hello.attempt <= this.#attempt) {
+			return false;
+		}
+
+		this.#attempt = hello.attempt;
+		this.#removeConnection()?.close();
+		const release = connection.registerHandler({
+			handlePacket: packet => {
+				this.#handlePacket(packet);
+			},
+			handleFailure: failure => {
+				this.#refuseFrame(failure);
+			},
+			handleClose: () => {
+				this.#handleLost();
+			},
+		});
+		this.#attached = {connection, release};
+		this.#busySince = performance.now();
+		connection.send({
+			frame: {
+				...hello, node: this.#options.self, peer: hello.node, received: this.#state.getReceived(),
+			},
+			sequence: 0,
+			acknowledged: 0,
+			payload: new Uint8Array(0),
+		});
+		foldResult(this.#state.resume(packet => connection.send(packet), hello.received), failure => {
+			this.#refuseFrame(failure);
+		}, resent => {
+			this.#options.metrics.addCount('link_resent_frames_total', resent);
+		});
+		return true;
+	}
+
+	/** Number of exchanges in progress. */
+	countExchanges(): number {
+		return this.#exchanges.size;
+	}
+
+	/** Sends a heartbeat where it is due, gives up silent connections, and ends the session when its time is over. */
+	check(): void {
+		const now = performance.now();
+		if (this.#state.countBytes() > maxRetainedBytes) {
+			this.end('too many bytes unacknowledged');
+		} else if (!this.#attached) {
+			this.#checkLost(now);
+		} else if (this.#exchanges.size === 0) {
+			this.#checkIdle(this.#attached.connection, now);
+		} else if (now - Math.max(this.#attached.connection.getHeardAt(), this.#busySince) > silenceBoundMs) {
+			this.#handleLost();
+		} else {
+			this.#state.sendControl({kind: 'heartbeat', isProbe: false});
+		}
+	}
+
+	/** Ends the session, telling the other side how much of it was received; exchanges in progress are cancelled. */
+	end(reason: string): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		const exchanges = [...this.#exchanges.values()];
+		this.#exchanges.clear();
+		this.#state.sendControl({kind: 'close', received: this.#state.getReceived()});
+		this.#state.pause();
+		this.#removeConnection()?.end();
+		this.#options.handleEnd();
+		if (exchanges.length > 0) {
+			this.#options.logger.log('linkEnded', {node: this.#peer.id, session: this.#id, detail: reason});
+		}
+
+		exchanges.forEach(exchange => {
+			exchange.cancel();
+		});
+	}
+
+	#checkLost(now: number): void {
+		if (now - this.#lostAt > sessionKeepMs) {
+			this.end('no connection came back');
+		}
+	}
+
+	#checkIdle(connection: Connection, now: number): void {
+		if (now - connection.getHeardAt() > idleEndMs) {
+			this.end('idle');
+		}
+	}
+
+	#removeConnection(): Connection | undefined {
+		const attached = this.#attached;
+		attached?.release();
+		this.#attached = undefined;
+		return attached?.connection;
+	}
+
+	#handleLost(): void {
+		this.#lostAt = performance.now();
+		this.#state.pause();
+		this.#removeConnection()?.close();
+	}
+
+	#handlePacket(packet: Packet): void {
+		const {frame, payload} = packet;
+		if (frame.kind === 'hello') {
+			this.#refuseFrame(createFailure('malformedFrame', 'a second hello'));
+			return;
+		}
+
+		if (frame.kind === 'close') {
+			this.end('the other node ended the session');
+			return;
+		}
+
+		foldResult(this.#state.accept(packet), failure => {
+			this.#refuseFrame(failure);
+		}, isNew => {
+			if (frame.kind === 'heartbeat') {
+				this.#answerProbe(frame.isProbe);
+			} else if (isNew) {
+				this.#dispatchFrame(frame, payload);
+			}
+		});
+		if (this.#state.countUnreported() >= acknowledgeAfterFrames) {
+			this.#state.sendControl({kind: 'heartbeat', isProbe: false});
+		}
+	}
+
+	#answerProbe(isProbe: boolean): void {
+		if (isProbe) {
+			this.#state.sendControl({kind: 'heartbeat', isProbe: false});
+		}
+	}
+
+	#dispatchFrame(frame: ExchangeFrame, payload: Uint8Array): void {
+		if (frame.kind === 'request') {
+			this.#openExchange(frame);
+			return;
+		}
+
+		const exchange = this.#exchanges.get(frame.stream);
+		if (!exchange) {
+			this.#countLate(frame);
+			return;
+		}
+
+		switch (frame.kind) {
+			case 'data': {
+				const failure = exchange.writeBody(payload);
+				if (failure) {
+					this.#refuseFrame(failure);
+				}
+
+				break;
+			}
+
+			case 'end': {
+				exchange.endBody();
+				break;
+			}
+
+			case 'credit': {
+				exchange.grantCredit(frame.bytes);
+				break;
+			}
+
+			case 'cancel': {
+				this.#exchanges.delete(frame.stream);
+				exchange.cancel();
+				break;
+			}
+
+			case 'response':
+			case 'failure': {
+				this.#refuseFrame(createFailure('malformedFrame', `${frame.kind} from the side that opens exchanges`));
+				break;
+			}
+		}
+	}
+
+	/** Credit and cancellation cross the end of an answer in the ordinary course. */
+	#countLate({kind}: ExchangeFrame): void {
+		if (kind !== 'credit' && kind !== 'cancel') {
+			this.#options.metrics.addCount('link_late_frames_total');
+		}
+	}
+
+	#openExchange({stream, head}: RequestFrame): void {
+		if (stream <= this.#lastStream || this.#exchanges.size >= maxExchanges) {
+			this.#refuseFrame(createFailure('malformedFrame', `exchange ${stream} follows ${this.#lastStream} with ${this.#exchanges.size} in progress`));
+			return;
+		}
+
+		this.#lastStream = stream;
+		if (this.#exchanges.size === 0) {
+			this.#busySince = performance.now();
+		}
+
+		const forget = (): void => {
+			this.#exchanges.delete(stream);
+		};
+
+		const exchange = new ServerExchange(stream, this.#state, forget, handler => this.#options.openRequest(head, handler));
+		if (!exchange.isOver()) {
+			this.#exchanges.set(stream, exchange);
+		}
+	}
+
+	#refuseFrame(failure: Failure): void {
+		this.#options.logger.log('frameRejected', {node: this.#peer.id, code: failure.code, detail: failure.detail});
+		this.end('a frame was rejected');
+	}
+}
--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -7,12 +7,30 @@
 export type HelloFrame = {
 	readonly kind: 'hello';
 	readonly session: string;
+	/** Who says it. */
 	readonly node: NodeIdentity;
+	/** Whom it is meant for. */
+	readonly peer: NodeIdentity;
+	/** Counts the connections of the session; a lower one is late. */
+	readonly attempt: number;
+	/** True when the session was greeted before. */
+	readonly isResumed: boolean;
+	/** Sequence number of the last frame received in the session. */
+	readonly received: number;
 };
 
 /** Sent when nothing else was for a while. */
 export type HeartbeatFrame = {
 	readonly kind: 'heartbeat';
+	/** True when the other side is to answer at once. */
+	readonly isProbe: boolean;
+};
+
+/** Ends the session; the sender takes nothing more of it. */
+export type CloseFrame = {
+	readonly kind: 'close';
+	/** Sequence number of the last frame the sender received; undefined when it does not know the session. */
+	readonly received: number | undefined;
 };
 
 /** Opens exchange `stream`. */
@@ -61,12 +79,23 @@
 	readonly failure: Failure;
 };
 
+/** A frame that belongs to an exchange; it is numbered, and kept until it is acknowledged. */
+export type ExchangeFrame = RequestFrame | ResponseFrame | DataFrame | EndFrame | CreditFrame | CancelFrame | FailureFrame;
+
+/** A frame that concerns the connection or the session as a whole. */
+export type ControlFrame = HelloFrame | HeartbeatFrame | CloseFrame;
+
 /** Any frame's header. */
-export type Frame = HelloFrame | HeartbeatFrame | RequestFrame | ResponseFrame | DataFrame | EndFrame | CreditFrame | CancelFrame | FailureFrame;
+export type Frame = ControlFrame | ExchangeFrame;
 
-/** A frame with its payload; only data frames have one. */
-export type FrameWithPayload = {
+/** A frame as it travels. */
+export type Packet = {
 	readonly frame: Frame;
+	/** Number of an exchange's frame in its session and direction, from 1; 0 for control frames. */
+	readonly sequence: number;
+	/** Number of the last frame the sender received. */
+	readonly acknowledged: number;
+	/** Part of a body; empty unless it is a data frame. */
 	readonly payload: Uint8Array;
 };
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -66,8 +66,8 @@
 		this.#announcements = new Announcements(logger);
 		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
 		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
-		this.#links = new LinkPool(this.#table.self);
-		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
+		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
+		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
 		this.#gossip = new Gossip(this.#table, settings.seeds);
 		const forwarder = this.#createForwarder();
 		this.#sequencer = new Sequencer(forwarder);
