--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -153,7 +153,7 @@
 
 	#refuse(connection: Connection): void {
 		connection.send({
-			frame: {kind: 'close', received: undefined}, sequence: 0, acknowledged: 0, payload: new Uint8Array(0),
+			frame: {kind: 'close'}, sequence: 0, acknowledged: 0, payload: new Uint8Array(0),
 		});
 		connection.end();
 	}
--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -30,7 +30,7 @@
 export type CloseFrame = {
 	readonly kind: 'close';
 	/** Sequence number of the last frame the sender received; undefined when it does not know the session. */
-	readonly received: number | undefined;
+	readonly received?: number;
 };
 
 /** Opens exchange `stream`. */
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
 /** Stand-ins for what surrounds the system, and the failure rig. */
 export * from './platform-stand-in.js';
 export * from './backend-stand-in.js';
+export * from './tcp-relay.js';
