--- a/packages/link/src/client-exchange.ts
+++ b/packages/link/src/client-exchange.ts
@@ -1,5 +1,6 @@
 /** One exchange seen from the side of the link that opened it. */
 import {Exchange, type ExchangeHandler} from '@limpetbarrow/core';
+import {creditStepBytes} from './constants.js';
 import {type ExchangeFrame} from './types.js';
 import {writeParts} from './utils.js';
 
@@ -15,6 +16,7 @@
 	readonly stream: number;
 	readonly handler: ExchangeHandler;
 	readonly #owner: ExchangeOwner;
+	#credit = 0;
 	#isOver = false;
 	#timer: NodeJS.Timeout | undefined;
 
@@ -47,7 +49,11 @@
 	}
 
 	override grantCredit(bytes: number): void {
-		this.#send({kind: 'credit', stream: this.stream, bytes});
+		this.#credit += bytes;
+		if (this.#credit >= creditStepBytes) {
+			this.#send({kind: 'credit', stream: this.stream, bytes: this.#credit});
+			this.#credit = 0;
+		}
 	}
 
 	override cancel(): void {
--- a/packages/link/src/constants.ts
+++ b/packages/link/src/constants.ts
@@ -1,4 +1,5 @@
 /** Bounds of links. */
+import {exchangeWindowBytes} from '@limpetbarrow/core';
 
 /** Bytes before a frame's header: total length (4) and header length (2). */
 export const framePrefixBytes = 6;
@@ -56,3 +57,6 @@
 
 /** Largest part of a body in one frame, in bytes. */
 export const maxPayloadBytes = 262_144;
+
+/** Credit that is collected before it is sent, in bytes; a quarter of the window. */
+export const creditStepBytes = exchangeWindowBytes / 4;
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -10,8 +10,9 @@
 type Fields = Readonly<Record<string, unknown>>;
 type KindEntry = {
 	readonly kind: Frame['kind'];
+	readonly hasStream: boolean;
 	readonly fields: readonly string[];
-	readonly guards: Fields;
+	readonly guards: readonly Guard[];
 };
 
 const maxTextLength = 65_536;
@@ -20,12 +21,13 @@
 const resultNames: ReadonlyMap<number, ResultName> = new Map(Object.entries(resultCodes).map(([name, {code}]) => [code, name as ResultName]));
 
 const isText: Guard = value => typeof value === 'string' && value.length <= maxTextLength;
+const isString: Guard = value => typeof value === 'string';
 const isCount: Guard = value => typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
 const isStream: Guard = value => isCount(value) && value !== 0;
 const isFlag: Guard = value => typeof value === 'boolean';
 const isDuration: Guard = value => typeof value === 'number' && Number.isFinite(value) && value >= 0;
 const isStatus: Guard = value => isCount(value) && (value as number) >= firstSuccess && (value as number) <= lastStatus;
-const isHeaders: Guard = value => Array.isArray(value) && value.length % 2 === 0 && value.every(text => typeof text === 'string');
+const isHeaders: Guard = value => Array.isArray(value) && value.length % 2 === 0 && value.every(isString);
 const isNothing: Guard = value => value === undefined || value === null;
 
 function isOptional(guard: Guard): Guard {
@@ -39,8 +41,9 @@
 
 const identityGuards: Guards<NodeIdentity> = {id: isText, incarnation: isCount};
 const loadGuards: Guards<LoadHint> = {serverId: isText, freeSlots: Number.isSafeInteger, queued: isCount};
-const isTarget: Guard = value => hasFields({kind: (kind: unknown) => kind === 'sequencer'})(value)
-	|| hasFields({kind: (kind: unknown) => kind === 'egress', serverId: isText})(value);
+const isSequencer = hasFields({kind: (kind: unknown) => kind === 'sequencer'});
+const isEgress = hasFields({kind: (kind: unknown) => kind === 'egress', serverId: isText});
+const isTarget: Guard = value => isEgress(value) || isSequencer(value);
 
 /** Every field of a request's head; the order is that of the wire. */
 const requestHeadGuards: Guards<RequestHead> = {
@@ -79,57 +82,56 @@
 	received: isCount,
 };
 
-/** Frame kinds; the index is the kind's number on the wire. */
+/** Frame kinds; the index is the kind's number on the wire. Frames of an exchange have a stream. */
 const kinds: readonly KindEntry[] = ([
-	['hello', helloGuards],
-	['heartbeat', {isProbe: isFlag}],
-	['close', {received: isOptional(isCount)}],
-	['request', {stream: isStream, ...requestHeadGuards}],
-	['response', {stream: isStream, ...responseHeadGuards}],
-	['data', {stream: isStream}],
-	['end', {stream: isStream}],
-	['credit', {stream: isStream, bytes: isCount}],
-	['cancel', {stream: isStream}],
-	['failure', {stream: isStream, ...failureGuards}],
-] as const).map(([kind, guards]) => ({kind, fields: Object.keys(guards), guards}));
+	['hello', false, helloGuards],
+	['heartbeat', false, {isProbe: isFlag}],
+	['close', false, {received: isOptional(isCount)}],
+	['request', true, requestHeadGuards],
+	['response', true, responseHeadGuards],
+	['data', true, {}],
+	['end', true, {}],
+	['credit', true, {bytes: isCount}],
+	['cancel', true, {}],
+	['failure', true, failureGuards],
+] as const).map(([kind, hasStream, guards]) => ({
+	kind, hasStream, fields: Object.keys(guards), guards: Object.values<Guard>(guards),
+}));
 const kindNumbers: ReadonlyMap<string, number> = new Map(kinds.map(({kind}, index) => [kind, index]));
 const controlPlaces = 3;
 
-function flattenFrame(frame: Frame): Fields {
+/** The object that has the fields of a frame, apart from its stream. */
+function getFieldsOwner(frame: Frame): Fields {
 	if (frame.kind === 'request' || frame.kind === 'response') {
-		return {...frame.head, stream: frame.stream};
+		return frame.head;
 	}
 
-	if (frame.kind === 'failure') {
-		const {code, detail, retryAfterMs} = frame.failure;
-		return {
-			stream: frame.stream, code, detail, retryAfterMs,
-		};
-	}
-
-	return frame;
+	return frame.kind === 'failure' ? frame.failure : frame;
 }
 
-function createFrame(kind: Frame['kind'], fields: Fields): Frame {
+function createFrame(kind: Frame['kind'], stream: unknown, fields: Fields): Frame {
 	if (kind === 'request' || kind === 'response') {
-		const {stream, ...head} = fields;
-		return {kind, stream, head} as unknown as Frame;
+		return {kind, stream, head: fields} as unknown as Frame;
 	}
 
 	if (kind === 'failure') {
 		const name = resultNames.get(fields.code as number)!;
 		const failure = createFailure(name, fields.detail as string, fields.retryAfterMs as number | undefined);
-		return {kind, stream: fields.stream as number, failure};
+		return {kind, stream: stream as number, failure};
 	}
 
-	return {kind, ...fields} as unknown as Frame;
+	return (stream === undefined ? {kind, ...fields} : {kind, stream, ...fields}) as unknown as Frame;
 }
 
-/** Turns a frame into its array: number of the kind, sequence, acknowledged, then the fields in order. */
+/** Turns a frame into its array: number of the kind, sequence, acknowledged, the stream if any, the fields in order. */
 export function toWireArray(frame: Frame, sequence: number, acknowledged: number): readonly unknown[] {
 	const kindNumber = kindNumbers.get(frame.kind)!;
-	const fields = flattenFrame(frame);
-	return [kindNumber, sequence, acknowledged, ...kinds[kindNumber]!.fields.map(field => fields[field])];
+	const owner = getFieldsOwner(frame);
+	const places: unknown[] = 'stream' in frame ? [kindNumber, sequence, acknowledged, frame.stream] : [kindNumber, sequence, acknowledged];
+	kinds[kindNumber]!.fields.forEach(field => {
+		places.push(owner[field]);
+	});
+	return places;
 }
 
 /** A checked frame with its numbers. */
@@ -144,18 +146,23 @@
 	const places = Array.isArray(value) ? value as readonly unknown[] : [];
 	const [kindNumber, sequence, acknowledged] = places;
 	const entry = typeof kindNumber === 'number' ? kinds[kindNumber] : undefined;
-	if (!entry || !isCount(sequence) || !isCount(acknowledged) || places.length !== entry.fields.length + controlPlaces) {
+	const start = entry?.hasStream ? controlPlaces + 1 : controlPlaces;
+	if (!entry || !isCount(sequence) || !isCount(acknowledged) || places.length !== entry.fields.length + start) {
 		return Left(createFailure('malformedFrame', 'the header is not a frame'));
 	}
 
-	const wrong = entry.fields.find((field, index) => !(entry.guards[field] as Guard)(places[index + controlPlaces]));
-	const isControl = entry.kind === 'hello' || entry.kind === 'heartbeat' || entry.kind === 'close';
-	if (wrong !== undefined || isControl !== (sequence === 0)) {
+	const stream = entry.hasStream ? places[controlPlaces] : undefined;
+	const wrong = entry.hasStream && !isStream(stream) ? 'stream' : entry.fields.find((_, index) => !entry.guards[index]!(places[start + index]));
+	if (wrong !== undefined || entry.hasStream !== (sequence !== 0)) {
 		return Left(createFailure('malformedFrame', `${entry.kind} has a wrong ${wrong ?? 'sequence'}`));
 	}
 
-	const fields = Object.fromEntries(entry.fields
-		.map((field, index) => [field, places[index + controlPlaces]] as const)
-		.filter(([, place]) => !isNothing(place)));
-	return Right({frame: createFrame(entry.kind, fields), sequence: sequence as number, acknowledged: acknowledged as number});
+	const fields: Record<string, unknown> = {};
+	entry.fields.forEach((field, index) => {
+		const place = places[start + index];
+		if (!isNothing(place)) {
+			fields[field] = place;
+		}
+	});
+	return Right({frame: createFrame(entry.kind, stream, fields), sequence: sequence as number, acknowledged: acknowledged as number});
 }
--- a/packages/link/src/server-exchange.ts
+++ b/packages/link/src/server-exchange.ts
@@ -2,6 +2,7 @@
 import {
 	createFailure, exchangeWindowBytes, maxFrameBytes, type Carrier, type Exchange, type ExchangeHandler, type Failure, type RequestHead,
 } from '@limpetbarrow/core';
+import {creditStepBytes} from './constants.js';
 import {type LinkSession} from './link-session.js';
 import {writeParts} from './utils.js';
 
@@ -12,6 +13,7 @@
 	readonly #handleOver: () => void;
 	readonly #exchange: Exchange;
 	#credit = exchangeWindowBytes;
+	#unsentCredit = 0;
 	#isOver = false;
 
 	constructor(stream: number, session: LinkSession, handleOver: () => void, open: (handler: ExchangeHandler) => Exchange) {
@@ -77,9 +79,14 @@
 			},
 			handleCredit: bytes => {
 				this.#credit += bytes;
-				this.#send(() => {
-					this.#session.send({kind: 'credit', stream, bytes});
-				});
+				this.#unsentCredit += bytes;
+				if (this.#unsentCredit >= creditStepBytes) {
+					const granted = this.#unsentCredit;
+					this.#unsentCredit = 0;
+					this.#send(() => {
+						this.#session.send({kind: 'credit', stream, bytes: granted});
+					});
+				}
 			},
 		};
 	}
