--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,5 +1,5 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
-
+import {measureLatency} from './latency.js';
 import {measureLink} from './link.js';
 
 /** Runs one benchmark and prints its table. */
@@ -8,4 +8,5 @@
 /** All benchmarks, as `npm run bench -- NAME` takes them. */
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
 	['link', measureLink],
+	['latency', measureLatency],
 ]);
