Refuse odd requests by code, keep small bodies whole, queue by expected service time

Small declared bodies are collected before a slot is taken and handed over as bytes, without a stream. The queue refuses when the expected service time leaves no room before the deadline, by a timer for each waiting request.

--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -66,6 +66,12 @@
 	callerGone: {
 		code: 1012, status: 499, ran: 'unknown', resend: 'same-key', meaning: 'The caller closed its connection before the answer was whole.',
 	},
+	bodyBroken: {
+		code: 1013, status: 400, ran: 'unknown', resend: 'same-key', meaning: 'The body of the request broke the rules of HTTP after a part of it was handed on.',
+	},
+	bodyGrewTooLarge: {
+		code: 1014, status: 413, ran: 'unknown', resend: 'never', meaning: 'The body of undeclared length grew larger than the route allows after a part of it was handed on.',
+	},
 
 	// Links
 	linkUnreachable: {
--- /dev/null
+++ b/packages/node/src/__tests__/path-rig.ts
@@ -0,0 +1,233 @@
+/** The whole path in one process: caller's socket, ingress, link, egress side, a scripted backend server with a ledger. */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {Right} from 'purify-ts';
+import {
+	Carrier, Exchange, MetricRegistry, SilentLogger, type Address, type ExchangeHandler, type RequestHead,
+} from '@limpetbarrow/core';
+import {LinkPool, LinkServer} from '@limpetbarrow/link';
+import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
+import {TcpRelay} from '@limpetbarrow/stand-ins';
+import {sendFailure} from '../answer.js';
+import {BackendServer} from '../backend-server.js';
+import {Ingress} from '../ingress.js';
+
+/** Answers a request of the scripted backend server. */
+export type Script = (request: IncomingMessage, response: ServerResponse) => void;
+
+const host = '127.0.0.1';
+const identity = {id: 'two', incarnation: 1};
+const slots = 2;
+const queueLimit = 2;
+
+/** Counts the bytes of bodies that were sent and not yet granted again. */
+class CountingExchange extends Exchange {
+	readonly #inner: Exchange;
+	readonly #owner: CountingCarrier;
+
+	constructor(inner: Exchange, owner: CountingCarrier) {
+		super();
+		this.#inner = inner;
+		this.#owner = owner;
+	}
+
+	override writeBody(chunk: Uint8Array): void {
+		this.#owner.countUp(chunk.length);
+		this.#inner.writeBody(chunk);
+	}
+
+	override endBody(): void {
+		this.#inner.endBody();
+	}
+
+	override grantCredit(bytes: number): void {
+		this.#owner.countDown(-bytes);
+		this.#inner.grantCredit(bytes);
+	}
+
+	override cancel(): void {
+		this.#inner.cancel();
+	}
+}
+
+/** Hands requests to the backend server and watches how much is under way. */
+class CountingCarrier extends Carrier {
+	up = 0;
+	maxUp = 0;
+	down = 0;
+	maxDown = 0;
+	readonly #findBackend: () => BackendServer;
+
+	constructor(findBackend: () => BackendServer) {
+		super();
+		this.#findBackend = findBackend;
+	}
+
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		return new CountingExchange(this.#findBackend().openExchange(head, {
+			...handler,
+			handleData: chunk => {
+				this.countDown(chunk.length);
+				handler.handleData(chunk);
+			},
+			handleCredit: bytes => {
+				this.countUp(-bytes);
+				handler.handleCredit(bytes);
+			},
+		}, queueLimit), this);
+	}
+
+	countUp(bytes: number): void {
+		this.up += bytes;
+		this.maxUp = Math.max(this.maxUp, this.up);
+	}
+
+	countDown(bytes: number): void {
+		this.down += bytes;
+		this.maxDown = Math.max(this.maxDown, this.down);
+	}
+}
+
+function createReleases(): ReleaseState {
+	const releases = new ReleaseState();
+	const note = releaseNoteSchema.parse({
+		id: 'first',
+		operator: 'test',
+		base: 0,
+		added: {
+			services: [{name: 'fitting-desk'}],
+			routes: [
+				{
+					name: 'small', pathPrefix: '/small', service: 'fitting-desk', maxBodyBytes: 1000,
+				},
+				{
+					name: 'desk', pathPrefix: '/desk', service: 'fitting-desk', maxBodyBytes: 67_108_864, methods: ['GET', 'HEAD', 'POST', 'OPTIONS'],
+				},
+			],
+		},
+	});
+	releases.apply([{number: 1, acceptedAt: 0, note}]);
+	return releases;
+}
+
+async function listen(server: Server): Promise<Address> {
+	await new Promise<void>(resolve => {
+		server.listen(0, host, resolve);
+	});
+	return {host, port: (server.address() as AddressInfo).port};
+}
+
+/** Starts and stops the path. */
+export class PathRig {
+	/** Requests that the backend server began to run, as method and path. */
+	readonly ledger: string[] = [];
+	readonly metrics = new MetricRegistry();
+	readonly carrier = new CountingCarrier(() => this.backend);
+	readonly #sockets = new Set<Socket>();
+	readonly #links = new LinkPool({id: 'one', incarnation: 1});
+	readonly #linkServer = new LinkServer(identity, () => this.carrier, new SilentLogger());
+	readonly #server = createServer({keepAliveTimeout: 60_000}, (request, response) => {
+		this.ledger.push(`${request.method ?? ''} ${request.url ?? ''}`);
+		this.script(request, response);
+	});
+
+	#backend: BackendServer | undefined;
+	#relay: TcpRelay | undefined;
+	#ingress: Ingress | undefined;
+	#address: Address | undefined;
+
+	script: Script = (_request, response) => {
+		response.end('ok');
+	};
+
+	get backend(): BackendServer {
+		return this.#backend!;
+	}
+
+	/** Stands between the egress side and the backend server. */
+	get relay(): TcpRelay {
+		return this.#relay!;
+	}
+
+	async start(): Promise<void> {
+		this.#relay = new TcpRelay(await listen(this.#server));
+		this.#backend = new BackendServer({
+			id: 's1', service: 'fitting-desk', address: await this.#relay.listen(), slots, generation: 1, isLeaving: false, maxConnections: 400, expiresAt: Infinity,
+		}, () => {
+			// Outcomes are not looked at here.
+		});
+		const address = await this.#linkServer.listen({host, port: 0});
+		this.#ingress = new Ingress({
+			releases: createReleases(),
+			admitRequest: () => Right(undefined),
+			selectNext: () => Right(this.#links.getLink({identity, address})),
+			handleReserved(message, response) {
+				sendFailure(message, response, {
+					name: 'unknownRoute', code: 1004, status: 404, ran: 'not-run', resend: 'never', detail: '',
+				});
+			},
+			metrics: this.metrics,
+			logger: new SilentLogger(),
+		});
+		this.#address = await this.#ingress.listen({host, port: 0});
+	}
+
+	async stop(): Promise<void> {
+		this.#sockets.forEach(socket => {
+			socket.destroy();
+		});
+		this.#ingress?.close();
+		this.#links.close();
+		await this.#linkServer.close();
+		await this.backend.close();
+		await this.relay.close();
+		this.closeBackend();
+	}
+
+	closeBackend(): void {
+		this.#server.closeAllConnections();
+		this.#server.close();
+	}
+
+	closeIdleBackendConnections(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	getUrl(path: string): string {
+		return `http://${host}:${this.#address!.port}${path}`;
+	}
+
+	/** Opens a caller's connection. */
+	connect(): Socket {
+		const socket = connect(this.#address!.port, host);
+		this.#sockets.add(socket);
+		socket.on('error', () => {
+			// What the caller got is what counts.
+		});
+		return socket;
+	}
+
+	/** Sends bytes as they are and returns all that comes back until the connection closes. */
+	async sendRaw(text: string): Promise<string> {
+		const socket = this.connect();
+		const chunks: Uint8Array[] = [];
+		socket.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		socket.write(text, 'latin1');
+		await new Promise<void>(resolve => {
+			socket.once('close', () => {
+				resolve();
+			});
+		});
+		return Buffer.concat(chunks).toString('latin1');
+	}
+}
+
+/** Joins lines as HTTP has them. */
+export function formatLines(...lines: readonly string[]): string {
+	return lines.join('\r\n');
+}
--- /dev/null
+++ b/packages/node/src/__tests__/unit/http-shapes.test.ts
@@ -0,0 +1,165 @@
+import {expect} from 'chai';
+import {formatLines, PathRig} from '../path-rig.js';
+
+const head = ['host: shop.example', 'connection: close'] as const;
+
+describe('requests in odd shapes', () => {
+	let rig: PathRig;
+
+	beforeEach(async () => {
+		rig = new PathRig();
+		await rig.start();
+	});
+
+	afterEach(async () => {
+		await rig.stop();
+	});
+
+	const refused: ReadonlyArray<readonly [string, string, number, number]> = [
+		[
+			'both a length and chunks',
+			formatLines('POST /desk HTTP/1.1', ...head, 'content-length: 5', 'transfer-encoding: chunked', '', '0', '', 'GET /desk/hid HTTP/1.1', '', ''),
+			400,
+			1001,
+		],
+		['chunks and a length', formatLines('POST /desk HTTP/1.1', ...head, 'transfer-encoding: chunked', 'content-length: 5', '', '0', '', ''), 400, 1001],
+		['two lengths', formatLines('POST /desk HTTP/1.1', ...head, 'content-length: 5', 'content-length: 6', '', 'hello'), 400, 1001],
+		['a negative length', formatLines('POST /desk HTTP/1.1', ...head, 'content-length: -1', '', ''), 400, 1001],
+		['a length in hexadecimal', formatLines('POST /desk HTTP/1.1', ...head, 'content-length: 0x5', '', 'hello'), 400, 1001],
+		['an unknown coding after chunked', formatLines('POST /desk HTTP/1.1', ...head, 'transfer-encoding: chunked, gzip', '', '0', '', ''), 400, 1001],
+		['a space before the colon', formatLines('POST /desk HTTP/1.1', ...head, 'transfer-encoding : chunked', '', '0', '', ''), 400, 1001],
+		['a head that is too large', formatLines('GET /desk HTTP/1.1', ...head, `x-large: ${'a'.repeat(20_000)}`, '', ''), 431, 1002],
+		['no host', formatLines('GET /desk HTTP/1.1', 'connection: close', '', ''), 400, 1001],
+		['two hosts', formatLines('GET /desk HTTP/1.1', ...head, 'host: other.example', '', ''), 400, 1001],
+		['an asterisk', formatLines('OPTIONS * HTTP/1.1', ...head, '', ''), 400, 1001],
+		['an authority', formatLines('CONNECT shop.example:443 HTTP/1.1', ...head, '', ''), 400, 1001],
+		['a target of another scheme', formatLines('GET ftp://shop.example/desk HTTP/1.1', ...head, '', ''), 400, 1001],
+		['bytes that are not HTTP', '\u0016\u0003\u0001\u0002\r\n\r\n', 400, 1001],
+		['an unknown route', formatLines('GET /nowhere HTTP/1.1', ...head, '', ''), 404, 1004],
+		['a method that the route does not take', formatLines('DELETE /desk HTTP/1.1', ...head, '', ''), 405, 1005],
+		['a body declared too large', formatLines('POST /small HTTP/1.1', ...head, 'content-length: 1001', '', ''), 413, 1003],
+		['an expectation that is not known', formatLines('POST /desk HTTP/1.1', ...head, 'expect: miracles', 'content-length: 1', '', 'a'), 400, 1001],
+		['a body declared too large that waits for 100', formatLines('POST /small HTTP/1.1', ...head, 'expect: 100-continue', 'content-length: 1001', '', ''), 413, 1003],
+		['a timeout that is no number', formatLines('GET /desk HTTP/1.1', ...head, 'limpetbarrow-timeout-ms: soon', '', ''), 400, 1011],
+	];
+	refused.forEach(([name, text, status, code]) => {
+		it(`refuses ${name} as not run`, async () => {
+			const answer = await rig.sendRaw(text);
+			expect(answer).to.match(new RegExp(`^HTTP/1.1 ${status} `, 'v'));
+			expect(answer).to.match(new RegExp(String.raw`limpetbarrow-result: ${code}\r\n`, 'iv')).and.match(/limpetbarrow-ran: not-run\r\n/iv);
+			expect(rig.ledger).to.deep.equal([]);
+		});
+	});
+
+	const broken: ReadonlyArray<readonly [string, string, number]> = [
+		['breaks the rules of chunks', formatLines('POST /desk HTTP/1.1', ...head, 'transfer-encoding: chunked', '', '5', 'hello', 'zz', '', ''), 1013],
+		['grows too large', formatLines('POST /small HTTP/1.1', ...head, 'transfer-encoding: chunked', '', '5', 'hello', '7d0', 'a'.repeat(2000), '0', '', ''), 1014],
+	];
+	broken.forEach(([name, text, code]) => {
+		it(`does not promise "not run" for a body in chunks that ${name}`, async () => {
+			rig.script = request => {
+				request.resume();
+			};
+
+			const answer = await rig.sendRaw(text);
+			expect(answer).to.match(new RegExp(String.raw`limpetbarrow-result: ${code}\r\n`, 'iv')).and.match(/limpetbarrow-ran: unknown\r\n/iv);
+		});
+	});
+
+	it('takes an absolute target before the host header', async () => {
+		rig.script = (request, response) => {
+			response.end(`${request.url} ${request.headers.host}`);
+		};
+
+		const answer = await rig.sendRaw(formatLines('GET http://Desk.example:80/desk?size=34 HTTP/1.1', ...head, '', ''));
+		expect(answer.endsWith('/desk?size=34 Desk.example:80')).to.equal(true);
+	});
+
+	it('forwards no header of the connection, of its own, nor one that connection lists', async () => {
+		rig.script = (request, response) => {
+			response.writeHead(200, {
+				connection: 'x-inner', 'x-inner': '1', 'x-outer': '2', 'keep-alive': 'timeout=9',
+			});
+			response.end(JSON.stringify(request.rawHeaders.filter((_, index) => index % 2 === 0)));
+		};
+
+		const answer = await rig.sendRaw(formatLines('POST /desk HTTP/1.1', 'host: shop.example', 'connection: close, X-Private, content-length', 'x-private: 1', 'x-public: 2', 'te: trailers', 'upgrade: h2c', 'proxy-authorization: a', 'limpetbarrow-terms: t', 'content-length: 2', '', 'ab'));
+		expect(JSON.parse(/\[.*\]/v.exec(answer)![0])).to.have.members(['host', 'connection', 'x-public', 'content-length', 'limpetbarrow-timeout-ms']);
+		expect(answer).to.match(/x-outer: 2/v).and.not.match(/x-inner|timeout=9/v);
+	});
+
+	it('never switches protocols', async () => {
+		const answer = await rig.sendRaw(formatLines('GET /desk HTTP/1.1', 'host: shop.example', 'connection: upgrade, close', 'upgrade: websocket', '', ''));
+		expect(answer).to.match(/^HTTP\/1.1 200 /v);
+	});
+
+	it('lets a body come that waits for 100', async () => {
+		rig.script = (request, response) => {
+			request.pipe(response);
+		};
+
+		const answer = await rig.sendRaw(formatLines('POST /desk HTTP/1.1', ...head, 'expect: 100-continue', 'content-length: 5', '', 'hello'));
+		expect(answer).to.match(/^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 OK\r\n/v);
+		expect(answer).to.match(/\r\nhello\r\n/v);
+	});
+
+	it('drops trailers and keeps the body whole', async () => {
+		rig.script = (request, response) => {
+			response.writeHead(200, {trailer: 'x-sum'});
+			request.pipe(response);
+			response.addTrailers({'x-sum': '1'});
+		};
+
+		const answer = await rig.sendRaw(formatLines('POST /desk HTTP/1.1', ...head, 'transfer-encoding: chunked', 'trailer: x-size', '', '5', 'hello', '0', 'x-size: 5', '', ''));
+		expect(answer).to.match(/hello/v).and.not.match(/x-size|x-sum/v);
+	});
+
+	it('answers callers of HTTP 1.0 without chunks', async () => {
+		rig.script = (_request, response) => {
+			response.write('one ');
+			response.end('two');
+		};
+
+		const answer = await rig.sendRaw(formatLines('GET /desk HTTP/1.0', '', ''));
+		expect(answer.endsWith('\r\n\r\none two')).to.equal(true);
+		expect(answer).to.not.match(/chunked/v);
+	});
+
+	const bodiless: ReadonlyArray<readonly [string, string, number]> = [
+		['HEAD', 'HEAD', 200],
+		['204', 'GET', 204],
+		['304', 'GET', 304],
+	];
+	bodiless.forEach(([name, method, status]) => {
+		it(`gives an answer to ${name} without a body`, async () => {
+			rig.script = (_request, response) => {
+				response.writeHead(status, {...(status !== 204 && {'content-length': '7'}), 'x-kept': '1'});
+				response.end();
+			};
+
+			const answer = await rig.sendRaw(formatLines(`${method} /desk HTTP/1.1`, ...head, '', ''));
+			expect(answer).to.match(new RegExp(`^HTTP/1.1 ${status} `, 'v')).and.match(/x-kept: 1/v);
+			expect(answer.endsWith('\r\n\r\n')).to.equal(true);
+		});
+	});
+
+	it('keeps bytes of headers beyond ASCII', async () => {
+		rig.script = (request, response) => {
+			response.writeHead(200, {'x-name': String(request.headers['x-name'])});
+			response.end();
+		};
+
+		expect(await rig.sendRaw(formatLines('GET /desk HTTP/1.1', ...head, 'x-name: Ay\u00E7a', '', ''))).to.match(/x-name: Ay\u00E7a\r\n/v);
+	});
+
+	it('serves the requests of one connection in order', async () => {
+		rig.script = (request, response) => {
+			setImmediate(() => {
+				response.end(`<${request.url}>`);
+			});
+		};
+
+		const answer = await rig.sendRaw(formatLines('GET /desk/1 HTTP/1.1', 'host: a', '', 'GET /desk/2 HTTP/1.1', ...head, '', ''));
+		expect(answer.indexOf('</desk/1>')).to.be.greaterThan(0).and.to.be.lessThan(answer.indexOf('</desk/2>'));
+	});
+});
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -1,37 +1,43 @@
 /** One request on its way through a backend server. */
-import {type Buffer} from 'node:buffer';
-import {PassThrough} from 'node:stream';
+import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	createFailure, exchangeWindowBytes, selectHeaders, timeoutHeader, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
+	createFailure, exchangeWindowBytes, Exchange, timeoutHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead,
 } from '@limpetbarrow/core';
 import {type WorkOutcome} from '@limpetbarrow/detect';
-import {isForwardedRequestHeader, isForwardedResponseHeader} from './headers.js';
+import {selectRequestHeaders, selectResponseHeaders} from './headers.js';
+import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
 
 /** What a run needs of its backend server. */
 export type RunOwner = {
 	readonly getLoad: () => LoadHint;
+	/** Called once the run has all that it needs before it is started. */
+	readonly handleReady: (run: BackendRun) => void;
+	/** Called when the run is given up before it was started. */
+	readonly handleForgotten: (run: BackendRun) => void;
 	/** Called once a started run is over; without an outcome when it says nothing about the backend server. */
-	readonly handleDone: (outcome: WorkOutcome | undefined) => void;
+	readonly handleDone: (outcome: WorkOutcome | undefined, failure: Failure | undefined) => void;
 };
 
 type RunState = 'waiting' | 'running' | 'over';
 
 const firstServerError = 500;
-const notConnectedCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const notModified = 304;
+/** The client's error for a 304 that names the length of the body it does not have, as HTTP allows. */
+const lengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
-function flattenHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): readonly string[] {
-	return Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap(single => [name, single]));
+function decodeHeaders(headers: Dispatcher.DispatchController['rawHeaders']): RawHeaders {
+	return Array.isArray(headers) ? headers.map(part => Buffer.isBuffer(part) ? part.toString('latin1') : part) : [];
 }
 
 /** Sends one request to a backend server and hands its answer on. */
-export class BackendRun {
-	readonly #pool: Dispatcher;
+export class BackendRun extends Exchange {
 	readonly #head: RequestHead;
 	readonly #handler: ExchangeHandler;
 	readonly #owner: RunOwner;
 	readonly #openedAt = performance.now();
-	readonly #body = new PassThrough({highWaterMark: exchangeWindowBytes});
+	readonly #body: RequestBody;
+	readonly #bodyForm: BodyForm;
 	#state: RunState = 'waiting';
 	#controller: Dispatcher.DispatchController | undefined;
 	#credit = exchangeWindowBytes;
@@ -39,56 +45,78 @@
 	#timer: NodeJS.Timeout | undefined;
 	#status = 0;
 
-	constructor(pool: Dispatcher, head: RequestHead, handler: ExchangeHandler, owner: RunOwner) {
-		this.#pool = pool;
+	constructor(head: RequestHead, handler: ExchangeHandler, owner: RunOwner) {
+		super();
 		this.#head = head;
 		this.#handler = handler;
 		this.#owner = owner;
+		this.#bodyForm = getBodyForm(head.headers);
+		this.#body = new RequestBody(bytes => {
+			if (this.#state === 'running') {
+				handler.handleCredit(bytes);
+			}
+		});
+	}
+
+	/** True when the run may be started before its body has arrived. */
+	isReady(): boolean {
+		return this.#bodyForm !== 'whole';
 	}
 
-	isOver(): boolean {
-		return this.#state === 'over';
+	/** Time left until the deadline, in milliseconds. */
+	getRemainingMs(): number {
+		return this.#head.remainingMs - (performance.now() - this.#openedAt);
 	}
 
 	/** Refuses the request before it was started. */
 	refuse(failure: Failure): void {
+		if (this.#state !== 'waiting') {
+			return;
+		}
+
 		this.#state = 'over';
+		this.#body.close();
 		queueMicrotask(() => {
 			this.#handler.handleFailure(failure);
 		});
 	}
 
 	/** Hands the request over to the backend server. */
-	start(): void {
+	start(pool: Dispatcher): void {
 		this.#state = 'running';
 		this.#startedAt = performance.now();
-		const remainingMs = Math.max(1, Math.floor(this.#head.remainingMs - (this.#startedAt - this.#openedAt)));
+		const remainingMs = Math.max(1, Math.floor(this.getRemainingMs()));
 		this.#timer = setTimeout(() => {
-			this.#fail(createFailure('serverTimeout', `no whole answer within ${this.#head.remainingMs} ms`), true);
+			this.#handleDeadline();
 		}, remainingMs);
-		this.#pool.dispatch({
+		pool.dispatch({
 			method: this.#head.method,
 			path: this.#head.path,
-			headers: [...selectHeaders(this.#head.headers, name => isForwardedRequestHeader(name)), timeoutHeader, String(remainingMs)],
-			body: this.#hasBody() ? this.#body : null,
+			headers: [...selectRequestHeaders(this.#head.headers), timeoutHeader, String(remainingMs)],
+			body: this.#bodyForm === 'none' ? null : this.#body.open(),
 			headersTimeout: 0,
 			bodyTimeout: 0,
 		}, this.#createDispatchHandler());
 	}
 
-	writeBody(chunk: Uint8Array): void {
-		this.#body.write(chunk, () => {
-			if (this.#state === 'running') {
-				this.#handler.handleCredit(chunk.length);
-			}
-		});
+	override writeBody(chunk: Uint8Array): void {
+		if (this.#state !== 'over') {
+			this.#body.write(chunk);
+		}
 	}
 
-	endBody(): void {
+	override endBody(): void {
+		if (this.#state === 'over') {
+			return;
+		}
+
 		this.#body.end();
+		if (this.#state === 'waiting' && this.#bodyForm === 'whole') {
+			this.#owner.handleReady(this);
+		}
 	}
 
-	grantCredit(bytes: number): void {
+	override grantCredit(bytes: number): void {
 		this.#credit += bytes;
 		if (this.#credit > 0 && this.#controller?.paused) {
 			this.#controller.resume();
@@ -96,18 +124,18 @@
 	}
 
 	/** Gives the request up; the handler is not called again. */
-	cancel(): void {
+	override cancel(): void {
+		if (this.#state === 'waiting') {
+			this.#state = 'over';
+			this.#body.close();
+			this.#owner.handleForgotten(this);
+		}
+
 		if (this.#state === 'running') {
-			this.#end(undefined);
+			const failure = this.getRemainingMs() <= 1 ? this.#createTimeout() : undefined;
+			this.#finish(failure && this.#createOutcome(true), failure);
 			this.#controller?.abort(new Error('cancelled'));
 		}
-
-		this.#state = 'over';
-	}
-
-	#hasBody(): boolean {
-		const names = new Set(this.#head.headers.filter((_, position) => position % 2 === 0).map(name => name.toLowerCase()));
-		return names.has('content-length') || names.has('transfer-encoding');
 	}
 
 	#createDispatchHandler(): Dispatcher.DispatchHandler {
@@ -118,14 +146,10 @@
 					controller.abort(new Error('cancelled'));
 				}
 			},
-			onResponseStart: (_controller, status, headers) => {
+			onResponseStart: (controller, status) => {
 				if (this.#state === 'running' && status >= 200) {
 					this.#status = status;
-					this.#handler.handleHead({
-						status,
-						headers: selectHeaders(flattenHeaders(headers), name => isForwardedResponseHeader(name)),
-						load: this.#owner.getLoad(),
-					});
+					this.#handler.handleHead({status, headers: selectResponseHeaders(decodeHeaders(controller.rawHeaders)), load: this.#owner.getLoad()});
 				}
 			},
 			onResponseData: (controller, chunk) => {
@@ -141,28 +165,44 @@
 				this.#handler.handleData(chunk);
 			},
 			onResponseEnd: () => {
-				if (this.#state === 'running') {
-					this.#end(this.#createOutcome(this.#status >= firstServerError));
-					this.#handler.handleEnd();
-				}
+				this.#handleEnd();
 			},
-			onResponseError: (_controller, error) => {
-				this.#handleError(error);
+			onResponseError: (_controller, error: Error & {readonly code?: string}) => {
+				if (this.#status === notModified && error.code === lengthMismatchCode) {
+					this.#handleEnd();
+				} else {
+					this.#handleError(error);
+				}
 			},
 		};
 	}
 
-	#handleError(error: Error & {readonly code?: string}): void {
-		const isNotConnected = notConnectedCodes.has(error.code ?? '');
-		this.#fail(createFailure(isNotConnected ? 'serverRefused' : 'serverBroke', String(error.message)), true);
+	#handleEnd(): void {
+		if (this.#state === 'running') {
+			this.#finish(this.#createOutcome(this.#status >= firstServerError), undefined);
+			this.#handler.handleEnd();
+		}
+	}
+
+	#handleDeadline(): void {
+		this.#fail(this.#createTimeout());
+	}
+
+	#createTimeout(): Failure {
+		return createFailure(this.#controller ? 'serverTimeout' : 'serverRefused', `no whole answer within ${Math.round(this.#head.remainingMs)} ms`);
+	}
+
+	/** Without a controller the client never began to write the request. */
+	#handleError(error: Error): void {
+		this.#fail(createFailure(this.#controller === undefined ? 'serverRefused' : 'serverBroke', String(error.message)));
 	}
 
-	#fail(failure: Failure, isFailureOfServer: boolean): void {
+	#fail(failure: Failure): void {
 		if (this.#state !== 'running') {
 			return;
 		}
 
-		this.#end(isFailureOfServer ? this.#createOutcome(true) : undefined);
+		this.#finish(this.#createOutcome(true), failure);
 		this.#controller?.abort(new Error(failure.detail));
 		this.#handler.handleFailure(failure);
 	}
@@ -172,10 +212,10 @@
 		return {at, isFailure, durationMs: at - this.#startedAt};
 	}
 
-	#end(outcome: WorkOutcome | undefined): void {
+	#finish(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		clearTimeout(this.#timer);
 		this.#state = 'over';
-		this.#body.destroy();
-		this.#owner.handleDone(outcome);
+		this.#body.close();
+		this.#owner.handleDone(outcome, failure);
 	}
 }
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -1,124 +1,189 @@
 /** One backend server behind this node: its slots, its queue and the connections to it. */
 import {Pool, type Dispatcher} from 'undici';
 import {
-	createFailure, Exchange, formatAddress, type ExchangeHandler, type LoadHint, type RequestHead,
+	createFailure, formatAddress, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
 } from '@limpetbarrow/core';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {BackendRun} from './backend-run.js';
+import {ServiceTime} from './service-time.js';
 
 /** Called with what became of each request that the backend server ran. */
 export type RecordOutcome = (outcome: WorkOutcome) => void;
 
-type QueuedRun = {
-	readonly run: BackendRun;
-	/** Monotonic time, in milliseconds. */
-	readonly deadline: number;
-};
-
-class QueuedExchange extends Exchange {
-	readonly #run: BackendRun;
-
-	constructor(run: BackendRun) {
-		super();
-		this.#run = run;
-	}
-
-	override writeBody(chunk: Uint8Array): void {
-		this.#run.writeBody(chunk);
-	}
-
-	override endBody(): void {
-		this.#run.endBody();
-	}
-
-	override grantCredit(bytes: number): void {
-		this.#run.grantCredit(bytes);
-	}
-
-	override cancel(): void {
-		this.#run.cancel();
-	}
-}
+/** Time for which an unused connection is kept when the backend server does not name a longer one, in milliseconds. */
+const keepAliveMs = 1000;
+const keepAliveMaxMs = 60_000;
+/** Backend servers are on this node's own host. */
+const connectTimeoutMs = 1000;
+/** Requests whose body is still arriving. */
+const maxCollecting = 256;
 
 /** Owns the slots of one backend server and alone decides whether a request ran. */
 export class BackendServer {
-	readonly #server: AnnouncedServer;
-	readonly #pool: Dispatcher;
 	readonly #recordOutcome: RecordOutcome;
-	#queue: readonly QueuedRun[] = [];
+	readonly #collecting = new Set<BackendRun>();
+	/** Waiting runs in order, each with the timer that refuses it when it can't meet its deadline any more. */
+	readonly #queue = new Map<BackendRun, NodeJS.Timeout>();
+	readonly #serviceTime = new ServiceTime();
+	#server: AnnouncedServer;
+	#pool: Dispatcher;
 	#running = 0;
 
 	constructor(server: AnnouncedServer, recordOutcome: RecordOutcome) {
 		this.#server = server;
 		this.#recordOutcome = recordOutcome;
-		this.#pool = new Pool(`http://${formatAddress(server.address)}`, {connections: server.slots, pipelining: 1});
+		this.#pool = this.#createPool();
 	}
 
 	/** Runs a request now or when a slot is free, or refuses it with "not run". */
 	openExchange(head: RequestHead, handler: ExchangeHandler, queueLimit: number): Exchange {
-		const run = new BackendRun(this.#pool, head, handler, {
+		const run = new BackendRun(head, handler, {
 			getLoad: () => this.getLoad(),
-			handleDone: outcome => {
-				this.#handleDone(outcome);
+			handleReady: ready => {
+				this.#collecting.delete(ready);
+				this.#admit(ready, queueLimit);
+			},
+			handleForgotten: forgotten => {
+				this.#forget(forgotten);
+			},
+			handleDone: (outcome, failure) => {
+				this.#handleDone(outcome, failure);
 			},
 		});
-		if (this.#running < this.#server.slots) {
-			this.#start(run);
-		} else if (this.#queue.length < queueLimit) {
-			this.#enqueue(run, head.remainingMs);
+		if (run.isReady()) {
+			this.#admit(run, queueLimit);
+		} else if (this.#collecting.size < maxCollecting) {
+			this.#collecting.add(run);
 		} else {
-			run.refuse(createFailure('queueFull', `server ${this.#server.id}`));
+			run.refuse(this.#createQueueFull());
 		}
 
-		return new QueuedExchange(run);
+		return run;
 	}
 
 	getLoad(): LoadHint {
-		return {serverId: this.#server.id, freeSlots: this.#server.slots - this.#running, queued: this.#queue.length};
+		return {serverId: this.#server.id, freeSlots: this.#countSlots() - this.#running, queued: this.#queue.size};
 	}
 
-	/** Requests running or waiting. */
+	/** Requests running, waiting, or whose body is arriving. */
 	countRequests(): number {
-		return this.#running + this.#queue.length;
+		return this.#running + this.#queue.size + this.#collecting.size;
 	}
 
+	/** Takes the slots and connections of a newer announcement from the same address. */
+	applyAnnouncement(server: AnnouncedServer): void {
+		const slotsBefore = this.#countSlots();
+		this.#server = server;
+		if (this.#countSlots() !== slotsBefore) {
+			this.#replacePool();
+		}
+
+		this.#startNext();
+	}
+
+	/** Refuses what waits, and closes once what runs is over. */
+	async drain(): Promise<void> {
+		this.#refuseWaiting();
+		await this.#pool.close();
+	}
+
+	/** Closes at once; what runs breaks off. */
 	async close(): Promise<void> {
+		this.#refuseWaiting();
 		await this.#pool.destroy();
 	}
 
-	#enqueue(run: BackendRun, remainingMs: number): void {
-		this.#queue = [...this.#queue, {run, deadline: performance.now() + remainingMs}];
+	#refuseWaiting(): void {
+		[...this.#queue.keys(), ...this.#collecting].forEach(run => {
+			this.#forget(run);
+			run.refuse(createFailure('serverNotHere', `server ${this.#server.id}`));
+		});
+	}
+
+	#createPool(): Pool {
+		return new Pool(`http://${formatAddress(this.#server.address)}`, {
+			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMaxMs, connectTimeout: connectTimeoutMs,
+		});
+	}
+
+	/** Each run has a connection of its own, so the announced connections bound the runs too. */
+	#countSlots(): number {
+		return Math.max(1, Math.min(this.#server.slots, this.#server.maxConnections));
+	}
+
+	#admit(run: BackendRun, queueLimit: number): void {
+		if (this.#running < this.#countSlots() && this.#queue.size === 0) {
+			this.#start(run);
+		} else if (this.#queue.size >= queueLimit) {
+			run.refuse(this.#createQueueFull());
+		} else {
+			this.#enqueue(run);
+		}
+	}
+
+	#enqueue(run: BackendRun): void {
+		const expectedMs = this.#serviceTime.getExpectedMs();
+		const latestMs = run.getRemainingMs() - expectedMs;
+		if (latestMs <= this.#estimateWaitMs()) {
+			run.refuse(createFailure('queueDeadline', `server ${this.#server.id}`, this.#estimateWaitMs()));
+			return;
+		}
+
+		this.#queue.set(run, setTimeout(() => {
+			this.#queue.delete(run);
+			run.refuse(createFailure('queueDeadline', `server ${this.#server.id}`));
+		}, latestMs));
+	}
+
+	/** Time until a run that is enqueued now would be started. */
+	#estimateWaitMs(): number {
+		return this.#serviceTime.getExpectedMs() * (this.#queue.size + 1) / this.#countSlots();
+	}
+
+	#createQueueFull(): Failure {
+		return createFailure('queueFull', `server ${this.#server.id}`, Math.ceil(this.#estimateWaitMs()));
+	}
+
+	#forget(run: BackendRun): void {
+		clearTimeout(this.#queue.get(run));
+		this.#queue.delete(run);
+		this.#collecting.delete(run);
 	}
 
 	#start(run: BackendRun): void {
 		this.#running++;
-		run.start();
+		run.start(this.#pool);
 	}
 
-	#handleDone(outcome: WorkOutcome | undefined): void {
+	#handleDone(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		this.#running--;
+		if (failure?.name === 'serverTimeout') {
+			this.#replacePool();
+		}
+
 		if (outcome) {
+			this.#serviceTime.record(outcome.durationMs);
 			this.#recordOutcome(outcome);
 		}
 
 		this.#startNext();
 	}
 
+	/** A connection may have gone silent, and the unused ones with it: new runs get new ones. */
+	#replacePool(): void {
+		void this.#pool.close();
+		this.#pool = this.#createPool();
+	}
+
 	#startNext(): void {
-		const [next, ...rest] = this.#queue;
-		if (!next || this.#running >= this.#server.slots) {
+		const [next] = this.#queue.keys();
+		if (!next || this.#running >= this.#countSlots()) {
 			return;
 		}
 
-		this.#queue = rest;
-		if (next.run.isOver()) {
-			this.#startNext();
-		} else if (next.deadline <= performance.now()) {
-			next.run.refuse(createFailure('queueDeadline', `server ${this.#server.id}`));
-			this.#startNext();
-		} else {
-			this.#start(next.run);
-		}
+		this.#forget(next);
+		this.#start(next);
+		this.#startNext();
 	}
 }
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -106,7 +106,7 @@
 			.filter(([id]) => !servers.has(id))
 			.forEach(([id, {backend}]) => {
 				this.#guarded.delete(id);
-				void backend.close();
+				void backend.drain();
 			});
 	}
 
@@ -115,10 +115,11 @@
 		const isSame = known?.announced.address.port === announced.address.port && known.announced.address.host === announced.address.host;
 		if (known && isSame) {
 			this.#guarded.set(announced.id, {...known, announced});
+			known.backend.applyAnnouncement(announced);
 			return;
 		}
 
-		void known?.backend.close();
+		void known?.backend.drain();
 		const detector = createDetector(this.#findService(announced.service)?.detection ?? 'cautious');
 		const backend = new BackendServer(announced, outcome => {
 			this.#recordOutcome(announced.id, outcome);
--- a/packages/node/src/headers.ts
+++ b/packages/node/src/headers.ts
@@ -1,15 +1,36 @@
 /** Which headers travel on, by the rules of HTTP for intermediaries. */
-import {requestIdHeader, termsHeader, timeoutHeader} from '@limpetbarrow/core';
+import {
+	findHeader, requestIdHeader, selectHeaders, termsHeader, timeoutHeader, type RawHeaders,
+} from '@limpetbarrow/core';
 
 const hopByHop: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect']);
 const ownRequestHeaders: ReadonlySet<string> = new Set([termsHeader, timeoutHeader, requestIdHeader]);
+const noNames: ReadonlySet<string> = new Set();
 
-/** True when a request header goes on to the backend server; names in lower case. */
-export function isForwardedRequestHeader(name: string): boolean {
-	return !hopByHop.has(name) && !ownRequestHeaders.has(name);
+/** Names that `connection` lists; they concern the one connection only. */
+function listConnectionNames(headers: RawHeaders): ReadonlySet<string> {
+	const value = findHeader(headers, 'connection');
+	if (value === undefined || value === 'keep-alive' || value === 'close') {
+		return noNames;
+	}
+
+	const values = headers.filter((_, position) => position % 2 === 1 && headers[position - 1]!.toLowerCase() === 'connection');
+	return new Set(values.flatMap(text => text.split(',')).map(name => name.trim().toLowerCase()));
+}
+
+/** Framing is worked out anew for each connection; a length that `connection` lists is still the body's. */
+function isListed(name: string, listed: ReadonlySet<string>): boolean {
+	return listed.has(name) && name !== 'content-length' && name !== 'host';
+}
+
+/** The request headers that go on to the backend server. */
+export function selectRequestHeaders(headers: RawHeaders): RawHeaders {
+	const listed = listConnectionNames(headers);
+	return selectHeaders(headers, name => !hopByHop.has(name) && !ownRequestHeaders.has(name) && !isListed(name, listed));
 }
 
-/** True when an answer's header goes on to the caller; names in lower case. */
-export function isForwardedResponseHeader(name: string): boolean {
-	return !hopByHop.has(name);
+/** The answer's headers that go on to the caller. */
+export function selectResponseHeaders(headers: RawHeaders): RawHeaders {
+	const listed = listConnectionNames(headers);
+	return selectHeaders(headers, name => !hopByHop.has(name) && !isListed(name, listed));
 }
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -1,6 +1,7 @@
 /** Ties one HTTP request of a caller to the exchange that carries it. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {
 	createFailure, exchangeWindowBytes, type Carrier, type Exchange, type ExchangeHandler, type Failure, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
@@ -48,6 +49,19 @@
 		});
 	}
 
+	/** True when the request came over that connection. */
+	isFrom(socket: Socket): boolean {
+		return this.#message.socket === socket;
+	}
+
+	/** Ends the exchange when its body can't become whole any more; one that is whole goes on. */
+	failBody(failure: Failure): void {
+		if (!this.#message.complete) {
+			this.#giveUp(failure);
+			this.#message.socket.destroySoon();
+		}
+	}
+
 	#handleChunk(chunk: Uint8Array): void {
 		if (this.#isOver) {
 			return;
@@ -55,7 +69,7 @@
 
 		this.#received += chunk.length;
 		if (this.#received > this.#options.maxBodyBytes) {
-			this.#giveUp(createFailure('bodyTooLarge', `the route takes ${this.#options.maxBodyBytes} bytes`));
+			this.#giveUp(createFailure('bodyGrewTooLarge', `the route takes ${this.#options.maxBodyBytes} bytes`));
 			return;
 		}
 
@@ -76,8 +90,10 @@
 				this.#handleData(chunk);
 			},
 			handleEnd: () => {
-				this.#finish();
-				this.#response.end();
+				if (!this.#isOver) {
+					this.#finish();
+					this.#response.end();
+				}
 			},
 			handleFailure: failure => {
 				this.#handleFailure(failure);
@@ -92,8 +108,14 @@
 	}
 
 	#handleHead({status, headers}: ResponseHead): void {
-		if (!this.#isOver) {
+		if (this.#isOver) {
+			return;
+		}
+
+		try {
 			this.#response.writeHead(status, [...headers]);
+		} catch (error) {
+			this.#giveUp(createFailure('serverBroke', `the head of the answer can't be sent: ${String(error)}`));
 		}
 	}
 
@@ -136,8 +158,10 @@
 		}
 	}
 
+	/** What is left of the request's body is dropped, so that the connection can go on. */
 	#finish(): void {
 		this.#isOver = true;
 		clearTimeout(this.#timer);
+		this.#message.resume();
 	}
 }
--- a/packages/node/src/ingress-request.ts
+++ b/packages/node/src/ingress-request.ts
@@ -2,7 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, findHeader, idempotencyHeader, termsHeader, timeoutHeader, type Failure,
+	createFailure, findHeader, idempotencyHeader, selectHeaders, termsHeader, timeoutHeader, type Failure,
 } from '@limpetbarrow/core';
 
 /** A caller's request as the ingress reads it. */
@@ -30,24 +30,54 @@
 		: Left(createFailure('invalidTimeout', `${timeoutHeader} is ${text.slice(0, 40)}`));
 }
 
+type Target = {
+	readonly host: string;
+	readonly path: string;
+};
+
+const absoluteForm = /^https?:\/\/(?<authority>[^\/?#@\s]+)(?<path>[\/?][^#]*)?$/iv;
+
+function parseTarget(url: string, hosts: readonly string[], httpVersion: string): Either<Failure, Target> {
+	const isHostMissing = (hosts[0] ?? '') === '' && httpVersion !== '1.0';
+	if (hosts.length > 1 || isHostMissing) {
+		return Left(createFailure('malformedRequest', 'one host header is needed'));
+	}
+
+	if (url.startsWith('/')) {
+		return Right({host: hosts[0] ?? '', path: url});
+	}
+
+	const {authority, path} = absoluteForm.exec(url)?.groups ?? {};
+	if (authority === undefined) {
+		return Left(createFailure('malformedRequest', 'the request target is neither a path nor an absolute URL'));
+	}
+
+	return Right({host: authority, path: path?.startsWith('?') ? `/${path}` : path ?? '/'});
+}
+
+function listHeaders(headers: readonly string[], name: string): readonly string[] {
+	return headers.filter((_, position) => position % 2 === 1 && headers[position - 1]!.toLowerCase() === name);
+}
+
+/** An absolute target goes before the host header, which is made to say the same. */
+function replaceHost(headers: readonly string[], url: string, host: string): readonly string[] {
+	return url.startsWith('/') ? headers : ['host', host, ...selectHeaders(headers, name => name !== 'host')];
+}
+
 /** Reads the head of a request. */
 export function parseIngressRequest(message: IncomingMessage): Either<Failure, IngressRequest> {
 	const headers = message.rawHeaders;
-	const host = (message.headers.host ?? '').replace(/:\d+$/v, '').toLowerCase();
-	const path = message.url ?? '/';
-	if (!path.startsWith('/')) {
-		return Left(createFailure('malformedRequest', 'the request target is not a path'));
-	}
-
+	const url = message.url ?? '';
 	const contentLength = message.headers['content-length'];
-	return parseTimeout(findHeader(headers, timeoutHeader)).map(timeoutMs => ({
-		host,
-		method: message.method ?? 'GET',
-		path,
-		headers,
-		timeoutMs,
-		termsToken: findHeader(headers, termsHeader),
-		idempotencyKey: findHeader(headers, idempotencyHeader),
-		contentLength: contentLength === undefined ? undefined : Number(contentLength),
-	}));
+	return parseTarget(url, listHeaders(headers, 'host'), message.httpVersion)
+		.chain(target => parseTimeout(findHeader(headers, timeoutHeader)).map(timeoutMs => ({
+			host: target.host.replace(/:\d+$/v, '').toLowerCase(),
+			method: message.method ?? 'GET',
+			path: target.path,
+			headers: replaceHost(headers, url, target.host),
+			timeoutMs,
+			termsToken: findHeader(headers, termsHeader),
+			idempotencyKey: findHeader(headers, idempotencyHeader),
+			contentLength: contentLength === undefined ? undefined : Number(contentLength),
+		})));
 }
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -50,15 +50,25 @@
 		release: 0, services: new Map(), routes: new Map(), terms: new Map(), organisations: new Map(),
 	});
 
+	readonly #exchanges = new Set<IngressExchange>();
 	#configuration: Configuration | undefined;
 	#inProgress = 0;
 	#isStopping = false;
 
 	constructor(options: IngressOptions) {
 		this.#options = options;
-		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true}, (message, response) => {
+		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false}, (message, response) => {
 			this.#handle(message, response);
 		});
+		this.#server.on('checkContinue', (message, response) => {
+			this.#handle(message, response);
+		});
+		this.#server.on('checkExpectation', (message, response) => {
+			this.#refuse(message, response, createFailure('malformedRequest', 'only 100-continue can be expected'));
+		});
+		this.#server.on('connect', (_message, socket) => {
+			this.#refuseSocket(socket as Socket, createFailure('malformedRequest', 'CONNECT is not served'));
+		});
 		this.#server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
 			this.#handleClientError(error, socket as Socket);
 		});
@@ -139,7 +149,14 @@
 					this.#recordFailure(failure);
 				},
 			});
+			this.#exchanges.add(exchange);
+			response.once('close', () => {
+				this.#exchanges.delete(exchange);
+			});
 			exchange.open(carrier, createHead(located));
+			if (message.headers.expect !== undefined) {
+				response.writeContinue();
+			}
 		});
 	}
 
@@ -153,14 +170,26 @@
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
 	}
 
+	/** Bytes that are not HTTP. In the middle of a request that was handed on, "not run" can't be promised any more. */
 	#handleClientError(error: Error & {readonly code?: string}, socket: Socket): void {
+		const exchanges = [...this.#exchanges].filter(exchange => exchange.isFrom(socket));
+		if (exchanges.length > 0) {
+			exchanges.forEach(exchange => {
+				exchange.failBody(createFailure('bodyBroken', error.message));
+			});
+			return;
+		}
+
+		this.#refuseSocket(socket, createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message));
+	}
+
+	#refuseSocket(socket: Socket, failure: Failure): void {
+		this.#recordFailure(failure);
 		if (!socket.writable) {
 			socket.destroy();
 			return;
 		}
 
-		const failure = createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message);
-		this.#recordFailure(failure);
 		socket.end(formatRawFailure(failure));
 	}
 }
--- /dev/null
+++ b/packages/node/src/request-body.ts
@@ -0,0 +1,86 @@
+/** The body of a request on its way to a backend server: whole in memory when it is small, else a stream. */
+import {Buffer} from 'node:buffer';
+import {Readable} from 'node:stream';
+import {exchangeWindowBytes, findHeader, type RawHeaders} from '@limpetbarrow/core';
+
+/** How a body is sent by its headers: `whole` ones are collected first, as they fit the first window. */
+export type BodyForm = 'none' | 'whole' | 'streamed';
+
+/** Reads the form of a body from the request's headers. */
+export function getBodyForm(headers: RawHeaders): BodyForm {
+	const length = findHeader(headers, 'content-length');
+	if (length !== undefined) {
+		const bytes = Number(length);
+		return bytes === 0 ? 'none' : (bytes <= exchangeWindowBytes ? 'whole' : 'streamed');
+	}
+
+	return findHeader(headers, 'transfer-encoding') === undefined ? 'none' : 'streamed';
+}
+
+/** Collects what arrives before the request is started, and passes on what arrives later. */
+export class RequestBody {
+	readonly #handleTaken: (bytes: number) => void;
+	#chunks: Uint8Array[] = [];
+	#isEnded = false;
+	#stream: Readable | undefined;
+	#untakenBytes = 0;
+
+	/** `handleTaken` is called with bytes that the backend server's connection has taken. */
+	constructor(handleTaken: (bytes: number) => void) {
+		this.#handleTaken = handleTaken;
+	}
+
+	write(chunk: Uint8Array): void {
+		if (this.#stream) {
+			this.#addChunk(chunk);
+		} else {
+			this.#chunks.push(chunk);
+		}
+	}
+
+	end(): void {
+		this.#isEnded = true;
+		this.#stream?.push(null);
+	}
+
+	/** What is handed to the HTTP client: bytes when all are here, else a stream. */
+	open(): Uint8Array | Readable {
+		const chunks = this.#chunks;
+		this.#chunks = [];
+		if (this.#isEnded) {
+			return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+		}
+
+		this.#stream = new Readable({
+			highWaterMark: 0,
+			read: () => {
+				this.#releaseTaken();
+			},
+		});
+		this.#stream.on('error', () => {
+			// The run hears of it from the HTTP client.
+		});
+		chunks.forEach(chunk => {
+			this.#addChunk(chunk);
+		});
+		return this.#stream;
+	}
+
+	close(): void {
+		this.#chunks = [];
+		this.#stream?.destroy();
+	}
+
+	#addChunk(chunk: Uint8Array): void {
+		this.#untakenBytes += chunk.length;
+		this.#stream!.push(chunk);
+	}
+
+	#releaseTaken(): void {
+		const bytes = this.#untakenBytes - this.#stream!.readableLength;
+		if (bytes > 0) {
+			this.#untakenBytes -= bytes;
+			this.#handleTaken(bytes);
+		}
+	}
+}
