--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,3 +4,4 @@
 export * from './backend-stand-in.js';
 export * from './object-history.js';
 export * from './memory-object-store.js';
+export * from './tcp-relay.js';
