Replace the full-mesh gossip by probes, rumors and digests

Cause: the thin gossip sent every record to every node twice a second, bumped its own sequence each round, held a node dead after a fixed 5 s, and could not tell a paused node from a lost one. Ruled out: deltas against a base sequence (one lost or low-priority delta would make every later one unreadable; parts with a version of their own need no base); applying dead statements found by digest (a healed partition would bury its own side; the member is told and refutes instead). Conclusion: the protocol is a state machine apart from sockets and timers; UDP is one transport, memory another.

--- /dev/null
+++ b/packages/members/src/__tests__/unit/message-codec.test.ts
@@ -0,0 +1,104 @@
+import {expect} from 'chai';
+import {Encoder} from 'cbor-x';
+import fc from 'fast-check';
+import {
+	createRecord, decodeMessage, digestBuckets, encodeMessage, maxDatagramBytes, selectChangedParts, type MemberMessage, type MemberUpdate,
+} from '../../index.js';
+import {createNodeRecord, createServer} from '../memory-fleet.js';
+
+const sender = {id: 'n1', incarnation: 1_790_000_000_000, refutation: 2};
+const codec = new Encoder({useRecords: false, mapsAsObjects: true});
+const record = createNodeRecord('n2', {
+	servers: [createServer('a'), createServer('b', {state: 'ejected', badness: 1.5})],
+	poison: [{fingerprint: 'f', serverIds: ['a', 'b'], expiresAt: 5}],
+});
+const updates: readonly MemberUpdate[] = [
+	...selectChangedParts(record, [], 3).map(part => ({
+		kind: 'part', id: 'n2', incarnation: 1, part,
+	} as const)),
+	{
+		kind: 'part', id: 'n2', incarnation: 1, part: {slot: 9, version: 4, value: undefined},
+	},
+	{
+		kind: 'status', id: 'n3', incarnation: 1, refutation: 4, status: 'suspect',
+	},
+];
+const messages: readonly MemberMessage[] = [
+	{
+		kind: 'ping', sender, sequence: 1, updates,
+	},
+	{
+		kind: 'ack', sender, sequence: 2, updates: [],
+	},
+	{
+		kind: 'indirect', sender, sequence: 3, target: {host: '10.0.0.1', port: 8083},
+	},
+	{kind: 'rumor', sender, updates},
+	{kind: 'digest', sender, buckets: Array.from({length: digestBuckets}, (_, index) => index)},
+	{
+		kind: 'summary', sender, entries: [{
+			id: 'n2', incarnation: 1, refutation: 0, status: 'dead', partsHash: 77,
+		}],
+	},
+	{kind: 'pull', sender, wants: [{id: 'n2', incarnation: 1, versions: [0, 1, 3, 2]}]},
+	{kind: 'parts', sender, updates},
+];
+
+function listPrefixes(bytes: Uint8Array): readonly Uint8Array[] {
+	return Array.from({length: bytes.length - 1}, (_, length) => bytes.subarray(0, length));
+}
+
+describe('datagrams', () => {
+	describe('round trip', () => {
+		messages.forEach(message => {
+			it(`keeps ${message.kind}`, () => {
+				expect(decodeMessage(encodeMessage(message)).unsafeCoerce()).to.deep.equal(message);
+			});
+		});
+
+		it('keeps fields of a backend server that this release does not know', () => {
+			const value = {...createServer('a'), colour: 'green'};
+			const message: MemberMessage = {
+				kind: 'rumor', sender, updates: [{
+					kind: 'part', id: 'n2', incarnation: 1, part: {slot: 3, version: 1, value},
+				}],
+			};
+			expect(decodeMessage(encodeMessage(message)).unsafeCoerce()).to.deep.equal(message);
+		});
+
+		it('rebuilds the record from its parts in any order', () => {
+			const parts = selectChangedParts(record, [], 1);
+			expect(createRecord('n2', 1, parts.toReversed())).to.have.deep.property('poison', record.poison);
+		});
+
+		it('holds a digest in one datagram', () => {
+			expect(encodeMessage({kind: 'digest', sender, buckets: Array.from({length: digestBuckets}, () => 4_294_967_290)}).length).to.be.below(maxDatagramBytes);
+		});
+	});
+
+	describe('malformed', () => {
+		const isRejected = (bytes: Uint8Array): boolean => decodeMessage(bytes).swap().map(({name}) => name === 'gossipMalformed').orDefault(false);
+
+		it('gives a numbered code for random bytes', () => {
+			fc.assert(fc.property(fc.uint8Array({maxLength: 1500}), bytes => isRejected(bytes)), {seed: 11, numRuns: 2000});
+		});
+
+		it('gives a numbered code for well-formed values of another shape', () => {
+			fc.assert(fc.property(fc.jsonValue(), value => isRejected(codec.encode(value))), {seed: 12, numRuns: 2000});
+		});
+
+		it('never throws for a message with changed bytes', () => {
+			fc.assert(fc.property(fc.constantFrom(...messages), fc.nat(), fc.integer({min: 0, max: 255}), (message, position, value) => {
+				const bytes = Uint8Array.from(encodeMessage(message));
+				bytes[position % bytes.length] = value;
+				const result = decodeMessage(bytes);
+				return result.isRight() || isRejected(bytes);
+			}), {seed: 13, numRuns: 2000});
+		});
+
+		it('gives a numbered code for a truncated message', () => {
+			const truncated = messages.map(message => encodeMessage(message)).flatMap(bytes => listPrefixes(bytes));
+			expect(truncated.filter(bytes => !isRejected(bytes))).to.deep.equal([]);
+		});
+	});
+});
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -1,84 +1,51 @@
-/** Spreads member records between nodes. */
-import {type Buffer} from 'node:buffer';
-import {createSocket, type Socket} from 'node:dgram';
-import {Encoder} from 'cbor-x';
-import {formatAddress, type Address, type NodeRecord} from '@limpetbarrow/core';
-import {gossipPeriodMs, memberTimeoutMs} from './constants.js';
+/** Runs the membership protocol of a node on its timer and its transport. */
+import {
+	MetricRegistry, type Address, type Logger,
+} from '@limpetbarrow/core';
+import {gossipPeriodMs} from './constants.js';
 import {type MemberTable} from './member-table.js';
-
-const codec = new Encoder({useRecords: false, mapsAsObjects: true});
-
-type GossipMessage = {
-	readonly records: readonly NodeRecord[];
+import {Membership} from './membership.js';
+import {type MessageTransport} from './message-transport.js';
+import {UdpTransport} from './udp-transport.js';
+
+/** What gossip may be given besides table and seeds. */
+export type GossipOptions = {
+	readonly logger?: Logger;
+	readonly metrics?: MetricRegistry;
+	readonly transport?: MessageTransport;
 };
 
-/** Exchanges records with random members once a period. */
+/** Takes part in the fleet's membership. */
 export class Gossip {
-	readonly #table: MemberTable;
-	readonly #seeds: readonly Address[];
-	readonly #socket: Socket = createSocket('udp4');
-	readonly #heardAt = new Map<string, number>();
+	readonly #membership: Membership;
+	readonly #transport: MessageTransport;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(table: MemberTable, seeds: readonly Address[]) {
-		this.#table = table;
-		this.#seeds = seeds;
+	constructor(table: MemberTable, seeds: readonly Address[], options: GossipOptions = {}) {
+		const metrics = options.metrics ?? new MetricRegistry();
+		this.#transport = options.transport ?? new UdpTransport(metrics);
+		this.#membership = new Membership({
+			...options, table, seeds, metrics, transport: this.#transport,
+		});
+		metrics.registerGauge('gossip_health_factor', () => this.#membership.getHealthFactor());
+		metrics.registerGauge('gossip_queued_updates', () => this.#membership.countUpdates());
 	}
 
-	async start({host, port}: Address): Promise<Address> {
-		await new Promise<void>((resolve, reject) => {
-			this.#socket.once('error', reject);
-			this.#socket.bind(port, host, resolve);
-		});
-		this.#socket.on('message', message => {
-			this.#handleMessage(message);
+	async start(address: Address): Promise<Address> {
+		const bound = await this.#transport.open(address);
+		this.#transport.messages.registerListener(received => {
+			this.#membership.handleMessage(received);
 		});
 		this.#timer = setInterval(() => {
-			this.#runRound();
+			this.#membership.runStep();
 		}, gossipPeriodMs);
-		return {host, port: this.#socket.address().port};
+		return bound;
 	}
 
+	/** Ends; other members are told when the stop is planned. */
 	stop(): void {
 		clearInterval(this.#timer);
-		this.#socket.close();
-	}
-
-	#runRound(): void {
-		this.#table.updateSelf(() => ({}));
-		this.#sweep();
-		const self = this.#table.getSelf();
-		const known = this.#table.listLive().map(({record}) => record);
-		const addresses = [...known.filter(({id}) => id !== self.id).map(({gossipAddress}) => gossipAddress), ...this.#seeds]
-			.filter(address => formatAddress(address) !== formatAddress(self.gossipAddress));
-		addresses.forEach(address => {
-			known.forEach(record => {
-				const message: GossipMessage = {records: [record]};
-				this.#socket.send(codec.encode(message), address.port, address.host);
-			});
-		});
-	}
-
-	#handleMessage(message: Uint8Array): void {
-		try {
-			const {records} = codec.decode(message) as GossipMessage;
-			const news = records.filter(record => record.sequence > (this.#table.findMember(record.id)?.record.sequence ?? -1));
-			this.#table.merge(records);
-			news.forEach(({id}) => {
-				this.#heardAt.set(id, performance.now());
-				this.#table.setStatus(id, 'alive');
-			});
-		} catch {
-			// A malformed message changes nothing.
-		}
-	}
-
-	#sweep(): void {
-		const now = performance.now();
-		[...this.#heardAt].forEach(([id, heardAt]) => {
-			if (now - heardAt > memberTimeoutMs) {
-				this.#table.setStatus(id, 'dead');
-			}
-		});
+		this.#membership.leave();
+		this.#transport.close();
 	}
 }
--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -1,6 +1,16 @@
 /** Membership by gossip and announcements of backend servers. */
 export type * from './types.js';
 export * from './constants.js';
+export * from './record-parts.js';
+export * from './merge-updates.js';
 export * from './member-table.js';
+export type * from './message.js';
+export * from './message-codec.js';
+export * from './message-transport.js';
+export * from './memory-transport.js';
+export * from './update-queue.js';
+export * from './prober.js';
+export * from './repair.js';
+export * from './membership.js';
 export * from './gossip.js';
 export * from './announcements.js';
--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -1,17 +1,34 @@
 /** The nodes this node knows, as an immutable snapshot. */
 import {Store, type NodeIdentity, type NodeRecord} from '@limpetbarrow/core';
-import {type Member, type MemberStatus} from './types.js';
+import {maxGraves, maxMembers} from './constants.js';
+import {createEntry, mergeUpdate} from './merge-updates.js';
+import {
+	createRecord, hashParts, replaceParts, selectChangedParts,
+} from './record-parts.js';
+import {
+	type Member, type MemberEntry, type MemberStatus, type MemberUpdate, type StatusUpdate,
+} from './types.js';
+
+/** The last run of a member that was dropped. */
+export type Grave = Pick<MemberEntry, 'incarnation' | 'refutation'>;
 
 /** Snapshot of the members by node id. The node itself is one of them. */
 export type MemberSnapshot = {
+	/** Members whose profile is known. */
 	readonly members: ReadonlyMap<string, Member>;
+	readonly entries: ReadonlyMap<string, MemberEntry>;
+	readonly graves: ReadonlyMap<string, Grave>;
 };
 
-/** True when `record` says more than `known`: a later run, or a later change in the same run. */
-export function isNewer(record: NodeRecord, known: NodeRecord | undefined): boolean {
-	return known === undefined
-		|| record.incarnation > known.incarnation
-		|| (record.incarnation === known.incarnation && record.sequence > known.sequence);
+function createMember(entry: MemberEntry, known: Member | undefined, before: MemberEntry | undefined): Member | undefined {
+	const record = known !== undefined && before?.parts === entry.parts
+		? known.record
+		: createRecord(entry.id, entry.incarnation, entry.parts);
+	return record && {record, status: entry.isUnheard && entry.status === 'alive' ? 'suspect' : entry.status};
+}
+
+function isBuried(update: MemberUpdate, grave: Grave | undefined): boolean {
+	return grave !== undefined && update.incarnation <= grave.incarnation;
 }
 
 /** Holds the members. */
@@ -21,13 +38,23 @@
 
 	constructor(self: NodeRecord) {
 		this.self = {id: self.id, incarnation: self.incarnation};
-		this.store = new Store<MemberSnapshot>({members: new Map([[self.id, {record: self, status: 'alive'}]])});
+		const parts = selectChangedParts(self, [], self.sequence);
+		const entry = {...createEntry(self.id, self.incarnation, performance.now()), parts, partsHash: hashParts(parts)};
+		this.store = new Store<MemberSnapshot>({
+			members: new Map([[self.id, {record: self, status: 'alive'}]]),
+			entries: new Map([[self.id, entry]]),
+			graves: new Map(),
+		});
 	}
 
 	getSelf(): NodeRecord {
 		return this.store.getState().members.get(this.self.id)!.record;
 	}
 
+	getSelfEntry(): MemberEntry {
+		return this.store.getState().entries.get(this.self.id)!;
+	}
+
 	/** Members that are not dead. */
 	listLive(): readonly Member[] {
 		return [...this.store.getState().members.values()].filter(({status}) => status !== 'dead');
@@ -37,32 +64,123 @@
 		return this.store.getState().members.get(id);
 	}
 
-	/** Changes the node's own record; the sequence grows by one. */
+	findEntry(id: string): MemberEntry | undefined {
+		return this.store.getState().entries.get(id);
+	}
+
+	/** Changes the node's own record; the sequence grows by one when anything differs. */
 	updateSelf(change: (record: NodeRecord) => Partial<NodeRecord>): void {
-		this.store.update('updateSelf', ({members}) => {
-			const {record} = members.get(this.self.id)!;
-			const next = {...record, ...change(record), sequence: record.sequence + 1};
-			return {members: new Map(members).set(this.self.id, {record: next, status: 'alive'})};
+		const entry = this.getSelfEntry();
+		const record = this.getSelf();
+		const version = record.sequence + 1;
+		const changed = selectChangedParts({...record, ...change(record)}, entry.parts, version);
+		if (changed.length > 0) {
+			const parts = replaceParts(entry.parts, changed);
+			this.#replaceEntries('updateSelf', [{...entry, parts, partsHash: hashParts(parts)}]);
+		}
+	}
+
+	/** Raises the node's own refutation above a statement that it is suspected or dead. */
+	refute({refutation}: Pick<StatusUpdate, 'refutation'>): void {
+		this.#replaceEntries('refute', [{...this.getSelfEntry(), refutation: refutation + 1}]);
+	}
+
+	/** Takes changes heard from others and returns those that were news. Changes of this node's record are passed over. */
+	applyUpdates(updates: readonly MemberUpdate[]): readonly MemberUpdate[] {
+		const now = performance.now();
+		const {entries, graves} = this.store.getState();
+		const changed = new Map<string, MemberEntry>();
+		const news = updates.filter(update => {
+			const before = changed.get(update.id) ?? entries.get(update.id);
+			const isRefused = update.id === this.self.id
+				|| isBuried(update, graves.get(update.id))
+				|| (before === undefined && entries.size + changed.size >= maxMembers);
+			const after = isRefused ? before : mergeUpdate(before, update, now);
+			if (after === undefined || after === before) {
+				return false;
+			}
+
+			changed.set(update.id, after);
+			return true;
 		});
+		this.#replaceEntries('applyUpdates', [...changed.values()]);
+		return news;
 	}
 
-	/** Takes records heard from others. Records of this node and older ones are passed over. */
+	/** Takes whole records; those of this node and older ones are passed over. */
 	merge(records: readonly NodeRecord[]): void {
-		this.store.update('merge', snapshot => {
-			const news = records.filter(record => record.id !== this.self.id && isNewer(record, snapshot.members.get(record.id)?.record));
-			return news.length === 0
-				? snapshot
-				: {members: new Map([...snapshot.members, ...news.map(record => [record.id, {record, status: 'alive'}] as const)])};
-		});
+		this.applyUpdates(records.flatMap(record => {
+			const known = this.findEntry(record.id);
+			const base = known?.incarnation === record.incarnation ? known.parts : [];
+			return selectChangedParts(record, base, record.sequence)
+				.map(part => ({
+					kind: 'part', id: record.id, incarnation: record.incarnation, part,
+				} as const));
+		}));
 	}
 
-	/** Changes what this node believes of another. */
+	/** Sets what this node believes of another, whatever was known before. */
 	setStatus(id: string, status: MemberStatus): void {
-		this.store.update('setStatus', snapshot => {
-			const member = snapshot.members.get(id);
-			return member === undefined || member.status === status || id === this.self.id
-				? snapshot
-				: {members: new Map(snapshot.members).set(id, {...member, status})};
+		const entry = this.findEntry(id);
+		if (entry !== undefined && entry.status !== status && id !== this.self.id) {
+			this.#replaceEntries('setStatus', [{...entry, status, statusAt: performance.now()}]);
+		}
+	}
+
+	/** Notes whether this node alone gets no answer from a member. */
+	setUnheard(id: string, isUnheard: boolean): void {
+		const entry = this.findEntry(id);
+		if (entry !== undefined && entry.isUnheard !== isUnheard) {
+			this.#replaceEntries('setUnheard', [{...entry, isUnheard}]);
+		}
+	}
+
+	/** Puts off the end of every suspicion, after a pause of this node. */
+	renewSuspicions(delayMs: number): void {
+		const suspects = [...this.store.getState().entries.values()].filter(({status}) => status === 'suspect');
+		this.#replaceEntries('renewSuspicions', suspects.map(entry => ({...entry, statusAt: entry.statusAt + delayMs})));
+	}
+
+	/** Drops members; their runs are remembered. */
+	forget(ids: readonly string[]): void {
+		if (ids.length === 0) {
+			return;
+		}
+
+		this.store.update('forget', ({members, entries, graves}) => {
+			const dropped = new Set(ids);
+			const added = [...entries.values()].filter(({id}) => dropped.has(id)).map(({id, incarnation, refutation}) => [id, {incarnation, refutation}] as const);
+			return {
+				members: new Map([...members].filter(([id]) => !dropped.has(id))),
+				entries: new Map([...entries].filter(([id]) => !dropped.has(id))),
+				graves: new Map([...graves, ...added].slice(-maxGraves)),
+			};
+		});
+	}
+
+	/** Lets a run that was dropped come back, since it refuted its death. */
+	forgetGrave(id: string): void {
+		this.store.update('forgetGrave', snapshot => ({...snapshot, graves: new Map([...snapshot.graves].filter(([key]) => key !== id))}));
+	}
+
+	#replaceEntries(update: string, changed: readonly MemberEntry[]): void {
+		if (changed.length === 0) {
+			return;
+		}
+
+		this.store.update(update, snapshot => {
+			const members = new Map(snapshot.members);
+			const entries = new Map(snapshot.entries);
+			changed.forEach(entry => {
+				const member = createMember(entry, members.get(entry.id), entries.get(entry.id));
+				entries.set(entry.id, entry);
+				if (member) {
+					members.set(entry.id, member);
+				} else {
+					members.delete(entry.id);
+				}
+			});
+			return {...snapshot, members, entries};
 		});
 	}
 }
--- /dev/null
+++ b/packages/members/src/merge-updates.ts
@@ -0,0 +1,56 @@
+/** How one change alters what a node holds of a member. */
+import {
+	hashParts, hashText, replaceParts,
+} from './record-parts.js';
+import {maxParts} from './constants.js';
+import {
+	type MemberEntry, type MemberStatus, type MemberUpdate, type PartUpdate, type StatusUpdate,
+} from './types.js';
+
+const statusRanks: Readonly<Record<MemberStatus, number>> = {alive: 0, suspect: 1, dead: 2};
+
+/** True when `update` goes before the status held: a later refutation, or a worse status under the same one. */
+export function isNewerStatus(update: Pick<StatusUpdate, 'refutation' | 'status'>, entry: Pick<MemberEntry, 'refutation' | 'status'>): boolean {
+	return update.refutation > entry.refutation
+		|| (update.refutation === entry.refutation && statusRanks[update.status] > statusRanks[entry.status]);
+}
+
+/** Creates the entry of a run of which nothing is known yet. */
+export function createEntry(id: string, incarnation: number, now: number): MemberEntry {
+	return {
+		id, incarnation, refutation: 0, status: 'alive', statusAt: now, isUnheard: false, parts: [], partsHash: 0,
+	};
+}
+
+function mergePart(entry: MemberEntry | undefined, {id, incarnation, part}: PartUpdate, now: number): MemberEntry | undefined {
+	if (entry !== undefined && incarnation < entry.incarnation) {
+		return entry;
+	}
+
+	const base = entry?.incarnation === incarnation ? entry : createEntry(id, incarnation, now);
+	const known = base.parts.find(({slot}) => slot === part.slot);
+	if (part.slot >= maxParts || (known !== undefined && known.version >= part.version)) {
+		return entry;
+	}
+
+	const parts = replaceParts(base.parts, [part]);
+	return {...base, parts, partsHash: hashParts(parts)};
+}
+
+function mergeStatus(entry: MemberEntry | undefined, update: StatusUpdate, now: number): MemberEntry | undefined {
+	return entry?.incarnation === update.incarnation && isNewerStatus(update, entry)
+		? {
+			...entry, refutation: update.refutation, status: update.status, statusAt: now, isUnheard: false,
+		}
+		: entry;
+}
+
+/** Merges one change; returns the same entry when it says nothing new. */
+export function mergeUpdate(entry: MemberEntry | undefined, update: MemberUpdate, now: number): MemberEntry | undefined {
+	return update.kind === 'part' ? mergePart(entry, update, now) : mergeStatus(entry, update, now);
+}
+
+/** Hashes all that an entry says, for digests. */
+export function hashEntry({id, incarnation, refutation, partsHash}: MemberEntry): number {
+	return hashText(`${id}:${incarnation}:${refutation}:${partsHash}`);
+}
--- /dev/null
+++ b/packages/members/src/message-codec.ts
@@ -0,0 +1,184 @@
+/** Messages between members as datagrams. */
+import {Encoder} from 'cbor-x';
+import {Left, Right, type Either} from 'purify-ts';
+import {z} from 'zod';
+import {createFailure, type Failure} from '@limpetbarrow/core';
+import {digestBuckets, maxParts} from './constants.js';
+import {type MemberMessage} from './message.js';
+import {
+	firstServerSlot, poisonSlot, profileSlot, releaseSlot, type PartValue,
+} from './record-parts.js';
+import {type MemberUpdate} from './types.js';
+
+const codec = new Encoder({useRecords: false, mapsAsObjects: true});
+const messageKinds = ['ping', 'ack', 'indirect', 'rumor', 'digest', 'summary', 'pull', 'parts'] as const;
+const statuses = ['alive', 'suspect', 'dead'] as const;
+const maxListItems = 1024;
+
+const shortKeys: ReadonlyMap<string, string> = new Map([
+	['id', 'i'], ['service', 's'], ['slots', 'n'], ['state', 't'], ['generation', 'g'], ['badness', 'b'],
+]);
+const longKeys: ReadonlyMap<string, string> = new Map([...shortKeys].map(([long, short]) => [short, long]));
+
+const idSchema = z.string().min(1).max(63);
+const countSchema = z.int().min(0);
+const addressSchema = z.object({host: z.string().min(1).max(63), port: z.int().min(0).max(65_535)});
+const statusSchema = z.int().min(0).max(statuses.length - 1).transform(index => statuses[index]!);
+
+const profileSchema = z.looseObject({
+	placement: z.object({region: z.string().max(63), failureDomain: z.string().max(63)}),
+	linkAddress: addressSchema,
+	gossipAddress: addressSchema,
+	ingressAddress: addressSchema,
+	adminAddress: addressSchema,
+	state: z.enum(['serving', 'stopping']),
+});
+
+const serverSchema = z.looseObject({
+	id: idSchema,
+	service: z.string().min(1).max(63),
+	slots: z.int().min(1),
+	state: z.enum(['ready', 'warming', 'probation', 'ejected', 'leaving']),
+	generation: countSchema,
+	badness: z.number(),
+});
+
+const poisonSchema = z.array(z.looseObject({
+	fingerprint: z.string().max(128),
+	serverIds: z.array(z.string().max(63)).max(16),
+	expiresAt: z.number(),
+})).max(64);
+
+const senderSchema = z.tuple([idSchema, countSchema, countSchema])
+	.transform(([id, incarnation, refutation]) => ({id, incarnation, refutation}));
+
+const statusUpdateSchema = z.tuple([idSchema, countSchema, countSchema, statusSchema]).transform(([id, incarnation, refutation, status]) => ({
+	kind: 'status' as const, id, incarnation, refutation, status,
+}));
+
+const partUpdateSchema = z.tuple([idSchema, countSchema, z.int().min(0).max(maxParts - 1), countSchema, z.unknown()])
+	.transform(([id, incarnation, slot, version, value], context) => {
+		const result = selectValueSchema(slot).safeParse(toLongKeys(slot, value));
+		if (!result.success) {
+			context.addIssue({code: 'custom', message: `the value of slot ${slot} is not valid`});
+			return z.NEVER;
+		}
+
+		return {
+			kind: 'part' as const, id, incarnation, part: {slot, version, value: result.data as PartValue},
+		};
+	});
+
+const updatesSchema = z.array(z.union([statusUpdateSchema, partUpdateSchema])).max(maxListItems);
+const summarySchema = z.tuple([idSchema, countSchema, countSchema, statusSchema, countSchema])
+	.transform(([id, incarnation, refutation, status, partsHash]) => ({
+		id, incarnation, refutation, status, partsHash,
+	}));
+const wantSchema = z.tuple([idSchema, countSchema, z.array(countSchema).max(2 * maxParts)])
+	.transform(([id, incarnation, versions]) => ({id, incarnation, versions}));
+
+const messageSchema = z.union([
+	z.tuple([z.int().min(0).max(1), senderSchema, countSchema, updatesSchema])
+		.transform(([kind, sender, sequence, updates]) => ({
+			kind: messageKinds[kind]! as 'ping' | 'ack', sender, sequence, updates,
+		})),
+	z.tuple([z.literal(2), senderSchema, countSchema, addressSchema])
+		.transform(([, sender, sequence, target]) => ({
+			kind: 'indirect' as const, sender, sequence, target,
+		})),
+	z.tuple([z.literal(3), senderSchema, updatesSchema])
+		.transform(([, sender, updates]) => ({kind: 'rumor' as const, sender, updates})),
+	z.tuple([z.literal(4), senderSchema, z.array(countSchema).length(digestBuckets)])
+		.transform(([, sender, buckets]) => ({kind: 'digest' as const, sender, buckets})),
+	z.tuple([z.literal(5), senderSchema, z.array(summarySchema).max(maxListItems)])
+		.transform(([, sender, entries]) => ({kind: 'summary' as const, sender, entries})),
+	z.tuple([z.literal(6), senderSchema, z.array(wantSchema).max(maxListItems)])
+		.transform(([, sender, wants]) => ({kind: 'pull' as const, sender, wants})),
+	z.tuple([z.literal(7), senderSchema, updatesSchema])
+		.transform(([, sender, updates]) => ({kind: 'parts' as const, sender, updates})),
+]);
+
+function selectValueSchema(slot: number): z.ZodType {
+	if (slot === profileSlot) {
+		return profileSchema;
+	}
+
+	if (slot === releaseSlot) {
+		return countSchema;
+	}
+
+	return slot === poisonSlot ? poisonSchema : serverSchema.optional();
+}
+
+function replaceKeys(value: unknown, keys: ReadonlyMap<string, string>): unknown {
+	return typeof value === 'object' && value !== null
+		? Object.fromEntries(Object.entries(value).map(([key, item]) => [keys.get(key) ?? key, item as unknown]))
+		: value;
+}
+
+function toLongKeys(slot: number, value: unknown): unknown {
+	return slot >= firstServerSlot ? replaceKeys(value, longKeys) ?? undefined : value;
+}
+
+function flattenUpdate(update: MemberUpdate): readonly unknown[] {
+	if (update.kind === 'status') {
+		return [update.id, update.incarnation, update.refutation, statuses.indexOf(update.status)];
+	}
+
+	const {slot, version, value} = update.part;
+
+	return [update.id, update.incarnation, slot, version, slot >= firstServerSlot ? replaceKeys(value, shortKeys) ?? null : value];
+}
+
+function flattenBody(message: MemberMessage): readonly unknown[] {
+	switch (message.kind) {
+		case 'ping':
+		case 'ack': {
+			return [message.sequence, message.updates.map(update => flattenUpdate(update))];
+		}
+
+		case 'indirect': {
+			return [message.sequence, message.target];
+		}
+
+		case 'rumor':
+		case 'parts': {
+			return [message.updates.map(update => flattenUpdate(update))];
+		}
+
+		case 'digest': {
+			return [message.buckets];
+		}
+
+		case 'summary': {
+			return [message.entries.map(({id, incarnation, refutation, status, partsHash}) => [id, incarnation, refutation, statuses.indexOf(status), partsHash])];
+		}
+
+		case 'pull': {
+			return [message.wants.map(({id, incarnation, versions}) => [id, incarnation, versions])];
+		}
+	}
+}
+
+/** Encodes a message. */
+export function encodeMessage(message: MemberMessage): Uint8Array {
+	const {id, incarnation, refutation} = message.sender;
+	return codec.encode([messageKinds.indexOf(message.kind), [id, incarnation, refutation], ...flattenBody(message)]);
+}
+
+/** Size of a change in a datagram, in bytes. */
+export function computeUpdateBytes(update: MemberUpdate): number {
+	return codec.encode(flattenUpdate(update)).length;
+}
+
+/** Decodes a datagram; anything that is not a message gives `gossipMalformed`. */
+export function decodeMessage(bytes: Uint8Array): Either<Failure, MemberMessage> {
+	try {
+		const result = messageSchema.safeParse(codec.decode(bytes));
+		return result.success
+			? Right(result.data as MemberMessage)
+			: Left(createFailure('gossipMalformed', result.error.issues.at(0)?.message ?? 'not a message'));
+	} catch (error) {
+		return Left(createFailure('gossipMalformed', String(error)));
+	}
+}
--- /dev/null
+++ b/packages/members/src/token-bucket.ts
@@ -0,0 +1,30 @@
+/** A budget that refills at a fixed rate. */
+
+const msPerS = 1000;
+
+/** Holds a budget; it may be overdrawn by what is taken. */
+export class TokenBucket {
+	readonly #rate: number;
+	readonly #burst: number;
+	#tokens: number;
+	#filledAt = performance.now();
+
+	constructor(perSecond: number, burst: number) {
+		this.#rate = perSecond / msPerS;
+		this.#burst = burst;
+		this.#tokens = burst;
+	}
+
+	/** What is left now; below zero when overdrawn. */
+	count(): number {
+		const now = performance.now();
+		this.#tokens = Math.min(this.#burst, this.#tokens + ((now - this.#filledAt) * this.#rate));
+		this.#filledAt = now;
+		return this.#tokens;
+	}
+
+	/** Takes from the budget, also what it doesn't hold. */
+	take(amount: number): void {
+		this.#tokens = this.count() - amount;
+	}
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -68,7 +68,7 @@
 		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
 		this.#links = new LinkPool(this.#table.self);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
-		this.#gossip = new Gossip(this.#table, settings.seeds);
+		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
 		const forwarder = this.#createForwarder();
 		this.#sequencer = new Sequencer(forwarder);
 		this.#ingress = this.#createIngress(forwarder);
--- a/packages/stand-ins/src/backend-faults.ts
+++ b/packages/stand-ins/src/backend-faults.ts
@@ -65,7 +65,7 @@
 
 /** Creates a generator of numbers from 0 to below 1 (Park and Miller); the same seed gives the same numbers. */
 export function createSeededRandom(seed: number): () => number {
-	let state = 1 + (Math.abs(Math.trunc(seed)) * randomFactor) % (randomModulus - 1);
+	let state = 1 + ((Math.abs(Math.trunc(seed)) * randomFactor) % (randomModulus - 1));
 	return () => {
 		state = (state * randomFactor) % randomModulus;
 		return (state - 1) / (randomModulus - 1);
