--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -36,13 +36,14 @@
 	readonly store: Store<MemberSnapshot>;
 	readonly self: NodeIdentity;
 
-	constructor(self: NodeRecord) {
+	/** `known` holds members known beforehand. */
+	constructor(self: NodeRecord, known: Pick<MemberSnapshot, 'members' | 'entries'> = {members: new Map(), entries: new Map()}) {
 		this.self = {id: self.id, incarnation: self.incarnation};
 		const parts = selectChangedParts(self, [], self.sequence);
 		const entry = {...createEntry(self.id, self.incarnation, performance.now()), parts, partsHash: hashParts(parts)};
 		this.store = new Store<MemberSnapshot>({
-			members: new Map([[self.id, {record: self, status: 'alive'}]]),
-			entries: new Map([[self.id, entry]]),
+			members: new Map<string, Member>([...known.members, [self.id, {record: self, status: 'alive'}]]),
+			entries: new Map([...known.entries, [self.id, entry]]),
 			graves: new Map(),
 		});
 	}
--- a/packages/members/src/merge-updates.ts
+++ b/packages/members/src/merge-updates.ts
@@ -1,6 +1,6 @@
 /** How one change alters what a node holds of a member. */
 import {
-	hashParts, hashText, replaceParts,
+	hashText, replacePartHash, replaceParts,
 } from './record-parts.js';
 import {maxParts} from './constants.js';
 import {
@@ -34,7 +34,7 @@
 	}
 
 	const parts = replaceParts(base.parts, [part]);
-	return {...base, parts, partsHash: hashParts(parts)};
+	return {...base, parts, partsHash: replacePartHash(base.partsHash, known, part)};
 }
 
 function mergeStatus(entry: MemberEntry | undefined, update: StatusUpdate, now: number): MemberEntry | undefined {
--- a/packages/members/src/record-parts.ts
+++ b/packages/members/src/record-parts.ts
@@ -4,6 +4,7 @@
  * Slot 0 is the profile, 1 the release, 2 the poison marks; each backend server has a slot from 3 on. A part carries the
  * record's sequence at its last change, so parts can arrive in any order and a lost one hides no other.
  */
+import {Buffer} from 'node:buffer';
 import {type NodeRecord, type PoisonMark, type ServerRecord} from '@limpetbarrow/core';
 
 /** What a record says of the node itself. */
@@ -31,7 +32,7 @@
 
 /** Hashes text to a number below 2^32. */
 export function hashText(text: string): number {
-	return [...text].reduce((hash, character) => ((hash * textFactor) + character.codePointAt(0)!) % hashModulus, 7);
+	return Buffer.from(text).reduce((hash, byte) => ((hash * textFactor) + byte) % hashModulus, 7);
 }
 
 function hashPart({slot, version}: RecordPart): number {
@@ -44,6 +45,12 @@
 	return parts.reduce((sum, part) => (sum + hashPart(part)) % hashModulus, 0);
 }
 
+/** The hash after one part took the place of another. */
+export function replacePartHash(hash: number, before: RecordPart | undefined, after: RecordPart): number {
+	const removed = before === undefined ? 0 : hashPart(before);
+	return (hash + hashModulus - removed + hashPart(after)) % hashModulus;
+}
+
 function selectProfile({placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state}: NodeRecord): Profile {
 	return {
 		placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state,
--- a/packages/members/src/update-queue.ts
+++ b/packages/members/src/update-queue.ts
@@ -12,16 +12,15 @@
 /** A batch above this size may be one change that alone exceeds it. */
 const maxSharedBytes = 1000;
 
+const smallestUpdateBytes = 16;
+const levelsPerPriority = 24;
+
 const ranks: Readonly<Record<UpdatePriority, number>> = {urgent: 0, normal: 1, quiet: 2};
 
 function getKey(update: MemberUpdate): string {
 	return update.kind === 'part' ? `${update.id}/${update.part.slot}` : `${update.id}/status`;
 }
 
-function compareUpdates(one: QueuedUpdate, other: QueuedUpdate): number {
-	return (ranks[one.priority] - ranks[other.priority]) || (one.sent - other.sent);
-}
-
 /** Chosen changes with their size. */
 export type UpdateBatch = {
 	readonly updates: readonly MemberUpdate[];
@@ -35,7 +34,9 @@
 
 /** Keeps each change until it was sent often enough; urgent and fresh ones go first. */
 export class UpdateQueue {
-	readonly #items = new Map<string, QueuedUpdate>();
+	/** Changes by priority and number of sends, in the order in which they go out. */
+	readonly #levels: ReadonlyArray<Map<string, QueuedUpdate>> = Array.from({length: 3 * levelsPerPriority}, () => new Map<string, QueuedUpdate>());
+	readonly #levelByKey = new Map<string, number>();
 	readonly #measureBytes: (update: MemberUpdate) => number;
 
 	constructor(measureBytes: (update: MemberUpdate) => number) {
@@ -44,55 +45,66 @@
 
 	/** Adds a change in place of an older one of the same subject. */
 	add(update: MemberUpdate, priority: UpdatePriority): void {
-		const key = getKey(update);
-		this.#items.delete(key);
-		this.#items.set(key, {
+		this.#set({
 			update, priority, bytes: this.#measureBytes(update), sent: 0,
 		});
-		if (this.#items.size > maxQueuedUpdates) {
-			const [oldest] = this.#items.keys();
-			this.#items.delete(oldest!);
+		if (this.#levelByKey.size > maxQueuedUpdates) {
+			const [oldest] = this.#levelByKey.keys();
+			this.#remove(oldest!);
 		}
 	}
 
 	count(): number {
-		return this.#items.size;
+		return this.#levelByKey.size;
 	}
 
 	hasUrgent(): boolean {
-		return [...this.#items.values()].some(({priority}) => priority === 'urgent');
+		return this.#levels.slice(0, levelsPerPriority).some(level => level.size > 0);
 	}
 
 	/** Takes changes of at most `maxBytes` to be sent to `receivers` members; `isUrgentOnly` leaves the others. */
 	take(maxBytes: number, receivers: number, members: number, isUrgentOnly = false): UpdateBatch {
-		if (this.#items.size === 0) {
-			return {updates: [], bytes: 0};
-		}
-
-		const waiting = [...this.#items.values()].filter(({priority}) => !isUrgentOnly || priority === 'urgent');
+		const levels = (isUrgentOnly ? this.#levels.slice(0, levelsPerPriority) : this.#levels).filter(level => level.size > 0);
 		let bytes = 0;
-		const chosen = waiting.toSorted(compareUpdates).filter(item => {
-			const isLone = bytes === 0 && item.bytes > maxBytes && maxBytes > maxSharedBytes;
-			if (bytes + item.bytes > maxBytes && !isLone) {
-				return false;
-			}
-
-			bytes += item.bytes;
-			return true;
-		});
+		const chosen = levels.flatMap(level => bytes > maxBytes - smallestUpdateBytes
+			? []
+			: [...level.values()].filter(item => {
+				const isLone = bytes === 0 && item.bytes > maxBytes && maxBytes > maxSharedBytes;
+				if (bytes + item.bytes > maxBytes && !isLone) {
+					return false;
+				}
+
+				bytes += item.bytes;
+				return true;
+			}));
 		chosen.forEach(item => {
 			this.#recordSent(item, receivers, members);
 		});
 		return {updates: chosen.map(({update}) => update), bytes};
 	}
 
+	#set(item: QueuedUpdate): void {
+		const key = getKey(item.update);
+		const level = (ranks[item.priority] * levelsPerPriority) + Math.min(item.sent, levelsPerPriority - 1);
+		this.#remove(key);
+		this.#levelByKey.set(key, level);
+		this.#levels[level]!.set(key, item);
+	}
+
+	#remove(key: string): void {
+		const level = this.#levelByKey.get(key);
+		if (level !== undefined) {
+			this.#levelByKey.delete(key);
+			this.#levels[level]!.delete(key);
+		}
+	}
+
 	#recordSent(item: QueuedUpdate, receivers: number, members: number): void {
 		const sent = item.sent + receivers;
-		const key = getKey(item.update);
 		if (sent >= computeTransmissions(item.priority, members)) {
-			this.#items.delete(key);
+			this.#remove(getKey(item.update));
 		} else {
-			this.#items.set(key, {...item, sent});
+			this.#set({...item, sent});
 		}
 	}
 }
