--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,6 +2,8 @@
 import {measureLatency} from './latency.js';
 import {measureLink} from './link.js';
 
+import {measureMembership} from './membership.js';
+
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
 
@@ -9,4 +11,5 @@
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
 	['link', measureLink],
 	['latency', measureLatency],
+	['membership', measureMembership],
 ]);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -75,7 +75,7 @@
 		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
 		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
-		this.#gossip = new Gossip(this.#table, settings.seeds);
+		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
 		const forwarder = this.#createForwarder();
 		this.#sequencer = new Sequencer(forwarder);
 		this.#ingress = this.#createIngress(forwarder);
