Sequence keyed requests at the home named in the terms

Cause: the first sequencer took any key, dropped the record of a refused key, kept no bound but time, stalled when the first caller had gone, and an earlier send of a key still on its way could run after a later one was told "not run". Ruled out: dropping the record after a refusal (an earlier send may come after it) and bounding that by time (a paused ingress or a healing network delivers a send at any age). The record stays; only a higher attempt, counted by the caller in limpetbarrow-attempt, may run again. Verification of terms and home is done at the home itself, so a stale view or an ingress without signing keys can't lead to a run elsewhere.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -32,3 +32,9 @@
 
 /** Header with the id of a request, for logs and traces. */
 export const requestIdHeader = 'limpetbarrow-request-id';
+
+/** Header with the number of this send of an idempotency key, counted by the caller from 1. */
+export const attemptHeader = 'limpetbarrow-attempt';
+
+/** Header of an answer that asks the caller to renew its terms, since their home is stopping. */
+export const renewHeader = 'limpetbarrow-renew';
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -41,6 +41,8 @@
 
 	// Terms and limits
 	keysLoaded: {number: 501, level: 'info', meaning: 'Signing keys of terms were loaded.'},
+	keysNotLoaded: {number: 502, level: 'warn', meaning: 'Signing keys of terms could not be loaded; the known ones stay in use.'},
+	termsIssued: {number: 503, level: 'debug', meaning: 'Terms were issued or renewed.'},
 
 	// Releases
 	releaseInForce: {number: 601, level: 'info', meaning: 'A release is in force on this node.'},
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -123,6 +123,15 @@
 	homeUnreachable: {
 		code: 4005, status: 503, ran: 'unknown', resend: 'same-key', meaning: 'The node that keeps the key cannot be reached.',
 	},
+	keysFull: {
+		code: 4006, status: 503, ran: 'not-run', resend: 'later', meaning: 'The node that keeps the key keeps no more keys now.',
+	},
+	homeGone: {
+		code: 4007, status: 503, ran: 'not-run', resend: 'never', meaning: 'The home of the key cannot be reached and this first send was not run; renew the terms and use a new key.',
+	},
+	keyUndecided: {
+		code: 4008, status: 503, ran: 'unknown', resend: 'same-key', meaning: 'This send was not run; an earlier send of the key may still be on its way.',
+	},
 
 	// Terms and limits
 	termsInvalid: {
--- a/packages/limits/src/issue-terms.ts
+++ b/packages/limits/src/issue-terms.ts
@@ -1,6 +1,7 @@
 /** Issues and renews terms. */
 import {createRandomId, type NodeIdentity} from '@limpetbarrow/core';
 import {type Organisation, type TermsOffer} from '@limpetbarrow/releases';
+import {minHeldShare} from './constants.js';
 import {type Terms} from './terms-token.js';
 
 /** What terms are issued from. */
@@ -11,30 +12,39 @@
 	readonly home: NodeIdentity;
 	/** The terms being renewed, if any. */
 	readonly previous?: Terms;
-	/** True while the service has no capacity to spare; renewed terms then do not grow. */
+	/** True while the fleet has no capacity to spare; renewed terms then do not grow. */
 	readonly isShedding: boolean;
 	/** Unix milliseconds. */
 	readonly now: number;
 };
 
-function computeRenewals({previous, isShedding}: TermsRequest): number {
-	const held = previous?.renewals ?? 0;
-	return previous && !isShedding ? held + 1 : held;
+/** Terms grow only when held for a while, so that renewing in a loop gains nothing. */
+function computeRenewals({previous, isShedding, now}: TermsRequest): number {
+	if (!previous) {
+		return 0;
+	}
+
+	const {renewals, issuedAt, expiresAt} = previous;
+	const isHeldLongEnough = now - issuedAt >= (expiresAt - issuedAt) * minHeldShare;
+	return renewals + (isHeldLongEnough && !isShedding ? 1 : 0);
 }
 
 /** Issues terms; each renewal multiplies rate and timeout by the offer's growth, up to its top. */
 export function issueTerms(request: TermsRequest): Terms {
-	const {organisation, offer, home, now} = request;
+	const {organisation, offer, home, now, previous} = request;
 	const renewals = computeRenewals(request);
 	const factor = offer.growth ** renewals;
+	const id = createRandomId();
 	return {
-		id: createRandomId(),
+		id,
+		caller: previous?.caller ?? id,
 		organisation: organisation.name,
 		kind: offer.name,
 		rate: Math.min(offer.topRate, offer.initialRate * factor),
 		timeoutMs: Math.round(Math.min(offer.topTimeoutMs, offer.initialTimeoutMs * factor)),
 		home,
 		renewals,
+		issuedAt: now,
 		expiresAt: now + offer.lifetimeMs,
 	};
 }
--- a/packages/limits/src/terms-token.ts
+++ b/packages/limits/src/terms-token.ts
@@ -3,11 +3,13 @@
 import {createHmac, timingSafeEqual} from 'node:crypto';
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
-import {createFailure, type Failure} from '@limpetbarrow/core';
+import {createFailure, foldResult, type Failure} from '@limpetbarrow/core';
 
 const termsSchema = z.strictObject({
 	/** Id of these terms; idempotency keys start with it. */
 	id: z.string().regex(/^[\w\-]{1,32}$/v),
+	/** Stays the same over renewals; limits are keyed on it. */
+	caller: z.string().regex(/^[\w\-]{1,32}$/v),
 	organisation: z.string().min(1).max(63),
 	/** Name of the kind of caller. */
 	kind: z.string().min(1).max(63),
@@ -20,6 +22,8 @@
 	/** Renewals so far. */
 	renewals: z.int().min(0),
 	/** Unix milliseconds. */
+	issuedAt: z.int(),
+	/** Unix milliseconds. */
 	expiresAt: z.int(),
 }).readonly();
 
@@ -57,21 +61,45 @@
 	}
 }
 
-/** Checks a token's form, signature and expiry. */
-export function verifyTerms(token: string, keys: readonly SigningKey[], now: number): Either<Failure, Terms> {
-	const [keyId, payload, signature, ...rest] = token.split('.');
-	if (token.length > maxTokenLength || !keyId || !payload || !signature || rest.length > 0) {
-		return Left(createFailure('termsInvalid', 'the token is malformed'));
-	}
+type TokenParts = {
+	readonly keyId: string;
+	readonly payload: string;
+	readonly signature: string;
+};
 
-	const key = keys.find(({id}) => id === keyId);
+function parseParts(token: string): Either<Failure, TokenParts> {
+	const [keyId, payload, signature, ...rest] = token.length > maxTokenLength ? [] : token.split('.');
+	return !keyId || !payload || !signature || rest.length > 0
+		? Left(createFailure('termsInvalid', 'the token is malformed'))
+		: Right({keyId, payload, signature});
+}
+
+function isSignedBy(key: SigningKey, {keyId, payload, signature}: TokenParts): boolean {
 	const given = Buffer.from(signature, 'base64url');
-	const expected = key && signText(key, `${keyId}.${payload}`);
-	if (given.length !== expected?.length || !timingSafeEqual(given, expected)) {
-		return Left(createFailure('termsInvalid', 'the signature is wrong'));
-	}
+	const expected = signText(key, `${keyId}.${payload}`);
+	return given.length === expected.length && timingSafeEqual(given, expected);
+}
 
-	return parsePayload(payload).chain(terms => terms.expiresAt > now
+/** Id of the key a token names; undefined when the token is malformed. */
+export function findKeyId(token: string): string | undefined {
+	return foldResult(parseParts(token), () => undefined, ({keyId}) => keyId);
+}
+
+/** Checks a token's form and signature, not its expiry. */
+export function readTerms(token: string, keys: readonly SigningKey[]): Either<Failure, Terms> {
+	return parseParts(token).chain(parts => keys.some(key => key.id === parts.keyId && isSignedBy(key, parts))
+		? parsePayload(parts.payload)
+		: Left(createFailure('termsInvalid', 'the signature is wrong')));
+}
+
+/** Checks a token's form, signature and expiry. */
+export function verifyTerms(token: string, keys: readonly SigningKey[], now: number): Either<Failure, Terms> {
+	return readTerms(token, keys).chain(terms => terms.expiresAt > now
 		? Right(terms)
 		: Left(createFailure('termsExpired', `expired at ${new Date(terms.expiresAt).toISOString()}`)));
 }
+
+/** Reads the terms of a token without checking who signed it; for finding the home, which checks it. */
+export function parseUnverifiedTerms(token: string): Either<Failure, Terms> {
+	return parseParts(token).chain(({payload}) => parsePayload(payload));
+}
--- /dev/null
+++ b/packages/node/src/home-router.ts
@@ -0,0 +1,81 @@
+/** Finds the way to the home of a keyed request. */
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RequestHead, type ResultName,
+} from '@limpetbarrow/core';
+import {type LinkPeer} from '@limpetbarrow/link';
+import {type Terms} from '@limpetbarrow/limits';
+import {type Member} from '@limpetbarrow/members';
+import {type IngressRequest} from './ingress-request.js';
+import {parseAttempt} from './keyed-request.js';
+
+/** What a home router works with. */
+export type HomeRouterOptions = {
+	readonly self: NodeIdentity;
+	readonly sequencer: Carrier;
+	readonly forwarder: Carrier;
+	readonly findMember: (id: string) => Member | undefined;
+	readonly getLink: (peer: LinkPeer) => Carrier;
+};
+
+const linkFailures: ReadonlySet<ResultName> = new Set(['linkUnreachable', 'linkLost', 'malformedFrame', 'frameTooLarge']);
+
+/**
+ * The link to a home. Whatever the link says of a request, the home may have got it, so that a failure of the link never
+ * counts as "not run" for a key.
+ */
+class HomeLink extends Carrier {
+	readonly #link: Carrier;
+
+	constructor(link: Carrier) {
+		super();
+		this.#link = link;
+	}
+
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		return this.#link.openExchange(head, {
+			...handler,
+			handleFailure(failure) {
+				handler.handleFailure(linkFailures.has(failure.name)
+					? createFailure('homeUnreachable', `${failure.code} ${failure.name}: ${failure.detail}`)
+					: failure);
+			},
+		});
+	}
+}
+
+/** Sends keyed requests to the run of the node that their terms name, and to no other. */
+export class HomeRouter {
+	readonly #options: HomeRouterOptions;
+
+	constructor(options: HomeRouterOptions) {
+		this.#options = options;
+	}
+
+	selectNext(request: IngressRequest, terms: Terms | undefined): Either<Failure, Carrier> {
+		if (request.idempotencyKey === undefined || !terms) {
+			return Right(this.#options.forwarder);
+		}
+
+		return this.findHome(terms.home).mapLeft(failure => parseAttempt(request.headers).orDefault(0) === 1
+			? createFailure('homeGone', failure.detail)
+			: failure);
+	}
+
+	/** The carrier to the sequencer of a home. */
+	findHome(home: NodeIdentity): Either<Failure, Carrier> {
+		const {self, sequencer, findMember, getLink} = this.#options;
+		if (home.id === self.id && home.incarnation === self.incarnation) {
+			return Right(sequencer);
+		}
+
+		const member = findMember(home.id);
+		if (home.id === self.id || (member && member.record.incarnation > home.incarnation)) {
+			return Left(createFailure('keyOutcomeUnknown', `node ${home.id} was restarted since the terms were issued`));
+		}
+
+		return member?.record.incarnation === home.incarnation && member.status !== 'dead'
+			? Right(new HomeLink(getLink({identity: home, address: member.record.linkAddress})))
+			: Left(createFailure('homeUnreachable', `node ${home.id} is not known or does not answer`));
+	}
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,17 +1,15 @@
 /** One node of the fleet: ingress, egress, links, membership, releases and admin API in one process. */
 import process from 'node:process';
 import {
-	createFailure, MetricRegistry, type Carrier, type Logger, type NodeRecord, type RequestTarget,
+	MetricRegistry, type Carrier, type Logger, type NodeRecord, type RequestTarget,
 } from '@limpetbarrow/core';
 import {NearestChooser} from '@limpetbarrow/choose';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {Announcements, Gossip, MemberTable} from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/platform';
 import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
-import {Sequencer} from '@limpetbarrow/sequencer';
-import {Right} from 'purify-ts';
 import {Admin} from './admin.js';
-import {sendFailure} from './answer.js';
+import {CallerServices} from './caller-services.js';
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
 import {Ingress} from './ingress.js';
@@ -52,7 +50,7 @@
 	readonly #links: LinkPool;
 	readonly #linkServer: LinkServer;
 	readonly #gossip: Gossip;
-	readonly #sequencer: Sequencer;
+	readonly #callers: CallerServices;
 	readonly #ingress: Ingress;
 	readonly #admin: Admin;
 	#sweep: NodeJS.Timeout | undefined;
@@ -70,8 +68,17 @@
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
 		this.#gossip = new Gossip(this.#table, settings.seeds);
 		const forwarder = this.#createForwarder();
-		this.#sequencer = new Sequencer(forwarder);
-		this.#ingress = this.#createIngress(forwarder);
+		this.#callers = new CallerServices({
+			table: this.#table,
+			releases: this.#releases,
+			platform: this.#platform,
+			links: this.#links,
+			forwarder,
+			metrics: this.#metrics,
+			logger,
+			isStopping: () => this.#isStopping,
+		});
+		this.#ingress = this.#createIngress();
 		this.#admin = new Admin({
 			announcements: this.#announcements,
 			table: this.#table,
@@ -95,9 +102,10 @@
 		}));
 		this.#registerPublishing();
 		this.#follower.start();
+		this.#callers.start();
 		this.#sweep = setInterval(() => {
 			this.#announcements.sweep();
-			this.#sequencer.sweep();
+			this.#callers.sweep();
 		}, sweepMs);
 		this.#logger.log('nodeStarted', {ingress: `${ingressAddress.host}:${ingressAddress.port}`, admin: `${adminAddress.host}:${adminAddress.port}`});
 		return this.#table.getSelf();
@@ -118,6 +126,7 @@
 	async close(): Promise<void> {
 		clearInterval(this.#sweep);
 		this.#follower.stop();
+		this.#callers.stop();
 		this.#gossip.stop();
 		this.#ingress.close();
 		this.#admin.close();
@@ -137,13 +146,13 @@
 		});
 	}
 
-	#createIngress(forwarder: Forwarder): Ingress {
+	#createIngress(): Ingress {
 		return new Ingress({
 			releases: this.#releases,
-			admitRequest: () => Right(undefined),
-			selectNext: ({idempotencyKey}) => Right(idempotencyKey === undefined ? forwarder : this.#sequencer),
-			handleReserved(message, response) {
-				sendFailure(message, response, createFailure('unknownRoute', message.url ?? ''));
+			admitRequest: request => this.#callers.admitRequest(request),
+			selectNext: (request, terms) => this.#callers.selectNext(request, terms),
+			handleReserved: (message, response) => {
+				this.#callers.handleReserved(message, response);
 			},
 			metrics: this.#metrics,
 			logger: this.#logger,
@@ -151,7 +160,7 @@
 	}
 
 	#selectCarrier(target: RequestTarget): Carrier {
-		return target.kind === 'egress' ? this.#egress : this.#sequencer;
+		return target.kind === 'egress' ? this.#egress : this.#callers.home;
 	}
 
 	#findLink(nodeId: string): Carrier | undefined {
@@ -170,7 +179,7 @@
 	}
 
 	async #waitUntilIdle(bound: number): Promise<void> {
-		const isBusy = this.#ingress.countRequests() + this.#egress.countRequests() + this.#sequencer.countRunning() > 0;
+		const isBusy = this.#ingress.countRequests() + this.#egress.countRequests() + this.#callers.countRunning() > 0;
 		if (!isBusy || performance.now() > bound) {
 			return;
 		}
--- a/packages/sequencer/src/index.ts
+++ b/packages/sequencer/src/index.ts
@@ -1,3 +1,7 @@
 /** At-most-once requests. */
+export * from './constants.js';
 export * from './idempotency-key.js';
+export * from './pause-detector.js';
 export * from './sequencer.js';
+export * from './steady-clock.js';
+export type * from './types.js';
--- a/packages/sequencer/src/sequencer.ts
+++ b/packages/sequencer/src/sequencer.ts
@@ -3,179 +3,244 @@
  * as home in the terms, whose sequencer records a key before the request goes to any egress.
  */
 import {
-	Carrier, createFailure, Exchange, type ExchangeHandler, type Failure, type RequestHead, type ResponseHead,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, foldResult, type RequestHead,
 } from '@limpetbarrow/core';
+import {
+	keepAfterExpiryMs, keysFullRetryMs, maxAnswerBytes, maxWaitersPerKey,
+} from './constants.js';
+import {computeRecordBytes, KeyStore} from './key-store.js';
+import {KeyedRun} from './keyed-run.js';
+import {type PauseDetector} from './pause-detector.js';
+import {ResendExchange} from './resend-exchange.js';
+import {type SteadyClock} from './steady-clock.js';
+import {
+	type KeyBounds, type KeyedRequest, type KeyRecord, type ReadKey, type RunResult,
+} from './types.js';
+
+/** What a sequencer works with. */
+export type SequencerOptions = {
+	/** Chooses a backend server and carries the request to it. */
+	readonly next: Carrier;
+	readonly readKey: ReadKey;
+	readonly clock: SteadyClock;
+	readonly pauses: PauseDetector;
+	readonly bounds: KeyBounds;
+	readonly isStopping: () => boolean;
+};
 
-/** A whole answer that is kept for resends. */
-export type KeptAnswer = {
-	readonly head: ResponseHead;
-	readonly body: readonly Uint8Array[];
+type Waiter = {
+	readonly resend: ResendExchange;
+	readonly attempt: number;
+	readonly bodyDigest: string;
 };
 
-type Outcome
-	= | {readonly kind: 'running'; readonly waiters: ReadonlySet<ExchangeHandler>}
-		| {readonly kind: 'answer'; readonly answer: KeptAnswer}
-		| {readonly kind: 'failure'; readonly failure: Failure};
+function formatRequest({service, method, path}: RequestHead): string {
+	return `${service} ${method} ${path}`;
+}
 
-type KeyRecord = {
-	readonly outcome: Outcome;
-	/** Monotonic time, in milliseconds. */
-	readonly recordedAt: number;
-};
+function formatKey({termsId, part}: KeyedRequest): string {
+	return `${termsId}:${part}`;
+}
 
-const maxKeptBodyBytes = 65_536;
-const keepMs = 900_000;
+/** "Not run" may be said without a record only of the first send of a key; an earlier send might still come. */
+function replaceUnproven({attempt}: KeyedRequest, failure: Failure): Failure {
+	return attempt === 1 ? failure : createFailure('keyUndecided', failure.detail, failure.retryAfterMs);
+}
 
-class RecordedExchange extends Exchange {
-	readonly #inner: Exchange;
+function createReuseFailure(): Failure {
+	return createFailure('keyReused', 'the first request with this key had another method, path or body');
+}
 
-	constructor(inner: Exchange) {
+/** Keeps the outcome of each key in memory until the key's terms have ended. */
+export class Sequencer extends Carrier {
+	readonly #options: SequencerOptions;
+	readonly #store: KeyStore;
+	readonly #waiters = new Map<string, ReadonlySet<Waiter>>();
+	#running = 0;
+
+	constructor(options: SequencerOptions) {
 		super();
-		this.#inner = inner;
+		this.#options = options;
+		this.#store = new KeyStore(options.bounds);
 	}
 
-	override writeBody(chunk: Uint8Array): void {
-		this.#inner.writeBody(chunk);
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		return foldResult(
+			this.#options.readKey(head),
+			failure => this.#refuse(handler, failure),
+			keyed => this.#open(head, keyed, handler),
+		);
 	}
 
-	override endBody(): void {
-		this.#inner.endBody();
+	/** Drops the keys of ended terms; returns how many. */
+	sweep(): number {
+		return this.#store.sweep(this.#options.clock.getNow() - keepAfterExpiryMs);
 	}
 
-	override grantCredit(bytes: number): void {
-		this.#inner.grantCredit(bytes);
+	/** Number of keys whose request is running. */
+	countRunning(): number {
+		return this.#running;
 	}
 
-	/** The run goes on without its caller, so that a resend finds the outcome. */
-	override cancel(): void {
-		// Nothing to cancel.
+	countKeys(): number {
+		return this.#store.countKeys();
 	}
-}
 
-class ReplayExchange extends Exchange {
-	override writeBody(_chunk: Uint8Array): void {
-		// The body of a resend is not needed.
+	countBytes(): number {
+		return this.#store.countBytes();
 	}
 
-	override endBody(): void {
-		// The body of a resend is not needed.
-	}
+	#open(head: RequestHead, keyed: KeyedRequest, handler: ExchangeHandler): Exchange {
+		const record = this.#store.find(keyed);
+		if (!record) {
+			return this.#openNew(head, keyed, handler, -1);
+		}
 
-	override grantCredit(_bytes: number): void {
-		// Kept answers fit the first window.
-	}
+		if (record.request !== formatRequest(head)) {
+			return this.#refuse(handler, createReuseFailure());
+		}
 
-	override cancel(): void {
-		// Nothing to cancel.
+		return record.outcome.kind === 'refused' && keyed.attempt > record.refusedAttempt
+			? this.#openNew(head, keyed, handler, record.refusedAttempt)
+			: this.#openResend(keyed, handler);
 	}
-}
 
-/** Keeps the outcome of each key in memory for the life of the process, bounded by time. */
-export class Sequencer extends Carrier {
-	readonly #next: Carrier;
-	readonly #records = new Map<string, KeyRecord>();
+	/** Runs a key that has no run, unless something forbids it. */
+	#openNew(head: RequestHead, keyed: KeyedRequest, handler: ExchangeHandler, refusedAttempt: number): Exchange {
+		const {clock, pauses, isStopping, next} = this.#options;
+		if (clock.getNow() >= keyed.expiresAt) {
+			return this.#refuse(handler, createFailure('keyOutcomeUnknown', 'the terms of the key have ended and no outcome is kept'));
+		}
 
-	/** `next` chooses a backend server and carries the request to it. */
-	constructor(next: Carrier) {
-		super();
-		this.#next = next;
-	}
+		const bytes = computeRecordBytes(keyed, 0);
+		if (!this.#store.hasRoom(keyed, bytes + ((this.#running + 1) * maxAnswerBytes))) {
+			return this.#refuse(handler, replaceUnproven(keyed, createFailure('keysFull', 'no more keys are kept now', keysFullRetryMs)));
+		}
 
-	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
-		const key = head.idempotencyKey ?? '';
-		const known = this.#records.get(key);
-		if (known) {
-			this.#replay(key, known, handler);
-			return new ReplayExchange();
+		if (pauses.isAfterPause()) {
+			return this.#refuseRecorded(head, keyed, handler, createFailure('deadlinePassed', 'the home was paused while the request waited'));
+		}
+
+		if (isStopping()) {
+			return this.#refuseRecorded(head, keyed, handler, createFailure('nodeStopping', 'renew the terms and use a new key'));
 		}
 
-		this.#records.set(key, {outcome: {kind: 'running', waiters: new Set()}, recordedAt: performance.now()});
-		return new RecordedExchange(this.#next.openExchange(head, this.#createRecorder(key, handler)));
+		const run = this.#createRun(keyed, handler);
+		this.#recordRun(head, keyed, run, refusedAttempt);
+		run.open(next, head);
+		return run;
 	}
 
-	/** Drops outcomes older than any terms they were recorded under. */
-	sweep(): void {
-		const oldest = performance.now() - keepMs;
-		[...this.#records]
-			.filter(([, {recordedAt, outcome}]) => recordedAt < oldest && outcome.kind !== 'running')
-			.forEach(([key]) => {
-				this.#records.delete(key);
-			});
+	#createRun(keyed: KeyedRequest, handler: ExchangeHandler): KeyedRun {
+		return new KeyedRun(handler, {
+			recordDigest: bodyDigest => {
+				this.#update(keyed, record => ({...record, bodyDigest}));
+			},
+			recordResult: result => {
+				this.#settle(keyed, result);
+			},
+		});
 	}
 
-	/** Number of keys whose request is running. */
-	countRunning(): number {
-		return [...this.#records.values()].filter(({outcome}) => outcome.kind === 'running').length;
+	#recordRun(head: RequestHead, keyed: KeyedRequest, run: KeyedRun, refusedAttempt: number): void {
+		this.#running++;
+		this.#store.set(keyed, {
+			request: formatRequest(head), bodyDigest: undefined, refusedAttempt, outcome: {kind: 'running', run}, bytes: computeRecordBytes(keyed, 0),
+		});
 	}
 
-	#replay(key: string, record: KeyRecord, handler: ExchangeHandler): void {
-		const {outcome} = record;
-		if (outcome.kind === 'running') {
-			this.#records.set(key, {...record, outcome: {kind: 'running', waiters: new Set([...outcome.waiters, handler])}});
-			return;
+	#openResend(keyed: KeyedRequest, handler: ExchangeHandler): Exchange {
+		if ((this.#waiters.get(formatKey(keyed))?.size ?? 0) >= maxWaitersPerKey) {
+			return this.#refuse(handler, createFailure('keyUndecided', 'too many sends of this key wait for its run'));
 		}
 
-		queueMicrotask(() => {
-			sendOutcome(outcome, handler);
+		const resend: ResendExchange = new ResendExchange(handler, bodyDigest => {
+			this.#answerResend(keyed, {resend, attempt: keyed.attempt, bodyDigest});
+		}, () => {
+			this.#removeWaiter(keyed, resend);
 		});
+		return resend;
 	}
 
-	#createRecorder(key: string, handler: ExchangeHandler): ExchangeHandler {
-		let head: ResponseHead | undefined;
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		return {
-			...handler,
-			handleHead(received) {
-				head = received;
-				handler.handleHead(received);
-			},
-			handleData(chunk) {
-				size += chunk.length;
-				if (size <= maxKeptBodyBytes) {
-					chunks.push(chunk);
-				}
+	#answerResend(keyed: KeyedRequest, waiter: Waiter): void {
+		const record = this.#store.find(keyed);
+		if (!record) {
+			waiter.resend.replay({kind: 'unknown', failure: createFailure('keyOutcomeUnknown', 'the terms of the key have ended')});
+			return;
+		}
 
-				handler.handleData(chunk);
-			},
-			handleEnd: () => {
-				this.#settle(key, size <= maxKeptBodyBytes
-					? {kind: 'answer', answer: {head: head!, body: chunks}}
-					: {kind: 'failure', failure: createFailure('answerNotKept', `the answer has ${size} bytes`)});
-				handler.handleEnd();
-			},
-			handleFailure: failure => {
-				this.#settle(key, {kind: 'failure', failure});
-				handler.handleFailure(failure);
-			},
-		};
+		if (record.outcome.kind === 'running') {
+			const key = formatKey(keyed);
+			this.#waiters.set(key, new Set([...this.#waiters.get(key) ?? [], waiter]));
+			return;
+		}
+
+		this.#replay(keyed, record.outcome, waiter);
 	}
 
-	/** Keeps the outcome and tells the waiters. A request that did not run leaves no record, so that it may be sent again. */
-	#settle(key: string, outcome: Exclude<Outcome, {readonly kind: 'running'}>): void {
-		const record = this.#records.get(key);
-		const waiters = record?.outcome.kind === 'running' ? [...record.outcome.waiters] : [];
-		if (outcome.kind === 'failure' && outcome.failure.ran === 'not-run') {
-			this.#records.delete(key);
+	/** A caller told "not run" is told so for all its attempts up to this one. */
+	#replay(keyed: KeyedRequest, result: RunResult, {resend, attempt, bodyDigest}: Waiter): void {
+		const record = this.#store.find(keyed)!;
+		const isOther = record.bodyDigest !== undefined && record.bodyDigest !== bodyDigest;
+		if (result.kind === 'refused') {
+			this.#update(keyed, known => ({...known, refusedAttempt: Math.max(known.refusedAttempt, attempt)}));
+		}
+
+		resend.replay(isOther ? {kind: 'refused', failure: createReuseFailure()} : result);
+	}
+
+	#removeWaiter(keyed: KeyedRequest, resend: ResendExchange): void {
+		const key = formatKey(keyed);
+		const rest = [...this.#waiters.get(key) ?? []].filter(waiter => waiter.resend !== resend);
+		if (rest.length > 0) {
+			this.#waiters.set(key, new Set(rest));
 		} else {
-			this.#records.set(key, {outcome, recordedAt: performance.now()});
+			this.#waiters.delete(key);
 		}
+	}
 
+	#settle(keyed: KeyedRequest, result: RunResult): void {
+		const key = formatKey(keyed);
+		const waiters = [...this.#waiters.get(key) ?? []];
+		this.#waiters.delete(key);
+		this.#running--;
+		this.#update(keyed, record => ({
+			...record,
+			outcome: result,
+			refusedAttempt: result.kind === 'refused' ? Math.max(record.refusedAttempt, keyed.attempt, ...waiters.map(({attempt}) => attempt)) : record.refusedAttempt,
+			bytes: computeRecordBytes(keyed, countAnswerBytes(result)),
+		}));
 		waiters.forEach(waiter => {
-			sendOutcome(outcome, waiter);
+			this.#replay(keyed, result, waiter);
 		});
 	}
-}
 
-function sendOutcome(outcome: Exclude<Outcome, {readonly kind: 'running'}>, handler: ExchangeHandler): void {
-	if (outcome.kind === 'failure') {
-		handler.handleFailure(outcome.failure);
-		return;
+	#update(keyed: KeyedRequest, change: (record: KeyRecord) => KeyRecord): void {
+		const record = this.#store.find(keyed);
+		if (record) {
+			this.#store.set(keyed, change(record));
+		}
+	}
+
+	#refuseRecorded(head: RequestHead, keyed: KeyedRequest, handler: ExchangeHandler, failure: Failure): Exchange {
+		this.#store.set(keyed, {
+			request: formatRequest(head), bodyDigest: undefined, refusedAttempt: keyed.attempt, outcome: {kind: 'refused', failure}, bytes: computeRecordBytes(keyed, 0),
+		});
+		return this.#refuse(handler, failure);
 	}
 
-	handler.handleHead(outcome.answer.head);
-	outcome.answer.body.forEach(chunk => {
-		handler.handleData(chunk);
-	});
-	handler.handleEnd();
+	/** Refuses after the current turn. */
+	#refuse(handler: ExchangeHandler, failure: Failure): Exchange {
+		const resend = new ResendExchange(handler, () => undefined, () => undefined);
+		queueMicrotask(() => {
+			resend.replay({kind: 'refused', failure});
+		});
+		return resend;
+	}
+}
+
+function countAnswerBytes(result: RunResult): number {
+	return result.kind === 'answer'
+		? result.answer.body.reduce((sum, {length}) => sum + length, 0) + result.answer.head.headers.reduce((sum, {length}) => sum + length, 0)
+		: 0;
 }
