--- a/packages/sequencer/src/__tests__/unit/fakes.ts
+++ b/packages/sequencer/src/__tests__/unit/fakes.ts
@@ -15,6 +15,7 @@
 export class FakeRun extends Exchange {
 	readonly head: RequestHead;
 	readonly handler: ExchangeHandler;
+	readonly startedAt = Date.now();
 	body = '';
 	granted = 0;
 	isCancelled = false;
--- a/packages/sequencer/src/sequencer.ts
+++ b/packages/sequencer/src/sequencer.ts
@@ -207,7 +207,7 @@
 		this.#update(keyed, record => ({
 			...record,
 			outcome: result,
-			refusedAttempt: result.kind === 'refused' ? Math.max(record.refusedAttempt, keyed.attempt, ...waiters.map(({attempt}) => attempt)) : record.refusedAttempt,
+			refusedAttempt: result.kind === 'refused' ? keyed.attempt : record.refusedAttempt,
 			bytes: computeRecordBytes(keyed, countAnswerBytes(result)),
 		}));
 		waiters.forEach(waiter => {
