Limit callers by reports of use to their home

Cause: limits were kept by each node alone, so a caller got its rate once at every node. Ruled out: batches (they cost two messages a request at the average of 4 requests a second an organisation and refuse entitled ones), a share of the rate for each node. Conclusion: every node lets in at the whole rate and reports use after the fact; the home says when to refuse; without a home the node's own bucket stands.

--- a/packages/limits/src/batch-rate-limiter.ts
+++ b/packages/bench/src/batch-rate-limiter.ts
@@ -1,13 +1,18 @@
-/** Limits shared by all nodes: permits are taken in batches from the caller's home. */
+/** The baseline that was not kept: permits are taken in batches from the caller's home. */
 import {Left, Right, type Either} from 'purify-ts';
 import {type Failure} from '@limpetbarrow/core';
 import {
-	batchMs, homeAnswerMs, homeRetryMs, maxBuckets, msPerS, permitLifetimeMs,
-} from './constants.js';
-import {
-	computeBucketRate, createLimitFailure, LocalRateLimiter, RateLimiter, type LimitedCaller,
-} from './rate-limiter.js';
-import {TokenBuckets} from './token-buckets.js';
+	computeBucketRate, createLimitFailure, LocalRateLimiter, maxBuckets, msPerS, RateLimiter, TokenBuckets, type LimitedCaller,
+} from '@limpetbarrow/limits';
+
+/** Time of a caller's allowance that one batch of permits covers, in milliseconds. */
+const batchMs = 250;
+/** Time after which permits taken from the home and not used are given up, in milliseconds. */
+const permitLifetimeMs = 1000;
+/** Time without an answer after which the home counts as not answering, in milliseconds. */
+const homeAnswerMs = 250;
+/** Time between two tries to reach a home that does not answer, in milliseconds. */
+const homeRetryMs = 1000;
 
 /** Grants permits out of the one bucket of each caller whose home this node is. */
 export class PermitHome {
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -6,17 +6,23 @@
 /** Most callers whose limits a node holds. */
 export const maxBuckets = 50_000;
 
-/** Time of a caller's allowance that one batch of permits covers, in milliseconds. */
-export const batchMs = 250;
+/** Time between two reports on a caller that is well within its terms, in milliseconds. */
+export const quietReportMs = 5000;
 
-/** Time after which permits taken from the home and not used are given up, in milliseconds. */
-export const permitLifetimeMs = 1000;
+/** Time between two reports on a caller that is close to its terms' rate, in milliseconds. */
+export const pressedReportMs = 250;
 
-/** Time without an answer after which the home counts as not answering, in milliseconds. */
-export const homeAnswerMs = 250;
+/** Least number of requests that is reported before the time is up while a caller is well within its terms. */
+export const minReport = 4;
 
-/** Time between two tries to reach a home that does not answer, in milliseconds. */
-export const homeRetryMs = 1000;
+/** Time after which a report without answer is followed by another, in milliseconds. */
+export const reportRetryMs = 1000;
+
+/** Time of a caller's rate that its account at the home holds at most, in milliseconds. */
+export const homeCapacityMs = 6000;
+
+/** Time of a caller's rate that its account may be overdrawn by, in milliseconds. */
+export const maxDebtMs = 6000;
 
 /** Share of their lifetime that terms must have been held before a renewal makes them more generous. */
 export const minHeldShare = 0.5;
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,7 +1,7 @@
 /** Signed terms and rate limits. */
-export * from './batch-rate-limiter.js';
 export * from './constants.js';
 export * from './issue-terms.js';
 export * from './rate-limiter.js';
+export * from './shared-rate-limiter.js';
 export * from './terms-token.js';
 export * from './token-buckets.js';
--- a/packages/node/src/caller-services.ts
+++ b/packages/node/src/caller-services.ts
@@ -5,7 +5,7 @@
 	type Carrier, type Failure, type Logger, type MetricRegistry, type NodeIdentity,
 } from '@limpetbarrow/core';
 import {type LinkPool} from '@limpetbarrow/link';
-import {LocalRateLimiter, type Terms} from '@limpetbarrow/limits';
+import {SharedRateLimiter, type Terms} from '@limpetbarrow/limits';
 import {type MemberTable} from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/platform';
 import {type ReleaseState} from '@limpetbarrow/releases';
@@ -20,6 +20,7 @@
 import {SheddingMonitor} from './shedding-monitor.js';
 import {TermsKeys} from './terms-keys.js';
 import {TermsService} from './terms-service.js';
+import {createReportUse, type HeldTerms} from './use-reports.js';
 
 /** What the services for callers work with. */
 export type CallerServicesOptions = {
@@ -40,7 +41,7 @@
 	readonly #options: CallerServicesOptions;
 	readonly #clock = new SteadyClock();
 	readonly #pauses = new PauseDetector();
-	readonly #limiter = new LocalRateLimiter();
+	readonly #limiter: SharedRateLimiter<HeldTerms>;
 	readonly #keys: TermsKeys;
 	readonly #sequencer: Sequencer;
 	readonly #admission: Admission;
@@ -54,7 +55,7 @@
 		this.#keys = new TermsKeys(options.platform, options.logger);
 		this.#shedding = new SheddingMonitor(metrics);
 		this.#sequencer = this.#createSequencer();
-		this.home = new HomeCarrier(this.#sequencer, isStopping);
+		this.home = new HomeCarrier(this.#sequencer, isStopping, () => this.#keys.listKeys());
 		this.#router = new HomeRouter({
 			self: table.self,
 			sequencer: this.home,
@@ -62,10 +63,11 @@
 			findMember: id => table.findMember(id),
 			getLink: peer => links.getLink(peer),
 		});
+		this.#limiter = new SharedRateLimiter(createReportUse(({home}) => this.#router.findHome(home)));
 		this.#admission = new Admission({
 			keys: this.#keys,
 			clock: this.#clock,
-			takePermit: terms => this.#limiter.takePermit(terms, performance.now()),
+			takePermit: (terms, token) => this.#limiter.takePermit({...terms, token}, performance.now()),
 		});
 		this.#terms = this.#createTermsService();
 		metrics.registerGauge('sequencer_keys', () => this.#sequencer.countKeys());
--- /dev/null
+++ b/packages/node/src/use-reports.ts
@@ -0,0 +1,94 @@
+/** Reports of requests let in, from any node to the home of a caller's terms, which answers with the permits left. */
+import {
+	createRandomId, Exchange, findHeader, foldResult, reservedPathPrefix, termsHeader, type Carrier, type ExchangeHandler, type RequestHead,
+} from '@limpetbarrow/core';
+import {
+	readTerms, type ReportUse, type SigningKey, type Terms, type UseAccounts,
+} from '@limpetbarrow/limits';
+import {type Either} from 'purify-ts';
+import {refuseExchange} from './egress.js';
+
+/** Terms with the token that proves them. */
+export type HeldTerms = Terms & {
+	readonly token: string;
+};
+
+const usePath = `${reservedPathPrefix}use`;
+const usedHeader = 'limpetbarrow-used';
+const permitsHeader = 'limpetbarrow-permits';
+const reportTimeoutMs = 1000;
+
+class AnsweredExchange extends Exchange {
+	override writeBody(_chunk: Uint8Array): void {
+		// A report has no body.
+	}
+
+	override endBody(): void {
+		// Answered already.
+	}
+
+	override grantCredit(_bytes: number): void {
+		// The answer has no body.
+	}
+
+	override cancel(): void {
+		// Answered already.
+	}
+}
+
+function createReportHead({token, organisation}: HeldTerms, used: number): RequestHead {
+	return {
+		requestId: createRandomId(),
+		target: {kind: 'sequencer'},
+		service: '',
+		method: 'POST',
+		path: usePath,
+		headers: [termsHeader, token, usedHeader, String(used)],
+		remainingMs: reportTimeoutMs,
+		isRepeatable: false,
+		organisation,
+	};
+}
+
+/** True for the head of a report; callers can't send one, since no route has a reserved path. */
+export function isUseReport({path}: RequestHead): boolean {
+	return path === usePath;
+}
+
+/** Creates the sending side. A report that fails is lost, and the node goes on by its own bucket. */
+export function createReportUse(findHome: (terms: Terms) => Either<unknown, Carrier>): ReportUse<HeldTerms> {
+	return (terms, used, handleLevel) => {
+		findHome(terms).ifRight(home => {
+			const exchange: Exchange = home.openExchange(createReportHead(terms, used), {
+				handleHead({headers}) {
+					const permits = Number(findHeader(headers, permitsHeader));
+					if (Number.isFinite(permits)) {
+						handleLevel(permits, performance.now());
+					}
+				},
+				handleData: () => undefined,
+				handleEnd: () => undefined,
+				handleFailure: () => undefined,
+				handleCredit: () => undefined,
+			});
+			exchange.endBody();
+		});
+	};
+}
+
+/** Books a report at the home and answers it. */
+export function answerUseReport(head: RequestHead, handler: ExchangeHandler, accounts: UseAccounts, keys: readonly SigningKey[]): Exchange {
+	const used = Number(findHeader(head.headers, usedHeader));
+	return foldResult(
+		readTerms(findHeader(head.headers, termsHeader) ?? '', keys),
+		failure => refuseExchange(handler, failure),
+		terms => {
+			const permits = accounts.recordUse(terms, Number.isSafeInteger(used) && used > 0 ? used : 0, performance.now());
+			queueMicrotask(() => {
+				handler.handleHead({status: 200, headers: [permitsHeader, String(permits)]});
+				handler.handleEnd();
+			});
+			return new AnsweredExchange();
+		},
+	);
+}
--- a/packages/sequencer/src/__tests__/unit/sequencer-model.test.ts
+++ b/packages/sequencer/src/__tests__/unit/sequencer-model.test.ts
@@ -67,7 +67,7 @@
 			}
 
 			case 'deliver': {
-				this.#deliver(this.#pickSent(step.index, ({caller}) => !caller));
+				this.#dispatch(this.#pickSent(step.index, ({caller}) => !caller));
 				break;
 			}
 
@@ -116,7 +116,7 @@
 	async finish(): Promise<void> {
 		await this.#sent.reduce(async (before, sent) => {
 			await before;
-			this.#deliver(sent);
+			this.#dispatch(sent);
 			await this.#clock.tickAsync(0);
 			this.check();
 		}, Promise.resolve());
@@ -170,7 +170,7 @@
 		});
 	}
 
-	#deliver(sent: Sent | undefined): void {
+	#dispatch(sent: Sent | undefined): void {
 		if (!sent || sent.caller) {
 			return;
 		}
