Test terms, limits and the way to a key's home

Cause: tokens, renewals, shared limits, admission and routing had no tests of their own. Tried: forged, changed in any character, cut, lengthened, random and huge tokens and keys (fast-check), ended terms, keys of other terms, homes restarted, dead, unknown, failures of the link to the home. Ruled out: promising "not run" at an ingress to a resend; only a send counted as the first is promised it there.

--- /dev/null
+++ b/packages/limits/src/__tests__/unit/rate-limiter.test.ts
@@ -0,0 +1,86 @@
+import {expect} from 'chai';
+import {type Failure} from '@limpetbarrow/core';
+import {
+	LocalRateLimiter, type RateLimiter, SharedRateLimiter, TokenBuckets, UseAccounts, type LimitedCaller, type ReportUse,
+} from '../../index.js';
+
+const caller: LimitedCaller = {caller: 'c', rate: 10};
+
+function countAllowed(limiter: RateLimiter, from: number, to: number, stepMs: number): number {
+	return Array.from({length: Math.floor((to - from) / stepMs)}, (_, step) => from + (step * stepMs))
+		.filter(now => limiter.takePermit(caller, now).isRight()).length;
+}
+
+describe('limits', () => {
+	describe('LocalRateLimiter', () => {
+		it('lets in a burst and then the rate', () => {
+			expect(countAllowed(new LocalRateLimiter(), 0, 10_000, 10)).to.be.within(108, 110);
+		});
+
+		it('says when to come again', () => {
+			const limiter = new LocalRateLimiter();
+			countAllowed(limiter, 0, 11, 1);
+			const refused = limiter.takePermit(caller, 11).swap().extract() as Failure;
+			expect(refused.name).to.equal('limitExceeded');
+			expect(refused.retryAfterMs).to.be.within(89, 90);
+		});
+
+		it('counts callers of one address apart', () => {
+			const limiter = new LocalRateLimiter();
+			countAllowed(limiter, 0, 1000, 1);
+			expect(limiter.takePermit({caller: 'other', rate: 10}, 1000).isRight()).to.equal(true);
+		});
+	});
+
+	describe('TokenBuckets', () => {
+		it('are bounded, and a dropped one allows', () => {
+			const buckets = new TokenBuckets(2);
+			const rate = {rate: 1, burst: 1};
+			const taken = ['a', 'b', 'c', 'a', 'c'].map(name => buckets.takeUpTo(name, 1, rate, 0));
+			expect(taken).to.deep.equal([1, 1, 1, 1, 0]);
+			expect(buckets.countBuckets()).to.equal(2);
+		});
+
+		it('stand a clock that goes back', () => {
+			const buckets = new TokenBuckets();
+			const rate = {rate: 1, burst: 1};
+			expect([5000, 0, 5500, 6000].map(now => buckets.takeUpTo('a', 1, rate, now))).to.deep.equal([1, 0, 0, 1]);
+		});
+	});
+
+	describe('SharedRateLimiter', () => {
+		let now = 0;
+
+		/** 100 requests a second for 30 seconds, spread over 8 nodes. */
+		const countFleet = (reportUse: ReportUse<LimitedCaller>): number => {
+			const limiters = Array.from({length: 8}, () => new SharedRateLimiter<LimitedCaller>(reportUse));
+			return Array.from({length: 3000}, (_, step) => step).filter(step => {
+				now = step * 10;
+				return limiters[step % 8]!.takePermit(caller, now).isRight();
+			}).length;
+		};
+
+		it('holds a caller to its rate over all nodes', () => {
+			const accounts = new UseAccounts();
+			const allowed = countFleet((reported, used, handleLevel) => {
+				handleLevel(accounts.recordUse(reported, used, now), now);
+			});
+			expect(allowed).to.be.within(30 * caller.rate, 30 * caller.rate * 1.5);
+		});
+
+		it('goes on at the whole rate of each node when the home does not answer', () => {
+			expect(countFleet(() => undefined)).to.be.at.least(8 * 30 * caller.rate);
+		});
+
+		it('lets a caller be that the home found beyond its terms, once that is paid', () => {
+			const limiter = new SharedRateLimiter<LimitedCaller>((_, _used, handleLevel) => {
+				handleLevel(-20, 0);
+			});
+			Array.from({length: 4}).forEach(() => {
+				limiter.takePermit(caller, 0);
+			});
+			expect(limiter.takePermit(caller, 1999).extract()).to.deep.include({name: 'limitExceeded', retryAfterMs: 1});
+			expect(limiter.takePermit(caller, 2000).isRight()).to.equal(true);
+		});
+	});
+});
--- /dev/null
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -0,0 +1,188 @@
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	attemptHeader, Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RequestHead, type ResultName, termsHeader,
+} from '@limpetbarrow/core';
+import {issueTerms, signTerms, type Terms} from '@limpetbarrow/limits';
+import {type Member} from '@limpetbarrow/members';
+import {SteadyClock, type KeyedRequest} from '@limpetbarrow/sequencer';
+import {Admission} from '../../admission.js';
+import {refuseExchange} from '../../egress.js';
+import {HomeRouter} from '../../home-router.js';
+import {type IngressRequest} from '../../ingress-request.js';
+import {readKeyedRequest} from '../../keyed-request.js';
+import {type TermsKeys} from '../../terms-keys.js';
+
+const self: NodeIdentity = {id: 'one', incarnation: 7};
+const signingKey = {id: 'k1', secret: Buffer.alloc(32, 1)};
+const lifetimeMs = 60_000;
+
+function issue(home: NodeIdentity, issuedAt = Date.now()): Terms {
+	return issueTerms({
+		organisation: {name: 'pointe', terms: 'shop'},
+		offer: {
+			name: 'shop', initialRate: 10, topRate: 60, growth: 2, initialTimeoutMs: 2000, topTimeoutMs: 5000, lifetimeMs,
+		},
+		home,
+		isShedding: false,
+		now: issuedAt,
+	});
+}
+
+function createRequest(token: string | undefined, idempotencyKey: string | undefined, attempt?: string): IngressRequest {
+	return {
+		host: '',
+		method: 'POST',
+		path: '/orders',
+		headers: [...(token === undefined ? [] : [termsHeader, token]), ...(attempt === undefined ? [] : [attemptHeader, attempt])],
+		timeoutMs: undefined,
+		termsToken: token,
+		idempotencyKey,
+		contentLength: undefined,
+	};
+}
+
+class RefusingCarrier extends Carrier {
+	readonly #name: ResultName;
+
+	constructor(name: ResultName) {
+		super();
+		this.#name = name;
+	}
+
+	override openExchange(_head: RequestHead, handler: ExchangeHandler): Exchange {
+		return refuseExchange(handler, createFailure(this.#name, 'by the test'));
+	}
+}
+
+async function fetchFailure(carrier: Carrier): Promise<Failure> {
+	return new Promise(resolve => {
+		carrier.openExchange({} as RequestHead, {
+			handleHead: () => undefined, handleData: () => undefined, handleEnd: () => undefined, handleCredit: () => undefined, handleFailure: resolve,
+		});
+	});
+}
+
+describe('the path of a keyed request', () => {
+	describe('Admission', () => {
+		const permits: string[] = [];
+		let isLimited = false;
+		const createAdmission = (isLoaded: boolean): Admission => new Admission({
+			keys: {isLoaded: () => isLoaded, listKeys: () => isLoaded ? [signingKey] : [], loadUnknown: () => undefined} as unknown as TermsKeys,
+			clock: new SteadyClock(),
+			takePermit(terms) {
+				permits.push(terms.id);
+				return isLimited ? Left(createFailure('limitExceeded', 'by the test', 500)) : Right(undefined);
+			},
+		});
+		const terms = issue(self);
+		const token = signTerms(terms, signingKey);
+		const ended = issue(self, Date.now() - (2 * lifetimeMs));
+		const endedToken = signTerms(ended, signingKey);
+
+		const cases: ReadonlyArray<readonly [string, IngressRequest, string | undefined]> = [
+			['no terms and no key', createRequest(undefined, undefined), undefined],
+			['a key without terms', createRequest(undefined, 'abc:1'), 'termsInvalid'],
+			['terms', createRequest(token, undefined), undefined],
+			['ended terms without a key', createRequest(endedToken, undefined), 'termsExpired'],
+			['a key with its terms', createRequest(token, `${terms.id}:1`, '1'), undefined],
+			['a key with its ended terms', createRequest(endedToken, `${ended.id}:1`, '2'), undefined],
+			['a key of other terms', createRequest(token, `${ended.id}:1`), 'keyMalformed'],
+			['a malformed key', createRequest(token, `${terms.id}:a b`), 'keyMalformed'],
+			['a malformed attempt', createRequest(token, `${terms.id}:1`, '0'), 'keyMalformed'],
+			['a forged token', createRequest(signTerms(terms, {id: 'k1', secret: Buffer.alloc(32)}), undefined), 'termsInvalid'],
+		];
+		cases.forEach(([name, request, expected]) => {
+			it(`${expected === undefined ? 'takes' : `answers ${expected} to`} ${name}`, () => {
+				const result = createAdmission(true).admitRequest(request);
+				expect(result.isRight() ? undefined : (result.extract() as Failure).name).to.equal(expected);
+			});
+		});
+
+		it('promises "not run" to a keyed request only when it is the first send', () => {
+			isLimited = true;
+			const names = ['1', '2', undefined].map(attempt => (createAdmission(true).admitRequest(createRequest(token, `${terms.id}:1`, attempt)).extract() as Failure));
+			isLimited = false;
+			expect(names.map(({name, ran}) => `${name} ${ran}`)).to.deep.equal(['limitExceeded not-run', 'keyUndecided unknown', 'keyUndecided unknown']);
+		});
+
+		it('without signing keys serves requests without key as without terms, and leaves keys to the home', () => {
+			permits.length = 0;
+			const admission = createAdmission(false);
+			expect(admission.admitRequest(createRequest(token, undefined)).extract()).to.equal(undefined);
+			expect(admission.admitRequest(createRequest(token, `${terms.id}:1`)).isRight()).to.equal(true);
+		});
+
+		it('ends in a result for any token, key and attempt', () => {
+			const text = fc.string({unit: 'binary', maxLength: 3000});
+			fc.assert(fc.property(text, text, text, fc.boolean(), (anyToken, anyKey, attempt, isLoaded) => {
+				expect(createAdmission(isLoaded).admitRequest(createRequest(anyToken, anyKey, attempt)).isLeft()).to.equal(true);
+			}), {seed: 20_261_204});
+		});
+	});
+
+	describe('readKeyedRequest at the home', () => {
+		const read = (home: NodeIdentity, key: string): Either<Failure, KeyedRequest> => {
+			const terms = issue(home);
+			return readKeyedRequest({
+				headers: [termsHeader, signTerms(terms, signingKey)], idempotencyKey: key.replace('ID', terms.id),
+			} as unknown as RequestHead, self, [signingKey]);
+		};
+
+		it('takes keys of its own run only', () => {
+			expect(read(self, 'ID:1').isRight()).to.equal(true);
+			expect(read({id: 'one', incarnation: 6}, 'ID:1').extract()).to.deep.include({name: 'keyOutcomeUnknown'});
+			expect(read({id: 'two', incarnation: 7}, 'ID:1').extract()).to.deep.include({name: 'keyOutcomeUnknown'});
+		});
+
+		it('refuses a key of other terms', () => {
+			expect(read(self, 'other:1').extract()).to.deep.include({name: 'keyMalformed'});
+		});
+	});
+
+	describe('HomeRouter', () => {
+		const local = new RefusingCarrier('queueFull');
+		const forwarder = new RefusingCarrier('noServer');
+		const createRouter = (member: {readonly incarnation: number; readonly status: string} | undefined, linkFailure: ResultName = 'linkLost'): HomeRouter => new HomeRouter({
+			self,
+			sequencer: local,
+			forwarder,
+			findMember: () => member && {record: {incarnation: member.incarnation, linkAddress: {host: '127.0.0.1', port: 1}}, status: member.status} as unknown as Member,
+			getLink: () => new RefusingCarrier(linkFailure),
+		});
+		const findName = (router: HomeRouter, home: NodeIdentity, attempt?: string): string | undefined => {
+			const result = router.selectNext(createRequest('token', 'k:1', attempt), issue(home));
+			return result.isRight() ? undefined : (result.extract() as Failure).name;
+		};
+
+		it('takes the local sequencer for this run and the forwarder without key', () => {
+			const router = createRouter(undefined);
+			expect(router.selectNext(createRequest('token', 'k:1'), issue(self)).extract()).to.equal(local);
+			expect(router.selectNext(createRequest('token', undefined), issue(self)).extract()).to.equal(forwarder);
+		});
+
+		const cases: ReadonlyArray<readonly [string, NodeIdentity, Parameters<typeof createRouter>[0], string]> = [
+			['an earlier run of this node', {id: 'one', incarnation: 6}, undefined, 'keyOutcomeUnknown'],
+			['an earlier run of another node', {id: 'two', incarnation: 6}, {incarnation: 7, status: 'alive'}, 'keyOutcomeUnknown'],
+			['a run not yet known', {id: 'two', incarnation: 8}, {incarnation: 7, status: 'alive'}, 'homeUnreachable'],
+			['a node not known', {id: 'two', incarnation: 7}, undefined, 'homeUnreachable'],
+			['a node that is dead', {id: 'two', incarnation: 7}, {incarnation: 7, status: 'dead'}, 'homeUnreachable'],
+		];
+		cases.forEach(([name, home, member, expected]) => {
+			it(`answers ${expected} for ${name}, and "not run" only to a first send`, () => {
+				const router = createRouter(member);
+				expect([findName(router, home), findName(router, home, '2'), findName(router, home, '1')]).to.deep.equal([expected, expected, 'homeGone']);
+			});
+		});
+
+		['linkUnreachable', 'linkLost', 'malformedFrame', 'frameTooLarge'].forEach(name => {
+			it(`makes ${name} on the way to the home unknown`, async () => {
+				const router = createRouter({incarnation: 7, status: 'suspect'}, name as ResultName);
+				const carrier = router.selectNext(createRequest('token', 'k:1', '1'), issue({id: 'two', incarnation: 7})).extract() as Carrier;
+				expect(await fetchFailure(carrier)).to.deep.include({name: 'homeUnreachable', ran: 'unknown', resend: 'same-key'});
+			});
+		});
+	});
+});
