--- a/packages/node/src/__tests__/unit/keyed-path.test.ts
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -12,7 +12,7 @@
 import {refuseExchange} from '../../egress.js';
 import {HomeRouter} from '../../home-router.js';
 import {type IngressRequest} from '../../ingress-request.js';
-import {readKeyedRequest} from '../../keyed-request.js';
+import {readKeyedRequest, replaceUnproven} from '../../keyed-request.js';
 import {type TermsKeys} from '../../terms-keys.js';
 
 const self: NodeIdentity = {id: 'one', incarnation: 7};
@@ -101,11 +101,20 @@
 			});
 		});
 
-		it('promises "not run" to a keyed request only when it is the first send', () => {
+		it('promises "not run" to a keyed request only when it is the first send, or malformed', () => {
+			const [limited, malformed] = [createFailure('limitExceeded', 'by the test', 500), createFailure('keyMalformed', 'by the test')];
+			const headers = ['1', '2', undefined].map(attempt => createRequest(token, '', attempt).headers);
+			const failures = headers.flatMap(raw => [replaceUnproven(raw, limited), replaceUnproven(raw, malformed)]);
+			expect(failures.map(({name, ran}) => `${name} ${ran}`)).to.deep.equal([
+				'limitExceeded not-run', 'keyMalformed not-run', 'keyUndecided unknown', 'keyMalformed not-run', 'keyUndecided unknown', 'keyMalformed not-run',
+			]);
+		});
+
+		it('refuses callers beyond their terms', () => {
 			isLimited = true;
-			const names = ['1', '2', undefined].map(attempt => (createAdmission(true).admitRequest(createRequest(token, `${terms.id}:1`, attempt)).extract() as Failure));
+			const refused = [undefined, `${terms.id}:1`].map(key => createAdmission(true).admitRequest(createRequest(token, key)).extract() as Failure);
 			isLimited = false;
-			expect(names.map(({name, ran}) => `${name} ${ran}`)).to.deep.equal(['limitExceeded not-run', 'keyUndecided unknown', 'keyUndecided unknown']);
+			expect(refused.map(({name}) => name)).to.deep.equal(['limitExceeded', 'limitExceeded']);
 		});
 
 		it('without signing keys serves requests without key as without terms, and leaves keys to the home', () => {
--- a/packages/node/src/admission.ts
+++ b/packages/node/src/admission.ts
@@ -54,8 +54,7 @@
 	#admitKeyed({headers}: IngressRequest, token: string, key: string): Either<Failure, Terms> {
 		return this.#readTerms(token)
 			.chain(terms => createKeyedRequest(key, headers, terms).map(() => terms))
-			.chain(terms => this.#options.takePermit(terms, token).map(() => terms))
-			.mapLeft(failure => replaceUnproven(headers, failure));
+			.chain(terms => this.#options.takePermit(terms, token).map(() => terms));
 	}
 
 	/** A node that knows no signing keys yet leaves the check of a key's terms to their home. */
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -6,7 +6,7 @@
 import {type AddressInfo, type Socket} from 'node:net';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, createRandomId, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
+	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
 import {isRepeatable, RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
@@ -14,6 +14,7 @@
 import {formatRawFailure, sendFailure} from './answer.js';
 import {IngressExchange} from './ingress-exchange.js';
 import {parseIngressRequest, type IngressRequest} from './ingress-request.js';
+import {replaceUnproven} from './keyed-request.js';
 
 /** Checks a request against the caller's terms; undefined terms where the caller holds none. */
 export type AdmitRequest = (request: IngressRequest) => Either<Failure, Terms | undefined>;
@@ -106,7 +107,7 @@
 			.chain(request => this.#locate(request))
 			.chain(located => this.#open(located, message, response))
 			.ifLeft(failure => {
-				this.#refuse(message, response, failure);
+				this.#refuse(message, response, message.headers[idempotencyHeader] === undefined ? failure : replaceUnproven(message.rawHeaders, failure));
 			});
 	}
 
--- a/packages/node/src/keyed-request.ts
+++ b/packages/node/src/keyed-request.ts
@@ -1,7 +1,7 @@
 /** Reads idempotency keys together with the terms they were minted under. */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	attemptHeader, createFailure, findHeader, termsHeader, type Failure, type NodeIdentity, type RawHeaders, type RequestHead,
+	attemptHeader, createFailure, findHeader, termsHeader, type Failure, type NodeIdentity, type RawHeaders, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
 import {readTerms, type SigningKey, type Terms} from '@limpetbarrow/limits';
 import {parseIdempotencyKey, type KeyedRequest} from '@limpetbarrow/sequencer';
@@ -37,13 +37,16 @@
 		.chain(terms => createKeyedRequest(head.idempotencyKey ?? '', head.headers, terms));
 }
 
+/** Refusals for the form of the request itself: no send of the same request can ever have run. */
+const formFailures: ReadonlySet<ResultName> = new Set(['malformedRequest', 'headersTooLarge', 'invalidTimeout', 'keyMalformed', 'termsInvalid']);
+
 /**
  * "Not run" may be said of a key outside of its home only for the first send of it; of an earlier send an ingress knows
  * nothing.
  */
 export function replaceUnproven(headers: RawHeaders, failure: Failure): Failure {
 	const isFirst = parseAttempt(headers).orDefault(0) === 1;
-	return failure.ran !== 'not-run' || failure.resend === 'never' || isFirst
+	return failure.ran !== 'not-run' || formFailures.has(failure.name) || isFirst
 		? failure
 		: createFailure('keyUndecided', `${failure.code} ${failure.name}: ${failure.detail}`, failure.retryAfterMs);
 }
