Give callers a library that holds terms and sends again safely

Cause: the library sent once and left keys, terms and resends to each caller. Decisions are one pure function over the table of result codes; unkeyed requests that may not be repeated are sent again only after a proven "not run" (tested for every code whose outcome is unknown), keyed ones with the same key and a higher attempt, with back-off, budget (a tenth), most sends and deadline. Sends that never left the caller are not counted, so that a home that is gone before the first send costs a new key and no unknown outcome.

--- /dev/null
+++ b/packages/caller/src/__tests__/unit/fleet-caller.test.ts
@@ -0,0 +1,190 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {type Either} from 'purify-ts';
+import {
+	attemptHeader, idempotencyHeader, ranHeader, renewHeader, resultCodes, resultHeader, termsHeader, type ResultName,
+} from '@limpetbarrow/core';
+import {
+	FleetCaller, judgeSend, readOutcome, Transport, type FleetAnswer, type FleetFailure, type FleetRequest, type Send, type SendResult,
+} from '../../index.js';
+
+const order: FleetRequest = {method: 'POST', path: '/orders', body: '{"shoe":34}'};
+const look: FleetRequest = {method: 'GET', path: '/fittings/1'};
+const ran: SendResult = {
+	kind: 'answer', status: 200, headers: {}, text: 'done',
+};
+const lost: SendResult = {kind: 'lost', detail: 'by the test'};
+const notSent: SendResult = {kind: 'not-sent', detail: 'by the test'};
+
+function refuse(name: ResultName, headers: Readonly<Record<string, string>> = {}): SendResult {
+	const {code, status, ran: ranState} = resultCodes[name];
+	return {
+		kind: 'answer', status, headers: {[resultHeader]: String(code), [ranHeader]: ranState, ...headers}, text: '',
+	};
+}
+
+/** Answers requests in turn, and any call for terms. */
+class FakeTransport extends Transport {
+	readonly sends: Send[] = [];
+	readonly termsCalls: Send[] = [];
+	#results: readonly SendResult[];
+
+	constructor(...results: readonly SendResult[]) {
+		super();
+		this.#results = results;
+	}
+
+	override async send(send: Send): Promise<SendResult> {
+		if (send.path.startsWith('/.limpetbarrow/')) {
+			this.termsCalls.push(send);
+			const id = `t${this.termsCalls.length}`;
+			const terms = {
+				id, rate: 10, timeoutMs: 2000, issuedAt: Date.now(), expiresAt: Date.now() + 100_000,
+			};
+			return {
+				kind: 'answer', status: 200, headers: {}, text: JSON.stringify({token: `token-${id}`, terms}),
+			};
+		}
+
+		this.sends.push(send);
+		const [result = ran, ...rest] = this.#results;
+		this.#results = rest;
+		return result;
+	}
+
+	/** Key and attempt of each send. */
+	listKeys(): readonly string[] {
+		return this.sends.map(({headers}) => `${headers[idempotencyHeader]} ${headers[attemptHeader]} ${headers[termsHeader]}`);
+	}
+}
+
+function createCaller(transport: Transport): FleetCaller {
+	return new FleetCaller({origins: ['http://a', 'http://b'], credentials: {organisation: 'pointe', secret: 's'}, transport});
+}
+
+function readFailure(result: Either<FleetFailure, FleetAnswer>): FleetFailure {
+	return result.swap().extract() as FleetFailure;
+}
+
+describe('FleetCaller', () => {
+	let clock: Clock;
+
+	/** Lets the waits between sends pass. */
+	const settle = async <Value>(pending: Promise<Value>): Promise<Value> => {
+		await clock.tickAsync(9000);
+		return pending;
+	};
+
+	beforeEach(() => {
+		clock = install({now: 1_800_000_000_000});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	describe('a request that may not be repeated, without key', () => {
+		(['serverBroke', 'linkLost', 'answerTimeout', 'serverTimeout', 'internalError'] as const).forEach(name => {
+			it(`is not sent again after ${name}`, async () => {
+				const transport = new FakeTransport(refuse(name));
+				expect(readFailure(await settle(createCaller(transport).send(order)))).to.deep.include({ran: 'unknown', sends: 1});
+			});
+		});
+
+		it('is not sent again when its answer was lost', async () => {
+			const transport = new FakeTransport(lost);
+			expect(readFailure(await settle(createCaller(transport).send(order))).ran).to.equal('unknown');
+			expect(transport.sends.length).to.equal(1);
+		});
+
+		it('is sent through another ingress after a proven "not run"', async () => {
+			const transport = new FakeTransport(refuse('nodeStopping'), notSent);
+			const answer = await settle(createCaller(transport).send(order));
+			expect(answer.isRight()).to.equal(true);
+			expect(transport.sends.map(({origin}) => origin)).to.deep.equal(['http://a', 'http://b', 'http://a']);
+		});
+
+		it('waits when told to come later', async () => {
+			const transport = new FakeTransport(refuse('queueFull', {'retry-after': '2'}));
+			const sent = createCaller(transport).send(order);
+			await clock.tickAsync(1999);
+			expect(transport.sends.length).to.equal(1);
+			await clock.tickAsync(1);
+			const answer = await sent;
+			expect(answer.isRight()).to.equal(true);
+		});
+	});
+
+	describe('a keyed request', () => {
+		it('is sent again with its key and counted, until the answer comes', async () => {
+			const transport = new FakeTransport(lost, refuse('homeUnreachable'), refuse('keyUndecided'));
+			const answer = await settle(createCaller(transport).sendOnce(order, {key: 't0:7', token: 'token-t0', attempt: 0}));
+			expect((answer.extract() as FleetAnswer).sends).to.equal(4);
+			expect(transport.listKeys()).to.deep.equal(['t0:7 1 token-t0', 't0:7 2 token-t0', 't0:7 3 token-t0', 't0:7 4 token-t0']);
+		});
+
+		it('counts no send that did not leave', async () => {
+			const transport = new FakeTransport(notSent, notSent);
+			await settle(createCaller(transport).sendOnce(order, {key: 't0:7', token: 'token-t0', attempt: 0}));
+			expect(transport.listKeys()).to.deep.equal(['t0:7 1 token-t0', 't0:7 1 token-t0', 't0:7 1 token-t0']);
+		});
+
+		it('gets a new key under new terms once its home has gone before the first send', async () => {
+			const transport = new FakeTransport(refuse('homeGone'));
+			await settle(createCaller(transport).sendOnce(order, {key: 't0:7', token: 'token-t0', attempt: 0}));
+			expect(transport.listKeys()).to.deep.equal(['t0:7 1 token-t0', 't1:7 1 token-t1']);
+		});
+
+		it('ends as unknown, with its key, when the outcome is not known', async () => {
+			const transport = new FakeTransport(lost, refuse('keyOutcomeUnknown'));
+			const failure = readFailure(await settle(createCaller(transport).sendOnce(order, {key: 't0:7', token: 'token-t0', attempt: 0})));
+			expect(failure).to.deep.include({ran: 'unknown', resend: 'never', heldKey: {key: 't0:7', token: 'token-t0', attempt: 2}});
+		});
+
+		it('never gets a new key while an earlier send may run', async () => {
+			const transport = new FakeTransport(lost, notSent, notSent, notSent, notSent);
+			const failure = readFailure(await settle(createCaller(transport).sendOnce(order)));
+			expect(failure.ran).to.equal('unknown');
+			expect(new Set(transport.sends.map(({headers}) => headers[idempotencyHeader])).size).to.equal(1);
+		});
+	});
+
+	describe('bounds', () => {
+		it('hold resends to the budget, the number of sends and the deadline', async () => {
+			const transport = new FakeTransport(...Array.from({length: 100}, () => refuse('nodeStopping')));
+			const caller = createCaller(transport);
+			await Array.from({length: 10}).reduce<Promise<unknown>>(async before => {
+				await before;
+				return caller.send(look);
+			}, Promise.resolve());
+			expect(transport.sends.length).to.equal(10 + 10);
+			const late = new FakeTransport(refuse('queueFull', {'retry-after': '60'}));
+			expect(readFailure(await createCaller(late).send(look))).to.deep.include({ran: 'not-run', sends: 1});
+		});
+	});
+
+	describe('terms', () => {
+		it('are asked for once, renewed with the token before they end, and when asked to', async () => {
+			const transport = new FakeTransport(ran, ran, ran, {...ran, headers: {[renewHeader]: '1'}});
+			const caller = createCaller(transport);
+			await Promise.all([caller.send(look), caller.send(look)]);
+			expect(transport.termsCalls.map(({body}) => body)).to.deep.equal(['{"organisation":"pointe","secret":"s"}']);
+			await clock.tickAsync(85_000);
+			await caller.send(look);
+			await clock.tickAsync(0);
+			expect(transport.termsCalls[1]!.body).to.equal('{"token":"token-t1"}');
+			await caller.send(look);
+			await clock.tickAsync(0);
+			expect(transport.termsCalls.length).to.equal(3);
+		});
+	});
+
+	describe('judgeSend', () => {
+		Object.keys(resultCodes).filter(name => resultCodes[name as ResultName].ran === 'unknown').forEach(name => {
+			it(`gives up an unkeyed request that may not be repeated after ${name}`, () => {
+				const outcome = readOutcome(refuse(name as ResultName));
+				expect(judgeSend(outcome, {isKeyed: false, isRepeatable: false, isUncertain: false})).to.equal('give-up');
+			});
+		});
+	});
+});
--- /dev/null
+++ b/packages/caller/src/transport.ts
@@ -0,0 +1,31 @@
+/** How sends reach an ingress. */
+import {request} from 'undici';
+import {type Send, type SendResult} from './types.js';
+
+/** Makes one send and never throws. */
+export abstract class Transport {
+	abstract send(send: Send): Promise<SendResult>;
+}
+
+const notSentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
+
+function selectText(headers: Readonly<Record<string, string | string[] | undefined>>): Readonly<Record<string, string>> {
+	return Object.fromEntries(Object.entries(headers).map(([name, value]) => [name, String(value)]));
+}
+
+/** Sends by HTTP. */
+export class HttpTransport extends Transport {
+	override async send({origin, method, path, headers, body, timeoutMs}: Send): Promise<SendResult> {
+		try {
+			const answer = await request(`${origin}${path}`, {
+				method, headers, body: body ?? null, signal: AbortSignal.timeout(Math.max(1, timeoutMs)),
+			});
+			return {
+				kind: 'answer', status: answer.statusCode, headers: selectText(answer.headers), text: await answer.body.text(),
+			};
+		} catch (error) {
+			const {code = '', message} = error as Error & {readonly code?: string};
+			return {kind: notSentCodes.has(code) ? 'not-sent' : 'lost', detail: `${code} ${message}`.trim()};
+		}
+	}
+}
