--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,8 +1,8 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 import {measureLatency} from './latency.js';
 import {measureLink} from './link.js';
-
 import {measureMembership} from './membership.js';
+import {measureLimits} from './limits.js';
 
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
@@ -12,4 +12,5 @@
 	['link', measureLink],
 	['latency', measureLatency],
 	['membership', measureMembership],
+	['limits', measureLimits],
 ]);
