Give operators tables, checks and one numbered code for each fault

Cause: the command line printed raw JSON, ran a command in spite of an unknown flag, ended with a stack trace on a bad file, and failed on variables meant for another command; the admin API answered a wrong method like an unknown path. Ruled out: yargs' own reading of the variables' prefix, which in strict mode takes a variable of another command as an unknown flag; each command now takes the variables of its own flags as defaults.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -2,56 +2,94 @@
 import {EitherAsync} from 'purify-ts';
 import {request} from 'undici';
 import {
-	createFailure, resultCodes, type Failure, type ResultName,
+	createFailure, FailureError, resultCodes, type Failure, type ResultName,
 } from '@limpetbarrow/core';
 
-const callTimeoutMs = 15_000;
+/** Longest time a call takes; a node may try the platform several times for one release. */
+const callTimeoutMs = 60_000;
 
 type FailureBody = {
-	readonly name?: string;
-	readonly detail?: string;
+	readonly name?: unknown;
+	readonly detail?: unknown;
 };
 
-function parseFailure(status: number, text: string): Failure {
-	const {name, detail} = JSON.parse(text) as FailureBody;
-	return name !== undefined && name in resultCodes
-		? createFailure(name as ResultName, detail ?? '')
+type Answer = {
+	readonly status: number;
+	readonly text: string;
+};
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		throw new FailureError(createFailure('malformedRequest', 'the answer is not JSON; is this the admin address of a node?'));
+	}
+}
+
+function createAnswerFailure({status, text}: Answer): Failure {
+	const {name, detail} = (parseJson(text) ?? {}) as FailureBody;
+	return typeof name === 'string' && name in resultCodes
+		? createFailure(name as ResultName, typeof detail === 'string' ? detail : '')
 		: createFailure('internalError', `status ${status}`);
 }
 
+function isNeverSent(error: unknown): boolean {
+	const {code} = (error as {readonly code?: unknown});
+	return code === 'ECONNREFUSED' || code === 'ENOTFOUND' || code === 'EHOSTUNREACH' || code === 'ENETUNREACH' || code === 'UND_ERR_CONNECT_TIMEOUT';
+}
+
 /** Speaks to one node's admin API, such as `http://127.0.0.1:8081`. */
 export class AdminClient {
 	readonly #origin: string;
 
 	constructor(origin: string) {
-		this.#origin = origin;
+		this.#origin = origin.replace(/\/$/v, '');
 	}
 
 	fetch(path: string): EitherAsync<Failure, unknown> {
-		return this.#send('GET', path);
+		return this.#send('GET', path, 'linkUnreachable');
 	}
 
-	send(path: string, value: unknown): EitherAsync<Failure, unknown> {
-		return this.#send('POST', path, JSON.stringify(value));
+	/** Sends a value that changes nothing. */
+	check(path: string, value: unknown): EitherAsync<Failure, unknown> {
+		return this.#send('POST', path, 'linkUnreachable', JSON.stringify(value));
 	}
 
-	#send(method: 'GET' | 'POST', path: string, body?: string): EitherAsync<Failure, unknown> {
+	/** Sends a release note; without an answer it is not known whether it was accepted. */
+	apply(path: string, value: unknown): EitherAsync<Failure, unknown> {
+		return this.#send('POST', path, 'releaseUnknown', JSON.stringify(value));
+	}
+
+	#send(method: 'GET' | 'POST', path: string, lostName: ResultName, body?: string): EitherAsync<Failure, unknown> {
 		return EitherAsync(async ({throwE}) => {
-			const answer = await this.#fetchText(method, path, body);
-			return answer.status === 200
-				? JSON.parse(answer.text) as unknown
-				: throwE(answer.status === 0 ? createFailure('linkUnreachable', `no answer from ${this.#origin}: ${answer.text}`) : parseFailure(answer.status, answer.text));
+			if (!URL.canParse(this.#origin) || !/^https?:/v.test(this.#origin)) {
+				return throwE(createFailure('settingsInvalid', `--admin: ${this.#origin} is not an http URL`));
+			}
+
+			try {
+				const answer = await this.#fetchText(method, path, body);
+				return answer.status === 200 ? parseJson(answer.text) : throwE(createAnswerFailure(answer));
+			} catch (error) {
+				return throwE(this.#toFailure(error, lostName));
+			}
 		});
 	}
 
-	async #fetchText(method: 'GET' | 'POST', path: string, body?: string): Promise<{readonly status: number; readonly text: string}> {
-		try {
-			const answer = await request(`${this.#origin}${path}`, {
-				method, body: body ?? null, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(callTimeoutMs),
-			});
-			return {status: answer.statusCode, text: await answer.body.text()};
-		} catch (error) {
-			return {status: 0, text: String(error)};
+	async #fetchText(method: 'GET' | 'POST', path: string, body: string | undefined): Promise<Answer> {
+		const answer = await request(`${this.#origin}${path}`, {
+			method, body: body ?? null, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(callTimeoutMs),
+		});
+		return {status: answer.statusCode, text: await answer.body.text()};
+	}
+
+	#toFailure(error: unknown, lostName: ResultName): Failure {
+		if (error instanceof FailureError) {
+			return error.failure;
 		}
+
+		const isFailure = typeof error === 'object' && error !== null && 'resend' in error;
+		return isFailure
+			? error as Failure
+			: createFailure(isNeverSent(error) ? 'linkUnreachable' : lostName, `no answer from ${this.#origin}: ${String(error)}`);
 	}
 }
--- a/packages/node/src/admin-releases.ts
+++ b/packages/node/src/admin-releases.ts
@@ -30,6 +30,9 @@
 	readonly withdrawn: ItemNames;
 };
 
+/** What a checked note would change. */
+export type NoteSummary = Pick<AuditEntry, 'note' | 'base' | 'added' | 'changed' | 'withdrawn'>;
+
 /** A part of the audit trail and where it was read. */
 export type AuditTrail = {
 	/** `node` when the platform cannot be reached: then it holds only what the node keeps. */
@@ -118,7 +121,7 @@
 			});
 	}
 
-	#check(body: unknown): EitherAsync<Failure, unknown> {
+	#check(body: unknown): EitherAsync<Failure, NoteSummary> {
 		return this.#acceptor.check(body).map(note => ({
 			note: note.id, base: note.base, added: listNames(note.added), changed: listNames(note.changed), withdrawn: note.withdrawn,
 		}));
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -27,21 +27,21 @@
 
 /** Flags of `limpetbarrow node`, as yargs takes them. Each is also read from `LIMPETBARROW_` and its name. */
 export const nodeFlags = {
-	id: {type: 'string', demandOption: true, describe: 'Name of this node, unique in the fleet'},
-	region: {type: 'string', demandOption: true, describe: 'Region this host is in'},
-	'failure-domain': {type: 'string', demandOption: true, describe: 'Failure domain this host is in, unique across regions'},
+	id: {type: 'string', describe: 'Required. Name of this node, unique in the fleet'},
+	region: {type: 'string', describe: 'Required. Region this host is in'},
+	'failure-domain': {type: 'string', describe: 'Required. Failure domain this host is in, unique across regions'},
 	ingress: {type: 'string', default: '127.0.0.1:8080', describe: 'Address for callers, as host:port'},
 	admin: {type: 'string', default: '127.0.0.1:8081', describe: 'Address for operators and backend servers, as host:port'},
 	link: {type: 'string', default: '127.0.0.1:8082', describe: 'TCP address for other nodes, as host:port'},
 	gossip: {type: 'string', default: '127.0.0.1:8083', describe: 'UDP address for other nodes, as host:port'},
 	seeds: {type: 'string', default: '', describe: 'Gossip addresses of a few other nodes, separated by commas'},
-	platform: {type: 'string', demandOption: true, describe: 'Base URL of the platform\'s object API'},
+	platform: {type: 'string', describe: 'Required. Base URL of the platform\'s object API'},
 	'stop-timeout-ms': {type: 'number', default: 30_000, describe: 'Longest time a planned stop waits, in milliseconds'},
 	'log-form': {
-		type: 'string', choices: ['text', 'json'], default: 'text', describe: 'Form of log lines',
+		type: 'string', default: 'text', describe: 'Form of log lines: text or json',
 	},
 	'log-level': {
-		type: 'string', choices: ['debug', 'info', 'warn', 'error'], default: 'info', describe: 'Least severity that is logged',
+		type: 'string', default: 'info', describe: 'Least severity that is logged: debug, info, warn or error',
 	},
 } as const;
 
@@ -70,10 +70,17 @@
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']),
 });
 
+function formatIssue({path, message}: z.core.$ZodIssue, input: unknown): string {
+	const [property = ''] = path;
+	const flag = String(property).replaceAll(/[A-Z]/gv, letter => `-${letter.toLowerCase()}`);
+	const isMissing = (input as Readonly<Record<PropertyKey, unknown>>)[property] === undefined;
+	return `--${flag}: ${isMissing ? 'is required' : message}`;
+}
+
 /** Checks settings as yargs read them, naming every one that is wrong. */
-export function parseSettings(input: unknown): Either<Failure, NodeSettings> {
+export function parseSettings(input: Record<string, unknown>): Either<Failure, NodeSettings> {
 	const result = settingsSchema.safeParse(input);
 	return result.success
 		? Right(result.data)
-		: Left(createFailure('settingsInvalid', result.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; ')));
+		: Left(createFailure('settingsInvalid', result.error.issues.map(issue => formatIssue(issue, input)).join('; ')));
 }
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/platform/src/http-object-store.ts
@@ -66,11 +66,14 @@
 /** Speaks to the object API at one base URL, such as `http://127.0.0.1:7000`. */
 export class HttpObjectStore extends ObjectStore {
 	readonly #origin: string;
+	readonly #timeoutMs: number;
 	readonly #agent = new Agent({pipelining: 1});
 
-	constructor(origin: string) {
+	/** `timeoutMs` bounds each call; a watch waits longer by `watchWaitMs`. */
+	constructor(origin: string, timeoutMs = callTimeoutMs) {
 		super();
 		this.#origin = origin;
+		this.#timeoutMs = timeoutMs;
 	}
 
 	override get(key: string): EitherAsync<Failure, StoredObject> {
@@ -104,7 +107,7 @@
 			kind: 'watch',
 			method: 'GET',
 			path: `/watch?prefix=${encodeURIComponent(prefix)}&from=${fromVersion}&wait=${watchWaitMs}`,
-			timeoutMs: watchWaitMs + callTimeoutMs,
+			timeoutMs: watchWaitMs + this.#timeoutMs,
 			...(signal && {signal}),
 		}, parseWatch);
 	}
@@ -132,7 +135,7 @@
 		});
 	}
 
-	async #fetch({method, path, headers = {}, body, timeoutMs = callTimeoutMs, signal}: CallOptions): Promise<unknown> {
+	async #fetch({method, path, headers = {}, body, timeoutMs = this.#timeoutMs, signal}: CallOptions): Promise<unknown> {
 		const timeout = AbortSignal.timeout(timeoutMs);
 		const answer = await request(`${this.#origin}${path}`, {
 			method, headers, body: body ?? null, dispatcher: this.#agent, signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
--- a/packages/releases/src/__tests__/unit/release-follower.test.ts
+++ b/packages/releases/src/__tests__/unit/release-follower.test.ts
@@ -35,7 +35,7 @@
 	let releaseCount = 0;
 
 	/** Steps the clock and lets promises settle between the steps. */
-	async function advance(ms: number, stepMs = 50): Promise<void> {
+	async function simulateTime(ms: number, stepMs = 50): Promise<void> {
 		await Array.from({length: Math.ceil(ms / stepMs)}).reduce<Promise<void>>(async before => {
 			await before;
 			clock.tick(stepMs);
@@ -55,7 +55,7 @@
 
 	async function startNodes(count: number): Promise<void> {
 		Array.from({length: count}, (_, index) => fleet.startNode(`node-${index}`, domains[index % domains.length]!));
-		await advance(settleMs);
+		await simulateTime(settleMs);
 	}
 
 	beforeEach(() => {
@@ -84,7 +84,7 @@
 		await startNodes(40);
 		expect(fleet.listWatching().length).to.equal(domains.length * watchersPerDomain);
 		await applyNote();
-		await advance(inForceBoundMs);
+		await simulateTime(inForceBoundMs);
 		expect(listNumbers()).to.deep.equal([1]);
 	});
 
@@ -92,13 +92,13 @@
 		await startNodes(16);
 		const countCalls = async (): Promise<number> => {
 			const before = fleet.countPlatformCalls();
-			await advance(300_000, 100);
+			await simulateTime(300_000, 100);
 			return fleet.countPlatformCalls() - before;
 		};
 
 		const few = await countCalls();
 		Array.from({length: 64}, (_, index) => fleet.startNode(`more-${index}`, domains[index % domains.length]!));
-		await advance(settleMs);
+		await simulateTime(settleMs);
 		const many = await countCalls();
 		expect(many).to.be.lessThan(few * 1.5);
 	});
@@ -113,9 +113,9 @@
 			it(`${name}: a release is in force everywhere within its bound`, async () => {
 				await startNodes(24);
 				chooseFault = fault;
-				await advance(settleMs);
+				await simulateTime(settleMs);
 				await applyNote();
-				await advance(inForceBoundMs);
+				await simulateTime(inForceBoundMs);
 				expect(listNumbers()).to.deep.equal([1]);
 			});
 		});
@@ -125,7 +125,7 @@
 			const cut = new Set(fleet.listWatching().map(({id}) => id));
 			chooseFault = id => cut.has(id) ? 'refused' : 'none';
 			await applyNote();
-			await advance(5 * inForceBoundMs);
+			await simulateTime(5 * inForceBoundMs);
 			expect(listNumbers()).to.deep.equal([1]);
 		});
 
@@ -135,10 +135,10 @@
 			before.forEach(id => {
 				fleet.crashNode(id);
 			});
-			await advance(1000);
+			await simulateTime(1000);
 			expect(fleet.listWatching().length).to.equal(domains.length * watchersPerDomain);
 			await applyNote();
-			await advance(inForceBoundMs);
+			await simulateTime(inForceBoundMs);
 			expect(listNumbers()).to.deep.equal([1]);
 		});
 
@@ -147,7 +147,7 @@
 			const watching = new Set(fleet.listWatching().map(({id}) => id));
 			canFetch = (_, toId) => !watching.has(toId) || toId === [...watching][0];
 			await applyNote();
-			await advance(inForceBoundMs);
+			await simulateTime(inForceBoundMs);
 			expect(listNumbers()).to.deep.equal([1]);
 			expect(fleet.getFetchCount()).to.be.lessThan(24 * watching.size);
 		});
@@ -155,21 +155,21 @@
 		it('platform down for hours: releases stay, replaced nodes learn them, calls are few, and it goes on after', async () => {
 			await startNodes(16);
 			await applyNote();
-			await advance(inForceBoundMs);
+			await simulateTime(inForceBoundMs);
 			chooseFault = () => 'refused';
 			const callsBefore = fleet.countPlatformCalls();
-			await advance(hourMs, 500);
+			await simulateTime(hourMs, 500);
 			const mostCalls = (domains.length * watchersPerDomain * hourMs / leastRetryMs) + (hourMs / fleetPollMs);
 			expect(fleet.countPlatformCalls() - callsBefore).to.be.lessThan(mostCalls);
 			fleet.listNodes().slice(0, 12).forEach(({id, failureDomain}) => {
 				fleet.crashNode(id);
 				fleet.startNode(`${id}-new`, failureDomain);
 			});
-			await advance(inForceBoundMs);
+			await simulateTime(inForceBoundMs);
 			expect(listNumbers()).to.deep.equal([1]);
 			chooseFault = () => 'none';
 			await applyNote();
-			await advance(inForceBoundMs);
+			await simulateTime(inForceBoundMs);
 			expect(listNumbers()).to.deep.equal([2]);
 		}).timeout(60_000);
 
@@ -181,11 +181,11 @@
 				await before;
 				await applyNote();
 			}, Promise.resolve());
-			await advance(settleMs);
+			await simulateTime(settleMs);
 			expect(frozen.state.getNumber()).to.equal(0);
 			chooseFault = id => id === frozen.id ? 'stale' : 'none';
 			frozen.follower.start();
-			await advance(inForceBoundMs);
+			await simulateTime(inForceBoundMs);
 			expect(listNumbers()).to.deep.equal([30]);
 		});
 	});
