--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -3,6 +3,7 @@
 import {measureLimits} from './limits.js';
 import {measureLink} from './link.js';
 import {measureMembership} from './membership.js';
+import {measureReleases} from './releases.js';
 
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
@@ -13,4 +14,5 @@
 	['limits', measureLimits],
 	['link', measureLink],
 	['membership', measureMembership],
+	['releases', measureReleases],
 ]);
