--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -2,14 +2,14 @@
 import {createHash} from 'node:crypto';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
-import {formatAddress, type ServerRecord} from '@limpetbarrow/core';
+import {formatAddress, groupItems, type ServerRecord} from '@limpetbarrow/core';
 import {request} from 'undici';
 import {stopProcess} from './child-process.js';
 import {
 	startFleet, stopFleet, type Fleet, type HostPlan,
 } from './fleet.js';
 import {
-	computeTally, fetchLedger, isSound, setBackendFaults, type Tally,
+	computeTally, fetchLedger, isSound, setBackendFaults, type SentRequest, type Tally
 } from './ledger.js';
 import {sendWorkload, serviceNames} from './workload.js';
 
@@ -81,6 +81,11 @@
 	return await answer.body.json() as readonly ServerRow[];
 }
 
+function formatCodes(sent: readonly SentRequest[]): string {
+	const failed = sent.filter(({outcome}) => outcome !== 'whole');
+	return [...groupItems(failed, ({code}) => code ?? 0)].map(([code, group]) => `${code}: ${group.length}`).join(', ') || 'none';
+}
+
 function reportTally(tally: Tally, rows: ReadonlyArray<readonly [string, string | number]>): void {
 	const all: ReadonlyArray<readonly [string, string | number]> = [
 		['sent', tally.sent],
@@ -114,6 +119,7 @@
 		const lastGrayRun = Math.max(gray.startedAt, ...grayRuns.map(({startedAt}) => startedAt));
 		const tally = computeTally(sent, ledger);
 		reportTally(tally, [
+			['codes of refusals', formatCodes(sent)],
 			['gray server ejected', ejected.includes(gray.serverId) ? 'yes' : 'no'],
 			['detection time, s', ((lastGrayRun - gray.startedAt) / msPerS).toFixed(2)],
 			['requests sent to the gray server', grayRuns.length],
