--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -7,12 +7,14 @@
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {Announcements, Gossip, MemberTable} from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/platform';
-import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
+import {ReleaseFollower, ReleaseState} from '@limpetbarrow/releases';
 import {Admin} from './admin.js';
 import {CallerServices} from './caller-services.js';
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
+import {HttpReleasePeers} from './http-release-peers.js';
 import {Ingress} from './ingress.js';
+import {registerProcessGauges} from './process-gauges.js';
 import {ServerDirectory} from './server-directory.js';
 import {type NodeSettings} from './settings.js';
 
@@ -45,6 +47,7 @@
 	readonly #table: MemberTable;
 	readonly #announcements: Announcements;
 	readonly #releases = new ReleaseState();
+	readonly #peers: HttpReleasePeers;
 	readonly #follower: ReleaseFollower;
 	readonly #egress: Egress;
 	readonly #links: LinkPool;
@@ -59,14 +62,18 @@
 	constructor(settings: NodeSettings, logger: Logger) {
 		this.#settings = settings;
 		this.#logger = logger;
+		registerProcessGauges(this.#metrics);
 		this.#platform = new HttpObjectStore(settings.platform);
 		this.#table = new MemberTable(createRecord(settings));
 		this.#announcements = new Announcements(logger);
-		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
+		this.#peers = new HttpReleasePeers(this.#table);
+		this.#follower = new ReleaseFollower({
+			store: this.#platform, state: this.#releases, peers: this.#peers, expectsPeers: settings.seeds.length > 0, logger,
+		});
 		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
-		this.#links = new LinkPool(this.#table.self);
-		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
-		this.#gossip = new Gossip(this.#table, settings.seeds);
+		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
+		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
+		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
 		const forwarder = this.#createForwarder();
 		this.#callers = new CallerServices({
 			table: this.#table,
@@ -83,7 +90,7 @@
 			announcements: this.#announcements,
 			table: this.#table,
 			releases: this.#releases,
-			log: new ReleaseLog(this.#platform),
+			platform: this.#platform,
 			metrics: this.#metrics,
 			logger,
 			isStopping: () => this.#isStopping,
@@ -133,6 +140,7 @@
 		this.#links.close();
 		await this.#linkServer.close();
 		await this.#egress.close();
+		await this.#peers.close();
 		await this.#platform.close();
 	}
 
