--- a/packages/demo/src/__tests__/unit/at-most-once.test.ts
+++ b/packages/demo/src/__tests__/unit/at-most-once.test.ts
@@ -5,7 +5,7 @@
 	Caller, FleetCaller, type CallerAnswer, type FleetAnswer, type HeldKey,
 } from '@limpetbarrow/caller';
 import {
-	attemptHeader, formatAddress, resultCodes, type NodeRecord,
+	attemptHeader, formatAddress, resultCodes, timeoutHeader, type NodeRecord,
 } from '@limpetbarrow/core';
 import {request} from 'undici';
 import {
@@ -144,7 +144,7 @@
 		let attempt = 1;
 		await waitFor(async () => {
 			attempt++;
-			const {ran} = await send(getOrigin(2), '/orders/3', {...held, attempt: attempt});
+			const {ran} = await send(getOrigin(2), '/orders/3', {...held, attempt});
 			return ran === 'ran';
 		});
 		expect(await fetchRuns('/orders/3')).to.equal(1);
--- a/packages/node/src/__tests__/unit/keyed-path.test.ts
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -57,9 +57,9 @@
 	}
 }
 
-async function fetchFailure(carrier: Carrier): Promise<Failure> {
+async function fetchFailure(carrier: Carrier, headers: readonly string[]): Promise<Failure> {
 	return new Promise(resolve => {
-		carrier.openExchange({} as RequestHead, {
+		carrier.openExchange({headers} as unknown as RequestHead, {
 			handleHead: () => undefined, handleData: () => undefined, handleEnd: () => undefined, handleCredit: () => undefined, handleFailure: resolve,
 		});
 	});
@@ -186,11 +186,20 @@
 			});
 		});
 
-		['linkUnreachable', 'linkLost', 'malformedFrame', 'frameTooLarge'].forEach(name => {
-			it(`makes ${name} on the way to the home unknown`, async () => {
-				const router = createRouter({incarnation: 7, status: 'suspect'}, name as ResultName);
-				const carrier = router.selectNext(createRequest('token', 'k:1', '1'), issue({id: 'two', incarnation: 7})).extract() as Carrier;
-				expect(await fetchFailure(carrier)).to.deep.include({name: 'homeUnreachable', ran: 'unknown', resend: 'same-key'});
+		const linkCases: ReadonlyArray<readonly [ResultName, ResultName, ResultName]> = [
+			['linkUnreachable', 'homeGone', 'homeUnreachable'],
+			['deadlinePassed', 'deadlinePassed', 'keyUndecided'],
+			['linkLost', 'homeUnreachable', 'homeUnreachable'],
+			['malformedFrame', 'homeUnreachable', 'homeUnreachable'],
+			['frameTooLarge', 'homeUnreachable', 'homeUnreachable'],
+			['queueFull', 'queueFull', 'queueFull'],
+		];
+		linkCases.forEach(([name, first, later]) => {
+			it(`makes ${name} on the way to the home ${first} for the first send and ${later} for others`, async () => {
+				const router = createRouter({incarnation: 7, status: 'suspect'}, name);
+				const carrier = router.selectNext(createRequest('token', 'k:1'), issue({id: 'two', incarnation: 7})).extract() as Carrier;
+				const failures = await Promise.all([['x', ''], [attemptHeader, '1'], [attemptHeader, '2']].map(async headers => fetchFailure(carrier, headers)));
+				expect(failures.map(failure => failure.name)).to.deep.equal([later, first, later]);
 			});
 		});
 	});
--- a/packages/node/src/home-router.ts
+++ b/packages/node/src/home-router.ts
@@ -1,13 +1,13 @@
 /** Finds the way to the home of a keyed request. */
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RequestHead, type ResultName,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RawHeaders, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
 import {type LinkPeer} from '@limpetbarrow/link';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Member} from '@limpetbarrow/members';
 import {type IngressRequest} from './ingress-request.js';
-import {parseAttempt} from './keyed-request.js';
+import {parseAttempt, replaceUnproven} from './keyed-request.js';
 
 /** What a home router works with. */
 export type HomeRouterOptions = {
@@ -18,12 +18,27 @@
 	readonly getLink: (peer: LinkPeer) => Carrier;
 };
 
-const linkFailures: ReadonlySet<ResultName> = new Set(['linkUnreachable', 'linkLost', 'malformedFrame', 'frameTooLarge']);
+const lostFailures: ReadonlySet<ResultName> = new Set(['linkLost', 'malformedFrame', 'frameTooLarge']);
 
-/**
- * The link to a home. Whatever the link says of a request, the home may have got it, so that a failure of the link never
- * counts as "not run" for a key.
- */
+function isFirstSend(headers: RawHeaders): boolean {
+	return parseAttempt(headers).orDefault(0) === 1;
+}
+
+/** What a failure on the way to the home says of a key: of an earlier send the link knows nothing. */
+function replaceLinkFailure(headers: RawHeaders, failure: Failure): Failure {
+	const detail = `${failure.code} ${failure.name}: ${failure.detail}`;
+	if (failure.name === 'linkUnreachable') {
+		return createFailure(isFirstSend(headers) ? 'homeGone' : 'homeUnreachable', detail);
+	}
+
+	if (failure.name === 'deadlinePassed') {
+		return replaceUnproven(headers, failure);
+	}
+
+	return lostFailures.has(failure.name) ? createFailure('homeUnreachable', detail) : failure;
+}
+
+/** The link to a home. */
 class HomeLink extends Carrier {
 	readonly #link: Carrier;
 
@@ -36,9 +51,7 @@
 		return this.#link.openExchange(head, {
 			...handler,
 			handleFailure(failure) {
-				handler.handleFailure(linkFailures.has(failure.name)
-					? createFailure('homeUnreachable', `${failure.code} ${failure.name}: ${failure.detail}`)
-					: failure);
+				handler.handleFailure(replaceLinkFailure(head.headers, failure));
 			},
 		});
 	}
@@ -57,7 +70,7 @@
 			return Right(this.#options.forwarder);
 		}
 
-		return this.findHome(terms.home).mapLeft(failure => parseAttempt(request.headers).orDefault(0) === 1
+		return this.findHome(terms.home).mapLeft(failure => isFirstSend(request.headers)
 			? createFailure('homeGone', failure.detail)
 			: failure);
 	}
