Let callers pass over an ingress that refused a connection

Cause: after a planned stop every fourth send went to the stopped node, was refused, and spent a resend; the caller's budget of one resend in ten ran out. Ruled out: raising the budget, since it also bounds resends that cost the fleet.

--- a/packages/caller/src/fleet-caller.ts
+++ b/packages/caller/src/fleet-caller.ts
@@ -7,6 +7,7 @@
 import {
 	judgeSend, readOutcome, type NextStep, type SendOutcome,
 } from './judge-send.js';
+import {OriginRing} from './origin-ring.js';
 import {RetryBudget} from './retry-budget.js';
 import {TermsHolder, type Credentials, type HeldTerms} from './terms-holder.js';
 import {HttpTransport, type Transport} from './transport.js';
@@ -69,15 +70,14 @@
 
 /** Sends requests for one organisation. */
 export class FleetCaller {
-	readonly #origins: readonly string[];
+	readonly #origins: OriginRing;
 	readonly #transport: Transport;
 	readonly #terms: TermsHolder;
 	readonly #budget = new RetryBudget();
 	readonly #maxSends: number;
-	#nextOrigin = 0;
 
 	constructor({origins, credentials, transport = new HttpTransport(), maxSends = defaultMaxSends}: FleetCallerOptions) {
-		this.#origins = origins;
+		this.#origins = new OriginRing(origins);
 		this.#transport = transport;
 		this.#terms = new TermsHolder(transport, origins, credentials);
 		this.#maxSends = maxSends;
@@ -159,13 +159,22 @@
 		);
 	}
 
+	#recordReach(origin: string, {kind}: SendResult): void {
+		if (kind === 'answer') {
+			this.#origins.recordAnswer(origin);
+		} else if (kind === 'not-sent') {
+			this.#origins.recordRefusal(origin);
+		}
+	}
+
 	async #send({request, held, deadline}: Progress, terms: HeldTerms | undefined): Promise<SendResult> {
 		const remainingMs = Math.max(1, Math.floor(deadline - performance.now()));
 		const isSafe = held !== undefined || isRepeatable(request);
 		const timeoutMs = isSafe ? Math.max(1, Math.floor(remainingMs * sendShare)) : remainingMs;
 		const token = held?.token ?? terms?.token;
+		const origin = this.#origins.pickOrigin();
 		const result = await this.#transport.send({
-			origin: this.#origins[this.#nextOrigin++ % this.#origins.length]!,
+			origin,
 			method: request.method,
 			path: request.path,
 			headers: {
@@ -178,6 +187,7 @@
 			body: request.body,
 			timeoutMs,
 		});
+		this.#recordReach(origin, result);
 		if (result.kind === 'answer' && result.headers[renewHeader] !== undefined) {
 			void this.#terms.renew();
 		}
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -2,6 +2,7 @@
 export * from './caller.js';
 export * from './fleet-caller.js';
 export * from './judge-send.js';
+export * from './origin-ring.js';
 export * from './terms-holder.js';
 export * from './transport.js';
 export type * from './types.js';
