--- a/packages/node/src/__tests__/path-rig.ts
+++ b/packages/node/src/__tests__/path-rig.ts
@@ -9,6 +9,7 @@
 	Carrier, Exchange, MetricRegistry, SilentLogger, type Address, type ExchangeHandler, type RequestHead,
 } from '@limpetbarrow/core';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
+import {type AnnouncedServer} from '@limpetbarrow/members';
 import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
 import {TcpRelay} from '@limpetbarrow/stand-ins';
 import {sendFailure} from '../answer.js';
@@ -59,6 +60,8 @@
 	maxUp = 0;
 	down = 0;
 	maxDown = 0;
+	upTotal = 0;
+	downTotal = 0;
 	readonly #findBackend: () => BackendServer;
 
 	constructor(findBackend: () => BackendServer) {
@@ -81,11 +84,13 @@
 	}
 
 	countUp(bytes: number): void {
+		this.upTotal += Math.max(0, bytes);
 		this.up += bytes;
 		this.maxUp = Math.max(this.maxUp, this.up);
 	}
 
 	countDown(bytes: number): void {
+		this.downTotal += Math.max(0, bytes);
 		this.down += bytes;
 		this.maxDown = Math.max(this.maxDown, this.down);
 	}
@@ -134,6 +139,7 @@
 		this.script(request, response);
 	});
 
+	#announced: AnnouncedServer | undefined;
 	#backend: BackendServer | undefined;
 	#relay: TcpRelay | undefined;
 	#ingress: Ingress | undefined;
@@ -154,9 +160,10 @@
 
 	async start(): Promise<void> {
 		this.#relay = new TcpRelay(await listen(this.#server));
-		this.#backend = new BackendServer({
+		this.#announced = {
 			id: 's1', service: 'fitting-desk', address: await this.#relay.listen(), slots, generation: 1, isLeaving: false, maxConnections: 400, expiresAt: Infinity,
-		}, () => {
+		};
+		this.#backend = new BackendServer(this.#announced, () => {
 			// Outcomes are not looked at here.
 		});
 		const address = await this.#linkServer.listen({host, port: 0});
@@ -175,6 +182,12 @@
 		this.#address = await this.#ingress.listen({host, port: 0});
 	}
 
+	/** Announces the backend server again with changes. */
+	announce(changes: Partial<AnnouncedServer>): void {
+		this.#announced = {...this.#announced!, ...changes};
+		this.backend.applyAnnouncement(this.#announced);
+	}
+
 	async stop(): Promise<void> {
 		this.#sockets.forEach(socket => {
 			socket.destroy();
--- a/packages/node/src/__tests__/unit/http-shapes.test.ts
+++ b/packages/node/src/__tests__/unit/http-shapes.test.ts
@@ -83,7 +83,18 @@
 			response.end(JSON.stringify(request.rawHeaders.filter((_, index) => index % 2 === 0)));
 		};
 
-		const answer = await rig.sendRaw(formatLines('POST /desk HTTP/1.1', 'host: shop.example', 'connection: close, X-Private, content-length', 'x-private: 1', 'x-public: 2', 'te: trailers', 'upgrade: h2c', 'proxy-authorization: a', 'limpetbarrow-terms: t', 'content-length: 2', '', 'ab'));
+		const headers = [
+			'host: shop.example',
+			'connection: close, X-Private, content-length',
+			'x-private: 1',
+			'x-public: 2',
+			'te: trailers',
+			'upgrade: h2c',
+			'proxy-authorization: a',
+			'limpetbarrow-terms: t',
+			'content-length: 2',
+		];
+		const answer = await rig.sendRaw(formatLines('POST /desk HTTP/1.1', ...headers, '', 'ab'));
 		expect(JSON.parse(/\[.*\]/v.exec(answer)![0])).to.have.members(['host', 'connection', 'x-public', 'content-length', 'limpetbarrow-timeout-ms']);
 		expect(answer).to.match(/x-outer: 2/v).and.not.match(/x-inner|timeout=9/v);
 	});
--- /dev/null
+++ b/packages/node/src/__tests__/unit/path.test.ts
@@ -0,0 +1,343 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {setImmediate as waitTurn} from 'node:timers/promises';
+import {expect} from 'chai';
+import {exchangeWindowBytes, ranHeader, resultHeader} from '@limpetbarrow/core';
+import {Agent, request} from 'undici';
+import {formatLines, PathRig} from '../path-rig.js';
+
+const largeBytes = 33_554_432;
+const chunkBytes = 65_536;
+
+type Answer = {
+	readonly status: number;
+	readonly code: string;
+	readonly ran: string;
+	readonly text: string;
+};
+
+async function waitFor(condition: () => boolean): Promise<void> {
+	if (!condition()) {
+		await waitTurn();
+		await waitFor(condition);
+	}
+}
+
+/** Lets sockets work until nothing has moved for many turns. */
+async function waitUntilStill(read: () => number, turns = 200, last = -1): Promise<void> {
+	if (turns === 0) {
+		return;
+	}
+
+	await waitTurn();
+	const now = read();
+	await waitUntilStill(read, now === last ? turns - 1 : 200, now);
+}
+
+function writeLarge(response: ServerResponse, left: number): void {
+	if (left === 0) {
+		response.end();
+		return;
+	}
+
+	const isTaken = response.write(Buffer.alloc(chunkBytes, 'a'));
+	if (isTaken) {
+		writeLarge(response, left - chunkBytes);
+		return;
+	}
+
+	response.once('drain', () => {
+		writeLarge(response, left - chunkBytes);
+	});
+}
+
+function endAll(responses: readonly ServerResponse[], text = 'ok'): void {
+	responses.forEach(response => {
+		response.end(text);
+	});
+}
+
+function closeAfterPart(response: ServerResponse): void {
+	response.write('part', () => {
+		response.socket!.destroy();
+	});
+}
+
+async function readBroken(body: {readonly text: () => Promise<string>}): Promise<unknown> {
+	try {
+		return await body.text();
+	} catch (error) {
+		return error;
+	}
+}
+
+/** Sums the body's bytes and answers with the sum. */
+function answerSize(message: IncomingMessage, response: ServerResponse): void {
+	let bytes = 0;
+	message.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+	});
+	message.on('end', () => {
+		response.end(`${bytes} ${message.headers['content-length']}`);
+	});
+}
+
+describe('the path of a request', () => {
+	let rig: PathRig;
+	let agent: Agent;
+
+	beforeEach(async () => {
+		agent = new Agent({connections: 20, pipelining: 1});
+		rig = new PathRig();
+		await rig.start();
+	});
+
+	afterEach(async () => {
+		await agent.destroy();
+		await rig.stop();
+	});
+
+	async function send(path: string, options: {readonly method?: 'GET' | 'POST'; readonly body?: string; readonly timeoutMs?: number} = {}): Promise<Answer> {
+		const {statusCode, headers, body} = await request(rig.getUrl(path), {
+			dispatcher: agent,
+			method: options.method ?? 'POST',
+			body: options.body ?? 'order',
+			headers: options.timeoutMs === undefined ? {} : {'limpetbarrow-timeout-ms': String(options.timeoutMs)},
+		});
+		return {
+			status: statusCode, code: String(headers[resultHeader] ?? ''), ran: String(headers[ranHeader] ?? 'ran'), text: await body.text(),
+		};
+	}
+
+	async function sendAll(indexes: readonly number[], timeoutMs = 10_000): Promise<readonly Answer[]> {
+		return Promise.all(indexes.map(async index => send(`/desk/${index}`, {timeoutMs})));
+	}
+
+	/** Makes the backend server keep its requests until the test answers them. */
+	function registerHolding(): ServerResponse[] {
+		const held: ServerResponse[] = [];
+		rig.script = (message, response) => {
+			message.resume();
+			held.push(response);
+		};
+
+		return held;
+	}
+
+	describe('bodies', () => {
+		it('reach the backend server whole, small and large', async () => {
+			rig.script = (message, response) => {
+				let bytes = 0;
+				message.on('data', (chunk: Uint8Array) => {
+					bytes += chunk.length;
+				});
+				message.on('end', () => {
+					response.end(`${bytes} ${message.headers['content-length']}`);
+				});
+			};
+
+			const sizes = [0, 1, exchangeWindowBytes, exchangeWindowBytes + 1, 1_000_000];
+			const texts = await sizes.reduce<Promise<readonly string[]>>(async (previous, size) => {
+				const before = await previous;
+				const {text} = await send('/desk', {body: 'a'.repeat(size)});
+				return [...before, text];
+			}, Promise.resolve([]));
+			expect(texts).to.deep.equal(sizes.map(size => `${size} ${size}`));
+		});
+
+		it('of answers wait for a slow reader with bounded memory, and arrive whole', async () => {
+			rig.script = (_message, response) => {
+				response.writeHead(200, {'content-length': largeBytes});
+				writeLarge(response, largeBytes);
+			};
+
+			const socket = rig.connect();
+			socket.pause();
+			socket.write(formatLines('GET /desk HTTP/1.1', 'host: a', 'connection: close', '', ''));
+			await waitFor(() => rig.carrier.down > 0);
+			await waitUntilStill(() => rig.carrier.downTotal);
+			expect(rig.carrier.downTotal).to.be.lessThan(largeBytes);
+			let received = 0;
+			socket.on('data', (chunk: Uint8Array) => {
+				received += chunk.length;
+			});
+			socket.resume();
+			await new Promise<void>(resolve => {
+				socket.once('close', () => {
+					resolve();
+				});
+			});
+			expect(received).to.be.greaterThan(largeBytes);
+			expect(rig.carrier.maxDown).to.be.at.most(exchangeWindowBytes + chunkBytes + (exchangeWindowBytes / 4));
+		});
+
+		it('of requests wait for a slow backend server with bounded memory, and arrive whole', async () => {
+			let resume = (): void => {
+				expect.fail('the request has not arrived');
+			};
+
+			rig.script = (message, response) => {
+				resume = () => {
+					answerSize(message, response);
+				};
+			};
+
+			const answer = send('/desk', {body: 'a'.repeat(largeBytes)});
+			await waitFor(() => rig.ledger.length === 1);
+			await waitUntilStill(() => rig.carrier.upTotal);
+			expect(rig.carrier.upTotal).to.be.lessThan(largeBytes);
+			resume();
+			expect(await answer).to.include({status: 200, text: `${largeBytes} ${largeBytes}`});
+			expect(rig.carrier.maxUp).to.be.at.most(exchangeWindowBytes + chunkBytes + (exchangeWindowBytes / 4));
+		});
+	});
+
+	describe('answers that break', () => {
+		const breaks: ReadonlyArray<readonly [string, Readonly<Record<string, number>>]> = [
+			['of a known length', {'content-length': 100_000}],
+			['in chunks', {}],
+		];
+		breaks.forEach(([name, headers]) => {
+			it(`${name} are seen as broken by the caller, never as whole`, async () => {
+				rig.script = (_message, response) => {
+					response.writeHead(200, headers);
+					closeAfterPart(response);
+				};
+
+				const {body} = await request(rig.getUrl('/desk'), {dispatcher: agent, method: 'GET'});
+				expect(await readBroken(body)).to.be.instanceOf(Error);
+			});
+		});
+
+		it('before their head are unknown', async () => {
+			rig.script = (_message, response) => {
+				response.socket!.destroy();
+			};
+
+			expect(await send('/desk')).to.include({status: 502, code: '3006', ran: 'unknown'});
+		});
+	});
+
+	describe('cancellation and deadlines', () => {
+		it('cancels at the backend server when the caller leaves', async () => {
+			const held = registerHolding();
+			const socket = rig.connect();
+			socket.write(formatLines('GET /desk HTTP/1.1', 'host: a', '', ''));
+			await waitFor(() => held.length === 1);
+			socket.destroy();
+			await waitFor(() => held[0]!.destroyed);
+			expect(rig.backend.countRequests()).to.equal(0);
+		});
+
+		it('says unknown when the deadline passes in the run, and cancels it', async () => {
+			const held = registerHolding();
+			const answer = await send('/desk', {timeoutMs: 100});
+			expect(answer).to.include({status: 504, ran: 'unknown'});
+			await waitFor(() => held[0]!.destroyed);
+		});
+
+		it('refuses as not run what can not be started before its deadline', async () => {
+			const held = registerHolding();
+			const running = [send('/desk/1'), send('/desk/2')];
+			await waitFor(() => held.length === 2);
+			expect(await send('/desk/late', {timeoutMs: 100})).to.include({ran: 'not-run', code: '3004'});
+			endAll(held);
+			await Promise.all(running);
+			expect(rig.ledger).to.not.include('POST /desk/late');
+		});
+	});
+
+	describe('refusals', () => {
+		it('of a full queue are true: the backend server saw none of them', async () => {
+			const held = registerHolding();
+			const accepted = sendAll([0, 1, 2, 3]);
+			await waitFor(() => held.length === 2 && rig.backend.getLoad().queued === 2);
+			const refused = await sendAll([4, 5, 6]);
+			expect(refused.map(({status, code, ran}) => `${status} ${code} ${ran}`)).to.deep.equal(['503 3003 not-run', '503 3003 not-run', '503 3003 not-run']);
+			rig.script = (message, response) => {
+				message.resume();
+				response.end('ok');
+			};
+
+			endAll(held, 'ok');
+			const answers = await accepted;
+			expect(answers.map(({status}) => status)).to.deep.equal([200, 200, 200, 200]);
+			expect(rig.ledger.toSorted((a, b) => a.localeCompare(b))).to.deep.equal([0, 1, 2, 3].map(index => `POST /desk/${index}`));
+		});
+
+		it('of a queue that is given up are true, and what runs goes on', async () => {
+			const held = registerHolding();
+			const running = [send('/desk/1'), send('/desk/2')];
+			await waitFor(() => held.length === 2);
+			const waiting = send('/desk/3');
+			await waitFor(() => rig.backend.getLoad().queued === 1);
+			const drained = rig.backend.drain();
+			expect(await waiting).to.include({code: '3001', ran: 'not-run'});
+			endAll(held, 'whole');
+			const answers = await Promise.all(running);
+			expect(answers.map(({text}) => text)).to.deep.equal(['whole', 'whole']);
+			await drained;
+			expect(rig.ledger.length).to.equal(2);
+		});
+
+		it('for want of a connection are not run', async () => {
+			await rig.relay.close();
+			expect(await send('/desk')).to.include({status: 502, code: '3005', ran: 'not-run'});
+			expect(rig.ledger).to.deep.equal([]);
+		});
+
+		it('frees the place of a request that is cancelled in the queue', async () => {
+			const held = registerHolding();
+			const running = [send('/desk/1'), send('/desk/2')];
+			await waitFor(() => held.length === 2);
+			const socket = rig.connect();
+			socket.write(formatLines('GET /desk/3 HTTP/1.1', 'host: a', '', ''));
+			await waitFor(() => rig.backend.getLoad().queued === 1);
+			socket.destroy();
+			await waitFor(() => rig.backend.getLoad().queued === 0);
+			endAll(held);
+			await Promise.all(running);
+			expect(rig.ledger.length).to.equal(2);
+		});
+	});
+
+	describe('connections to the backend server', () => {
+		it('that went silent together cost one request, then new ones are used', async () => {
+			const held = registerHolding();
+			const first = sendAll([0, 1]);
+			await waitFor(() => held.length === 2);
+			endAll(held);
+			await first;
+			rig.relay.pauseConnections();
+			expect(await send('/desk/2', {timeoutMs: 100})).to.include({status: 504, ran: 'unknown'});
+			await waitFor(() => rig.backend.countRequests() === 0);
+			rig.script = (_message, response) => {
+				response.end('ok');
+			};
+
+			const answers = await sendAll([3, 4], 2000);
+			expect(answers.map(({status}) => status)).to.deep.equal([200, 200]);
+		});
+
+		it('that the backend server closed while unused make no request unknown', async () => {
+			const statuses = await Array.from({length: 10}).reduce<Promise<readonly number[]>>(async previous => {
+				const before = await previous;
+				const {status} = await send('/desk');
+				rig.closeIdleBackendConnections();
+				return [...before, status];
+			}, Promise.resolve([]));
+			expect(statuses).to.deep.equal(Array.from({length: 10}, () => 200));
+		});
+
+		it('are never more than its slots and its announced connections', async () => {
+			const held = registerHolding();
+			rig.announce({slots: 3, maxConnections: 1});
+			const answers = [send('/desk/1'), send('/desk/2'), send('/desk/3')];
+			await waitFor(() => held.length === 1 && rig.backend.getLoad().queued === 2);
+			rig.announce({slots: 3, maxConnections: 400});
+			await waitFor(() => held.length === 3);
+			endAll(held);
+			await Promise.all(answers);
+		});
+	});
+});
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -16,6 +16,8 @@
 const keepAliveMaxMs = 60_000;
 /** Backend servers are on this node's own host. */
 const connectTimeoutMs = 1000;
+/** Time kept for the way back of a refusal, so that it arrives before the caller's deadline, in milliseconds. */
+const refusalTripMs = 50;
 /** Requests whose body is still arriving. */
 const maxCollecting = 256;
 
@@ -124,7 +126,8 @@
 
 	#enqueue(run: BackendRun): void {
 		const expectedMs = this.#serviceTime.getExpectedMs();
-		const latestMs = run.getRemainingMs() - expectedMs;
+		const remainingMs = run.getRemainingMs();
+		const latestMs = remainingMs - Math.max(expectedMs, Math.min(refusalTripMs, remainingMs / 4));
 		if (latestMs <= this.#estimateWaitMs()) {
 			run.refuse(createFailure('queueDeadline', `server ${this.#server.id}`, this.#estimateWaitMs()));
 			return;
--- a/packages/node/src/request-body.ts
+++ b/packages/node/src/request-body.ts
@@ -3,7 +3,7 @@
 import {Readable} from 'node:stream';
 import {exchangeWindowBytes, findHeader, type RawHeaders} from '@limpetbarrow/core';
 
-/** How a body is sent by its headers: `whole` ones are collected first, as they fit the first window. */
+/** How a body is sent by its headers: `whole` ones are collected first, as they come before the first window is used up. */
 export type BodyForm = 'none' | 'whole' | 'streamed';
 
 /** Reads the form of a body from the request's headers. */
@@ -11,7 +11,7 @@
 	const length = findHeader(headers, 'content-length');
 	if (length !== undefined) {
 		const bytes = Number(length);
-		return bytes === 0 ? 'none' : (bytes <= exchangeWindowBytes ? 'whole' : 'streamed');
+		return bytes === 0 ? 'none' : (bytes < exchangeWindowBytes ? 'whole' : 'streamed');
 	}
 
 	return findHeader(headers, 'transfer-encoding') === undefined ? 'none' : 'streamed';
