--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -129,6 +129,15 @@
 	homeUnreachable: {
 		code: 4005, status: 503, ran: 'unknown', resend: 'same-key', meaning: 'The node that keeps the key cannot be reached.',
 	},
+	keysFull: {
+		code: 4006, status: 503, ran: 'not-run', resend: 'later', meaning: 'The node that keeps the key keeps no more keys now.',
+	},
+	homeGone: {
+		code: 4007, status: 503, ran: 'not-run', resend: 'never', meaning: 'The home of the key cannot be reached and this first send was not run; renew the terms and use a new key.',
+	},
+	keyUndecided: {
+		code: 4008, status: 503, ran: 'unknown', resend: 'same-key', meaning: 'This send was not run; an earlier send of the key may still be on its way.',
+	},
 
 	// Terms and limits
 	termsInvalid: {
@@ -157,6 +166,12 @@
 	releaseUnknown: {
 		code: 6004, status: 503, ran: 'none', resend: 'later', meaning: 'It is not known whether the release was accepted; apply the same note again.',
 	},
+	releaseGone: {
+		code: 6005, status: 410, ran: 'none', resend: 'never', meaning: 'The node no longer keeps the releases asked for; fetch its configuration.',
+	},
+	releaseUnreadable: {
+		code: 6006, status: 502, ran: 'none', resend: 'later', meaning: 'A stored or fetched release could not be read.',
+	},
 
 	// Platform
 	platformUnavailable: {
