--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -1,5 +1,6 @@
 /** Ties one HTTP request of a caller to the exchange that carries it. */
 import {type Buffer} from 'node:buffer';
+import process from 'node:process';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {
@@ -112,6 +113,7 @@
 			return;
 		}
 
+		this.#pauseWrites();
 		try {
 			this.#response.writeHead(status, [...headers]);
 		} catch (error) {
@@ -119,6 +121,14 @@
 		}
 	}
 
+	/** Head, body and end of a small answer come in one turn and leave in one write. */
+	#pauseWrites(): void {
+		this.#response.cork();
+		process.nextTick(() => {
+			this.#response.uncork();
+		});
+	}
+
 	#handleData(chunk: Uint8Array): void {
 		if (this.#isOver) {
 			return;
