--- a/packages/releases/src/__tests__/unit/release-follower.test.ts
+++ b/packages/releases/src/__tests__/unit/release-follower.test.ts
@@ -1,11 +1,12 @@
 import {setImmediate as waitForPromises} from 'node:timers/promises';
 import {expect} from 'chai';
 import {install} from '@sinonjs/fake-timers';
-import {SilentLogger} from '@limpetbarrow/core';
+import {EitherAsync, Left} from 'purify-ts';
+import {createFailure, SilentLogger, type Failure} from '@limpetbarrow/core';
 import {type CallKind} from '@limpetbarrow/platform';
 import {MemoryObjectStore, MemoryPlatform, type MemoryFault} from '@limpetbarrow/stand-ins';
 import {
-	fleetPollMs, MemoryFleet, selectWatchers, StoreWatcher, watchersPerDomain, type ReleasePeer,
+	fleetPollMs, MemoryFleet, ReleaseFollower, ReleasePeers, ReleaseState, selectWatchers, StoreWatcher, watchersPerDomain, type Configuration, type Release, type ReleasePeer,
 } from '../../index.js';
 import {createNote, createOperator} from './notes.js';
 
@@ -191,6 +192,81 @@
 	});
 });
 
+/** Hears of the other nodes only after a while. */
+class LatePeers extends ReleasePeers {
+	readonly #selfId: string;
+	readonly #others: readonly ReleasePeer[];
+	readonly #hearsAt = performance.now() + 2000;
+
+	constructor(selfId: string, others: readonly ReleasePeer[]) {
+		super();
+		this.#selfId = selfId;
+		this.#others = others;
+	}
+
+	override getSelfId(): string {
+		return this.#selfId;
+	}
+
+	override listLive(): readonly ReleasePeer[] {
+		return performance.now() < this.#hearsAt ? this.#others.filter(({id}) => id === this.#selfId) : this.#others;
+	}
+
+	override fetchReleases(peerId: string): EitherAsync<Failure, readonly Release[]> {
+		return EitherAsync.liftEither(Left(createFailure('linkUnreachable', peerId)));
+	}
+
+	override fetchConfiguration(peerId: string): EitherAsync<Failure, Configuration> {
+		return EitherAsync.liftEither(Left(createFailure('linkUnreachable', peerId)));
+	}
+}
+
+describe('a failure domain that starts at once', () => {
+	let clock: ReturnType<typeof install>;
+
+	beforeEach(() => {
+		clock = install({toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance']});
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('makes no calls of the platform before its nodes know one another, and few after', async () => {
+		const platform = new MemoryPlatform();
+		const peers: readonly ReleasePeer[] = Array.from({length: 60}, (_, index) => ({
+			id: `node-${index}`, failureDomain: 'a-1', release: 0, isServing: true,
+		}));
+		const random = createRandom(3);
+		const nodes = peers.map(({id}) => {
+			const store = new MemoryObjectStore(platform);
+			return {
+				store,
+				follower: new ReleaseFollower({
+					store, state: new ReleaseState(), peers: new LatePeers(id, peers), expectsPeers: true, logger: new SilentLogger(), random,
+				}),
+			};
+		});
+		const countCallers = (): number => nodes.filter(({store}) => store.getCallCounts().watch > 0).length;
+		const simulateTime = async (steps: number): Promise<void> => Array.from({length: steps}).reduce<Promise<void>>(async before => {
+			await before;
+			clock.tick(100);
+			await waitForPromises();
+		}, Promise.resolve());
+		nodes.forEach(({follower}) => {
+			follower.start();
+		});
+		await simulateTime(20);
+		const early = nodes.flatMap(({store}) => Object.values(store.getCallCounts())).reduce((sum, count) => sum + count, 0);
+		await simulateTime(80);
+		const callerCount = countCallers();
+		nodes.forEach(({follower}) => {
+			follower.stop();
+		});
+		expect([early, callerCount]).to.deep.equal([0, watchersPerDomain]);
+	});
+});
+
 describe('a watch of the log', () => {
 	it('reads the log again when a change was left out', async () => {
 		const clock = install({toFake: ['setTimeout', 'clearTimeout']});
