Merge branch 'main' into platform

Conflict in the table of benchmarks only: both sides' entries are kept, in the order of their names.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,16 +1,18 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 import {measureLatency} from './latency.js';
+import {measureLimits} from './limits.js';
 import {measureLink} from './link.js';
-import {measureReleases} from './releases.js';
 import {measureMembership} from './membership.js';
+import {measureReleases} from './releases.js';
 
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
 
 /** All benchmarks, as `npm run bench -- NAME` takes them. */
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
-	['link', measureLink],
 	['latency', measureLatency],
-	['releases', measureReleases],
+	['limits', measureLimits],
+	['link', measureLink],
 	['membership', measureMembership],
+	['releases', measureReleases],
 ]);
--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -155,7 +155,9 @@
 		const undo = this.#list().map(({table}) => table.store.registerListener(({before, after}) => {
 			[...after.entries.values()]
 				.filter(entry => entry.status === 'dead' && before.entries.get(entry.id)?.status !== 'dead')
-				.forEach(({id, refutation}) => dead.add(`${id}/${refutation}`));
+				.forEach(({id, refutation}) => {
+					dead.add(`${id}/${refutation}`);
+				});
 		}));
 		[0.01, 0.05].forEach(loss => {
 			dead.clear();
@@ -219,7 +221,8 @@
 		lost.forEach(index => {
 			this.#fleet.add(index, 5000);
 		});
-		const isKnown = (): boolean => this.#list().every(({table}) => table.listLive().filter(({status, record}) => status === 'alive' && record.servers.length === serversPerNode).length === this.#nodes);
+		const countWhole = (table: MemberTable): number => table.listLive().filter(({status, record}) => status === 'alive' && record.servers.length === serversPerNode).length;
+		const isKnown = (): boolean => this.#list().every(({table}) => countWhole(table) === this.#nodes);
 		const back = this.#waitUntil(isKnown, 600_000, coarsePollMs);
 		this.#add('failure domain back at once: all know all', back, 'ms');
 		this.#measureTraffic('failure domain back at once', back / msPerS);
