--- a/packages/caller/src/__tests__/unit/fleet-caller.test.ts
+++ b/packages/caller/src/__tests__/unit/fleet-caller.test.ts
@@ -141,6 +141,13 @@
 			expect(failure).to.deep.include({ran: 'unknown', resend: 'never', heldKey: {key: 't0:7', token: 'token-t0', attempt: 2}});
 		});
 
+		it('that was sent before is uncertain until its home says otherwise', async () => {
+			const held = {key: 't0:7', token: 'token-t0', attempt: 3};
+			const bounced = readFailure(await createCaller(new FakeTransport(...Array.from({length: 5}, () => notSent))).sendOnce(order, held));
+			const refused = readFailure(await createCaller(new FakeTransport(refuse('poisonRequest'))).sendOnce(order, held));
+			expect([bounced.ran, refused.ran]).to.deep.equal(['unknown', 'not-run']);
+		});
+
 		it('never gets a new key while an earlier send may run', async () => {
 			const transport = new FakeTransport(lost, notSent, notSent, notSent, notSent);
 			const failure = readFailure(await settle(createCaller(transport).sendOnce(order)));
@@ -183,7 +190,7 @@
 		Object.keys(resultCodes).filter(name => resultCodes[name as ResultName].ran === 'unknown').forEach(name => {
 			it(`gives up an unkeyed request that may not be repeated after ${name}`, () => {
 				const outcome = readOutcome(refuse(name as ResultName));
-				expect(judgeSend(outcome, {isKeyed: false, isRepeatable: false, isUncertain: false})).to.equal('give-up');
+				expect(judgeSend(outcome, {isKeyed: false, isRepeatable: false})).to.equal('give-up');
 			});
 		});
 	});
--- a/packages/caller/src/fleet-caller.ts
+++ b/packages/caller/src/fleet-caller.ts
@@ -120,7 +120,7 @@
 		const result = await this.#send(sent, terms?.toMaybe().extract());
 		const outcome = readOutcome(result);
 		const progress: Progress = {...(result.kind === 'not-sent' ? {...sent, held: before.held} : sent), isUncertain: judgeUncertainty(before, result, outcome)};
-		const step = judgeSend(outcome, {isKeyed: held !== undefined, isRepeatable: isRepeatable(before.request), isUncertain: progress.isUncertain});
+		const step = judgeSend(outcome, {isKeyed: held !== undefined, isRepeatable: isRepeatable(before.request)});
 		return step === 'finish' && result.kind === 'answer'
 			? Right({
 				status: result.status, headers: result.headers, text: result.text, sends: sent.sends,
--- a/packages/caller/src/judge-send.ts
+++ b/packages/caller/src/judge-send.ts
@@ -8,8 +8,6 @@
 export type SendState = {
 	readonly isKeyed: boolean;
 	readonly isRepeatable: boolean;
-	/** True when an earlier send may have run and no home has ruled that out since. */
-	readonly isUncertain: boolean;
 };
 
 /** What one send came to. */
@@ -81,10 +79,8 @@
 		return 'finish';
 	}
 
-	const isProven = outcome.ran === 'not-run';
-	if (isProven) {
-		const next = judgeNotRun(outcome, state);
-		return next === 'mint' && state.isUncertain ? 'resend' : next;
+	if (outcome.ran === 'not-run') {
+		return judgeNotRun(outcome, state);
 	}
 
 	const isSafe = state.isKeyed || state.isRepeatable;
--- a/packages/demo/src/__tests__/unit/at-most-once.test.ts
+++ b/packages/demo/src/__tests__/unit/at-most-once.test.ts
@@ -21,8 +21,8 @@
 	added: {
 		services: [{name: 'fitting-desk'}],
 		routes: [{name: 'fitting-desk', pathPrefix: '/', service: 'fitting-desk'}],
-		terms: [{name: 'shop', initialRate: 1000, topRate: 1000}],
-		organisations: [{name: 'pointe', terms: 'shop', secretHash: createHash('sha256').update('slipper').digest('hex')}],
+		terms: [{name: 'shop', initialRate: 1000, topRate: 1000}, {name: 'stall', initialRate: 2, topRate: 2}],
+		organisations: [{name: 'market', terms: 'stall'}, {name: 'pointe', terms: 'shop', secretHash: createHash('sha256').update('slipper').digest('hex')}],
 	},
 };
 
@@ -150,6 +150,25 @@
 		expect(await fetchRuns('/orders/3')).to.equal(1);
 	});
 
+	it('a caller beyond its terms is refused on every node, while its terms are renewed', async () => {
+		const issue = async (body: unknown): Promise<{readonly status: number; readonly token: string}> => {
+			const answer = await request(`${getOrigin(2)}/.limpetbarrow/terms`, {method: 'POST', body: JSON.stringify(body)});
+			const {token} = await answer.body.json() as {readonly token: string};
+			return {status: answer.statusCode, token};
+		};
+
+		const {token} = await issue({organisation: 'market', secret: ''});
+		const origins = [getOrigin(1), getOrigin(2)];
+		await Promise.all(origins.map(async origin => waitFor(async () => {
+			const {code} = await new Caller([origin], token).send({method: 'GET', path: '/look'});
+			return code === resultCodes.limitExceeded.code;
+		})));
+		const renewed = await issue({token});
+		expect(renewed.status).to.equal(200);
+		const plain = await new Caller(origins).send({method: 'GET', path: '/look'});
+		expect(plain.ran).to.equal('ran');
+	});
+
 	it('the library places an order although the home dies before it', async () => {
 		const held = await mintKey();
 		await stopProcess(fleet.nodes[0]!.process, 'SIGKILL');
--- a/packages/node/src/__tests__/unit/keyed-path.test.ts
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -65,6 +65,11 @@
 	});
 }
 
+async function fetchName(carrier: Carrier, headers: readonly string[]): Promise<ResultName> {
+	const {name} = await fetchFailure(carrier, headers);
+	return name;
+}
+
 describe('the path of a keyed request', () => {
 	describe('Admission', () => {
 		const permits: string[] = [];
@@ -198,8 +203,8 @@
 			it(`makes ${name} on the way to the home ${first} for the first send and ${later} for others`, async () => {
 				const router = createRouter({incarnation: 7, status: 'suspect'}, name);
 				const carrier = router.selectNext(createRequest('token', 'k:1'), issue({id: 'two', incarnation: 7})).extract() as Carrier;
-				const failures = await Promise.all([['x', ''], [attemptHeader, '1'], [attemptHeader, '2']].map(async headers => fetchFailure(carrier, headers)));
-				expect(failures.map(failure => failure.name)).to.deep.equal([later, first, later]);
+				const names = [await fetchName(carrier, []), await fetchName(carrier, [attemptHeader, '1']), await fetchName(carrier, [attemptHeader, '2'])];
+				expect(names).to.deep.equal([later, first, later]);
 			});
 		});
 	});
