Measure a home's keys; test its planned stop on processes

Cause: the home's part of memory was bounded but not measured, and a planned stop with a key in progress had no process test.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,5 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
+import {measureKeys} from './keys.js';
 import {measureLatency} from './latency.js';
 import {measureLimits} from './limits.js';
 import {measureLink} from './link.js';
@@ -9,6 +10,7 @@
 
 /** All benchmarks, as `npm run bench -- NAME` takes them. */
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
+	['keys', measureKeys],
 	['latency', measureLatency],
 	['limits', measureLimits],
 	['link', measureLink],
--- a/packages/demo/src/__tests__/unit/at-most-once.test.ts
+++ b/packages/demo/src/__tests__/unit/at-most-once.test.ts
@@ -169,6 +169,28 @@
 		expect(plain.ran).to.equal('ran');
 	});
 
+	it('a home that stops as planned finishes its keys in progress and refuses new ones; once it has gone its keys are unknown', async () => {
+		const held = await mintKey();
+		await setWork(1000);
+		const first = send(getOrigin(1), '/orders/6', {...held, attempt: 1});
+		await waitFor(async () => await fetchRuns('/orders/6') === 1);
+		const stopped = stopProcess(fleet.nodes[0]!.process);
+		let freshKeys = 0;
+		await waitFor(async () => {
+			freshKeys++;
+			const {code} = await new Caller([getOrigin(1)], held.token).send({
+				method: 'POST', path: '/orders/7', body: '{}', idempotencyKey: `${held.key}-${freshKeys}`, headers: {[attemptHeader]: '1'},
+			});
+			return code === resultCodes.nodeStopping.code || code === resultCodes.homeGone.code;
+		});
+		const answer = await first;
+		expect(answer.ran, answer.text).to.equal('ran');
+		expect(await stopped).to.equal(0);
+		const after = await send(getOrigin(2), '/orders/6', {...held, attempt: 2});
+		expect(after.ran).to.equal('unknown');
+		expect(await fetchRuns('/orders/6')).to.equal(1);
+	});
+
 	it('the library places an order although the home dies before it', async () => {
 		const held = await mintKey();
 		await stopProcess(fleet.nodes[0]!.process, 'SIGKILL');
--- a/packages/node/src/__tests__/unit/keyed-path.test.ts
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -3,13 +3,14 @@
 import fc from 'fast-check';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	attemptHeader, Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, type RequestHead, type ResultName, termsHeader,
+	attemptHeader, Carrier, createFailure, type Exchange, type ExchangeHandler, type Failure, type NodeIdentity, renewHeader, type RequestHead, type ResultName, termsHeader,
 } from '@limpetbarrow/core';
 import {issueTerms, signTerms, type Terms} from '@limpetbarrow/limits';
 import {type Member} from '@limpetbarrow/members';
 import {SteadyClock, type KeyedRequest} from '@limpetbarrow/sequencer';
 import {Admission} from '../../admission.js';
 import {refuseExchange} from '../../egress.js';
+import {HomeCarrier} from '../../home-carrier.js';
 import {HomeRouter} from '../../home-router.js';
 import {type IngressRequest} from '../../ingress-request.js';
 import {readKeyedRequest, replaceUnproven} from '../../keyed-request.js';
@@ -156,6 +157,33 @@
 		});
 	});
 
+	describe('HomeCarrier', () => {
+		class AnsweringCarrier extends Carrier {
+			override openExchange(_head: RequestHead, handler: ExchangeHandler): Exchange {
+				handler.handleHead({status: 200, headers: []});
+				return refuseExchange(handler, createFailure('linkLost', 'by the test'));
+			}
+		}
+
+		[true, false].forEach(isStopping => {
+			it(`${isStopping ? 'asks' : 'does not ask'} callers to renew while it is ${isStopping ? 'stopping' : 'serving'}`, async () => {
+				const home = new HomeCarrier(new AnsweringCarrier(), () => isStopping, () => [signingKey]);
+				const headers = await new Promise<readonly string[]>(resolve => {
+					home.openExchange({path: '/orders'} as RequestHead, {
+						handleHead(head) {
+							resolve(head.headers);
+						},
+						handleData: () => undefined,
+						handleEnd: () => undefined,
+						handleCredit: () => undefined,
+						handleFailure: () => undefined,
+					});
+				});
+				expect(headers).to.deep.equal(isStopping ? [renewHeader, '1'] : []);
+			});
+		});
+	});
+
 	describe('HomeRouter', () => {
 		const local = new RefusingCarrier('queueFull');
 		const forwarder = new RefusingCarrier('noServer');
