Hand backend servers over before a node stops, and announce under leases that survive a pause

Cause: a stopping node left the candidates at once (its servers' capacity was lost), refused requests on open connections, broke off what ran on a server that went elsewhere or lapsed, and closed links with exchanges in progress. A node that had been paused dropped every announcement at wake-up. A server announced at two nodes counted twice. Ruled out: refusing on open connections (callers would be refused); ending the wait by time alone (a slow re-announcement would lose capacity). Conclusion: the stop is an ordered sequence apart from the node (drainNode), with the node's parts behind one abstract class.

--- a/packages/bench/src/membership.ts
+++ b/packages/bench/src/membership.ts
@@ -62,9 +62,11 @@
 	}
 
 	#add(name: string, value: number, unit: string, bound?: number): void {
-		this.#rows.push({
+		const row = {
 			name, value, unit, ...(bound !== undefined && {bound}),
-		});
+		};
+		this.#rows.push(row);
+		process.stdout.write(`${formatRow(this.#nodes, row)}\n`);
 	}
 
 	#list(): readonly FleetMember[] {
@@ -261,13 +263,14 @@
 }
 
 function measureSize(nodes: number): readonly Row[] {
-	const memory = measureMemory(nodes);
+	const memory: Row = {
+		name: 'memory of all records in one node', value: measureMemory(nodes), unit: 'B', bound: targets.memoryBytes,
+	};
+	process.stdout.write(`${formatRow(nodes, memory)}\n`);
 	const clock = install({now: 1_790_000_000_000});
 	try {
 		return [
-			{
-				name: 'memory of all records in one node', value: memory, unit: 'B', bound: targets.memoryBytes,
-			},
+			memory,
 			...new MembershipRun(clock, nodes).run(),
 		];
 	} finally {
@@ -279,9 +282,6 @@
 export async function measureMembership(): Promise<number> {
 	const isMet = sizes.map(nodes => {
 		const rows = measureSize(nodes);
-		rows.forEach(row => {
-			process.stdout.write(`${formatRow(nodes, row)}\n`);
-		});
 		return rows.every(({value, bound}) => bound === undefined || value <= bound);
 	});
 	return isMet.every(Boolean) ? 0 : 1;
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -55,6 +55,7 @@
 	serverAnnounced: {number: 801, level: 'info', meaning: 'A backend server announced itself.'},
 	serverLeft: {number: 802, level: 'info', meaning: 'A backend server said that it leaves.'},
 	serverLapsed: {number: 803, level: 'warn', meaning: 'The announcement of a backend server lapsed.'},
+	serverMoved: {number: 807, level: 'info', meaning: 'A backend server announced itself to another node under a higher generation.'},
 	memberJoined: {number: 804, level: 'info', meaning: 'Another node became known.'},
 	memberSuspected: {number: 805, level: 'info', meaning: 'Another node does not answer probes.'},
 	memberLost: {number: 806, level: 'warn', meaning: 'Another node was declared dead.'},
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -35,7 +35,14 @@
 
 const slotsPerServer = 3;
 
-async function startNode(plan: HostPlan, platform: Address, seeds: readonly Address[]): Promise<FleetNode> {
+type NodeAddresses = Pick<NodeRecord, 'ingressAddress' | 'adminAddress' | 'linkAddress' | 'gossipAddress'>;
+
+const anyAddress: Address = {host: '127.0.0.1', port: 0};
+const anyAddresses: NodeAddresses = {
+	ingressAddress: anyAddress, adminAddress: anyAddress, linkAddress: anyAddress, gossipAddress: anyAddress,
+};
+
+async function startNode(plan: HostPlan, platform: Address, seeds: readonly Address[], addresses = anyAddresses): Promise<FleetNode> {
 	const process = await startProcess([
 		'node',
 		'--id',
@@ -45,13 +52,13 @@
 		'--failure-domain',
 		plan.failureDomain,
 		'--ingress',
-		'127.0.0.1:0',
+		formatAddress(addresses.ingressAddress),
 		'--admin',
-		'127.0.0.1:0',
+		formatAddress(addresses.adminAddress),
 		'--link',
-		'127.0.0.1:0',
+		formatAddress(addresses.linkAddress),
 		'--gossip',
-		'127.0.0.1:0',
+		formatAddress(addresses.gossipAddress),
 		'--seeds',
 		seeds.map(seed => formatAddress(seed)).join(','),
 		'--platform',
@@ -88,6 +95,12 @@
 	};
 }
 
+/** Starts a node anew at the addresses of a run that has ended. */
+export async function startNodeAgain({platformAddress, nodes}: Fleet, {plan, record}: FleetNode): Promise<FleetNode> {
+	const seeds = nodes.filter(node => node.plan.id !== plan.id).map(node => node.record.gossipAddress);
+	return startNode(plan, platformAddress, seeds, record);
+}
+
 /** Ends every process of the fleet that still runs. */
 export async function stopFleet({platform, nodes, backends}: Fleet): Promise<void> {
 	await Promise.all(backends.map(async ({process}) => stopProcess(process, 'SIGKILL')));
--- /dev/null
+++ b/packages/members/src/__tests__/unit/announcements.test.ts
@@ -0,0 +1,131 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {SilentLogger} from '@limpetbarrow/core';
+import {announcementLeaseMs, announcementSweepMs, Announcements} from '../../index.js';
+
+const host = '10.0.0.1';
+
+function createAnnouncement(change: Readonly<Record<string, unknown>> = {}): unknown {
+	return {
+		id: 's', service: 'catalogue', address: `${host}:9000`, slots: 3, generation: 4, ...change,
+	};
+}
+
+describe('announcements', () => {
+	let clock: Clock;
+	let announcements: Announcements;
+
+	beforeEach(() => {
+		clock = install();
+		announcements = new Announcements(new SilentLogger());
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	function acceptName(change: Readonly<Record<string, unknown>>, remoteHost = host): string {
+		return announcements.accept(createAnnouncement(change), remoteHost).swap().map(({name}): string => name).orDefault('accepted');
+	}
+
+	function simulateSweeps(ms: number): void {
+		Array.from({length: Math.ceil(ms / announcementSweepMs)}).forEach(() => {
+			clock.tick(announcementSweepMs);
+			announcements.sweep();
+		});
+	}
+
+	const isHeld = (): boolean => announcements.store.getState().servers.has('s');
+
+	describe('acceptance', () => {
+		const rows: ReadonlyArray<readonly [string, Readonly<Record<string, unknown>>, string, string]> = [
+			['a first announcement', {}, host, 'accepted'],
+			['a renewal', {generation: 4}, host, 'accepted'],
+			['a higher generation', {generation: 5}, host, 'accepted'],
+			['a lower generation', {generation: 4}, host, 'announcementStale'],
+			['another host', {generation: 6}, '10.0.0.2', 'announcementForeign'],
+			['no slots', {slots: 0}, host, 'announcementInvalid'],
+			['an address without port', {address: host}, host, 'announcementInvalid'],
+			['a negative generation', {generation: -1}, host, 'announcementInvalid'],
+		];
+		it('follows the table', () => {
+			expect(rows.map(([name, change, remoteHost]) => [name, acceptName(change, remoteHost)])).to.deep.equal(rows.map(row => [row[0], row[3]]));
+		});
+
+		it('refuses anything that is no announcement', () => {
+			const inputs = [undefined, null, 4, 'text', [], {}];
+			expect(inputs.map(input => announcements.accept(input, host).isLeft())).to.not.include(false);
+		});
+
+		it('takes a bounded number of servers', () => {
+			const names = Array.from({length: 300}, (_, index) => acceptName({id: `s${index}`}));
+			expect(names.filter(name => name === 'accepted')).to.have.length(256);
+		});
+	});
+
+	describe('lease', () => {
+		it('lapses without renewal', () => {
+			acceptName({});
+			simulateSweeps(announcementLeaseMs);
+			expect(isHeld()).to.equal(true);
+			simulateSweeps(2 * announcementSweepMs);
+			expect(isHeld()).to.equal(false);
+		});
+
+		it('holds while renewed', () => {
+			acceptName({});
+			simulateSweeps(4000);
+			acceptName({});
+			simulateSweeps(4000);
+			expect(isHeld()).to.equal(true);
+		});
+
+		it('lasts one more lease after a pause of the node, and no longer', () => {
+			acceptName({});
+			clock.tick(60_000);
+			announcements.sweep();
+			expect(isHeld()).to.equal(true);
+			simulateSweeps(announcementLeaseMs + announcementSweepMs);
+			expect(isHeld()).to.equal(false);
+		});
+	});
+
+	describe('leaving', () => {
+		beforeEach(() => {
+			acceptName({});
+			acceptName({isLeaving: true});
+		});
+
+		it('is not undone by a renewal that was late', () => {
+			expect(acceptName({})).to.equal('announcementStale');
+			expect(announcements.store.getState().servers.get('s')!.isLeaving).to.equal(true);
+		});
+
+		it('ends when the server comes back under a higher generation', () => {
+			expect(acceptName({generation: 5})).to.equal('accepted');
+			expect(announcements.store.getState().servers.get('s')!.isLeaving).to.equal(false);
+		});
+	});
+
+	describe('another node', () => {
+		beforeEach(() => {
+			acceptName({});
+		});
+
+		it('gets the server under a higher generation', () => {
+			announcements.releaseServers(new Map([['s', 5]]));
+			expect(isHeld()).to.equal(false);
+		});
+
+		it('does not get it under the same or a lower one', () => {
+			announcements.releaseServers(new Map([['s', 4]]));
+			expect(isHeld()).to.equal(true);
+		});
+
+		it('keeps it until the server picks this node again', () => {
+			announcements.releaseServers(new Map([['s', 5]]));
+			expect([acceptName({generation: 4}), acceptName({generation: 5}), acceptName({generation: 6})])
+				.to.deep.equal(['announcementStale', 'announcementStale', 'accepted']);
+		});
+	});
+});
--- a/packages/members/src/announcements.ts
+++ b/packages/members/src/announcements.ts
@@ -4,7 +4,9 @@
 import {
 	createFailure, parseAddress, Store, type Failure, type Logger,
 } from '@limpetbarrow/core';
-import {announcementLeaseMs} from './constants.js';
+import {
+	announcementLeaseMs, announcementSweepMs, maxAnnouncedServers, maxYieldedServers, pauseBoundMs,
+} from './constants.js';
 import {type AnnouncedServer, type Announcement} from './types.js';
 
 const announcementSchema = z.object({
@@ -20,6 +22,8 @@
 /** Snapshot of the announced servers by id. */
 export type AnnouncementSnapshot = {
 	readonly servers: ReadonlyMap<string, AnnouncedServer>;
+	/** Generation under which each backend server went to another node. */
+	readonly yielded: ReadonlyMap<string, number>;
 };
 
 function parseAnnouncement(input: unknown): Either<Failure, Announcement> {
@@ -36,8 +40,9 @@
 
 /** Takes announcements and drops those that lapse. */
 export class Announcements {
-	readonly store = new Store<AnnouncementSnapshot>({servers: new Map()});
+	readonly store = new Store<AnnouncementSnapshot>({servers: new Map(), yielded: new Map()});
 	readonly #logger: Logger;
+	#sweptAt = performance.now();
 
 	constructor(logger: Logger) {
 		this.#logger = logger;
@@ -51,16 +56,50 @@
 			.map(announcement => this.#record(createServer(announcement, performance.now())));
 	}
 
-	/** Drops the servers whose announcement has lapsed. */
+	/** Drops the servers whose announcement has lapsed; after a pause of this node each gets a whole lease first. */
 	sweep(): void {
 		const now = performance.now();
+		const delayMs = now - this.#sweptAt - announcementSweepMs;
+		this.#sweptAt = now;
+		if (delayMs > pauseBoundMs) {
+			this.#renewLeases(now + announcementLeaseMs);
+			return;
+		}
+
 		const lapsed = [...this.store.getState().servers.values()].filter(({expiresAt}) => expiresAt < now);
 		lapsed.forEach(({id, service}) => {
 			this.#logger.log('serverLapsed', {server: id, service});
 		});
-		this.store.update('sweep', snapshot => lapsed.length === 0
+		this.#remove('sweep', new Set(lapsed.map(({id}) => id)));
+	}
+
+	/** Gives up the servers that announced themselves to another node under a higher generation. */
+	releaseServers(elsewhere: ReadonlyMap<string, number>): void {
+		const {servers} = this.store.getState();
+		const gone = [...elsewhere].filter(([id, generation]) => generation > (servers.get(id)?.generation ?? Number.POSITIVE_INFINITY));
+		if (gone.length === 0) {
+			return;
+		}
+
+		gone.forEach(([id, generation]) => {
+			this.#logger.log('serverMoved', {server: id, generation});
+		});
+		this.store.update('releaseServers', snapshot => ({
+			...snapshot, yielded: new Map([...snapshot.yielded, ...gone].slice(-maxYieldedServers)),
+		}));
+		this.#remove('releaseServers', new Set(gone.map(([id]) => id)));
+	}
+
+	#renewLeases(expiresAt: number): void {
+		this.store.update('renewLeases', snapshot => ({
+			...snapshot, servers: new Map([...snapshot.servers].map(([id, server]) => [id, {...server, expiresAt: Math.max(expiresAt, server.expiresAt)}])),
+		}));
+	}
+
+	#remove(update: string, ids: ReadonlySet<string>): void {
+		this.store.update(update, snapshot => ids.size === 0
 			? snapshot
-			: {servers: new Map([...snapshot.servers].filter(([, server]) => !lapsed.includes(server)))});
+			: {...snapshot, servers: new Map([...snapshot.servers].filter(([id]) => !ids.has(id)))});
 	}
 
 	#checkOrigin(announcement: Announcement, remoteHost: string): Either<Failure, Announcement> {
@@ -70,10 +109,24 @@
 	}
 
 	#checkGeneration(announcement: Announcement): Either<Failure, Announcement> {
-		const known = this.store.getState().servers.get(announcement.id);
-		return known !== undefined && known.generation > announcement.generation
-			? Left(createFailure('announcementStale', `generation ${known.generation} is known`))
-			: Right(announcement);
+		const {servers, yielded} = this.store.getState();
+		const known = servers.get(announcement.id);
+		const lowest = Math.max(known?.generation ?? 0, (yielded.get(announcement.id) ?? -1) + 1);
+		if (announcement.generation < lowest) {
+			return Left(createFailure('announcementStale', `the lowest generation taken is ${lowest}`));
+		}
+
+		const isReturn = known?.isLeaving === true && !announcement.isLeaving && known.generation === announcement.generation;
+		return isReturn
+			? Left(createFailure('announcementStale', `generation ${known.generation} has said that it leaves`))
+			: this.#checkRoom(announcement);
+	}
+
+	#checkRoom(announcement: Announcement): Either<Failure, Announcement> {
+		const {servers} = this.store.getState();
+		return servers.size < maxAnnouncedServers || servers.has(announcement.id)
+			? Right(announcement)
+			: Left(createFailure('announcementInvalid', `a node takes ${maxAnnouncedServers} backend servers`));
 	}
 
 	#record(server: AnnouncedServer): AnnouncedServer {
@@ -82,7 +135,7 @@
 			this.#logger.log(server.isLeaving ? 'serverLeft' : 'serverAnnounced', {server: server.id, service: server.service});
 		}
 
-		this.store.update('record', ({servers}) => ({servers: new Map(servers).set(server.id, server)}));
+		this.store.update('record', snapshot => ({...snapshot, servers: new Map(snapshot.servers).set(server.id, server)}));
 		return server;
 	}
 }
--- a/packages/members/src/constants.ts
+++ b/packages/members/src/constants.ts
@@ -79,3 +79,12 @@
 
 /** Time after which an announcement that was not renewed lapses, in milliseconds. */
 export const announcementLeaseMs = 5000;
+
+/** Time between two looks for lapsed announcements, in milliseconds. */
+export const announcementSweepMs = 500;
+
+/** Backend servers that one node takes, at most. */
+export const maxAnnouncedServers = 256;
+
+/** Backend servers of which a node remembers that they went elsewhere. */
+export const maxYieldedServers = 1024;
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -19,9 +19,11 @@
 export class Gossip {
 	readonly #membership: Membership;
 	readonly #transport: MessageTransport;
+	readonly #hasSeeds: boolean;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(table: MemberTable, seeds: readonly Address[], options: GossipOptions = {}) {
+		this.#hasSeeds = seeds.length > 0;
 		const metrics = options.metrics ?? new MetricRegistry();
 		this.#transport = options.transport ?? new UdpTransport(metrics);
 		this.#membership = new Membership({
@@ -42,6 +44,18 @@
 		return bound;
 	}
 
+	/** Resolves once the records of the other members are here, at the latest after `boundMs`; at once without seeds. */
+	async waitUntilJoined(boundMs: number): Promise<void> {
+		if (!this.#hasSeeds || !this.#membership.isCatchingUp() || boundMs <= 0) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, gossipPeriodMs);
+		});
+		await this.waitUntilJoined(boundMs - gossipPeriodMs);
+	}
+
 	/** Ends; other members are told when the stop is planned. */
 	stop(): void {
 		clearInterval(this.#timer);
--- /dev/null
+++ b/packages/node/src/__tests__/unit/planned-stop.test.ts
@@ -0,0 +1,89 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {drainNode, handoverSettleMs, StoppingNode} from '../../planned-stop.js';
+
+const times = {lameDuckMs: 6000, stopTimeoutMs: 30_000};
+
+class FakeNode extends StoppingNode {
+	servers = 1;
+	connections = 1;
+	inProgress = 1;
+	readonly steps: string[] = [];
+
+	override startStopping(): void {
+		this.steps.push('startStopping');
+	}
+
+	override countServers(): number {
+		return this.servers;
+	}
+
+	override countConnections(): number {
+		return this.connections;
+	}
+
+	override stopListening(): void {
+		this.steps.push('stopListening');
+	}
+
+	override countInProgress(): number {
+		return this.inProgress;
+	}
+}
+
+describe('a planned stop', () => {
+	let clock: Clock;
+	let node: FakeNode;
+	let result: boolean | undefined;
+
+	beforeEach(() => {
+		clock = install();
+		node = new FakeNode();
+		result = undefined;
+		void runStop();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	async function runStop(): Promise<void> {
+		result = await drainNode(node, times);
+	}
+
+	it('tells of the stop at once and goes on listening', () => {
+		expect(node.steps).to.deep.equal(['startStopping']);
+	});
+
+	it('listens while backend servers have not gone elsewhere', async () => {
+		node.connections = 0;
+		await clock.tickAsync(20_000);
+		expect(node.steps).to.deep.equal(['startStopping']);
+		node.servers = 0;
+		await clock.tickAsync(handoverSettleMs + 100);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopListening']);
+	});
+
+	it('listens while callers hold open connections, up to the bound', async () => {
+		node.servers = 0;
+		await clock.tickAsync(times.lameDuckMs - 100);
+		expect(node.steps).to.deep.equal(['startStopping']);
+		await clock.tickAsync(200);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopListening']);
+	});
+
+	it('ends only once nothing is in progress', async () => {
+		node.servers = 0;
+		node.connections = 0;
+		await clock.tickAsync(20_000);
+		expect(result).to.equal(undefined);
+		node.inProgress = 0;
+		await clock.tickAsync(100);
+		expect(result).to.equal(true);
+	});
+
+	it('ends at its bound and says that requests were in progress', async () => {
+		await clock.tickAsync(times.stopTimeoutMs + 200);
+		expect(result).to.equal(false);
+	});
+});
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -83,6 +83,17 @@
 		return this.#running + this.#queue.length;
 	}
 
+	/** Refuses what waits, lets what runs finish, then closes the connections. */
+	async drain(): Promise<void> {
+		const waiting = this.#queue;
+		this.#queue = [];
+		waiting.filter(({run}) => !run.isOver()).forEach(({run}) => {
+			run.refuse(createFailure('serverNotHere', `server ${this.#server.id}`));
+		});
+		await this.#pool.close();
+	}
+
+	/** Breaks off what runs. */
 	async close(): Promise<void> {
 		await this.#pool.destroy();
 	}
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -56,6 +56,8 @@
 	readonly #metrics: MetricRegistry;
 	readonly #logger: Logger;
 	readonly #guarded = new Map<string, Guarded>();
+	/** Backend servers that are not guarded any more and still run requests. */
+	readonly #draining = new Set<BackendServer>();
 	readonly #judgements = new Map<string, Judgement>();
 
 	constructor(announcements: Announcements, releases: ReleaseState, metrics: MetricRegistry, logger: Logger) {
@@ -91,11 +93,22 @@
 
 	/** Requests running or waiting at all backend servers. */
 	countRequests(): number {
-		return [...this.#guarded.values()].reduce((sum, {backend}) => sum + backend.countRequests(), 0);
+		return this.#listBackends().reduce((sum, backend) => sum + backend.countRequests(), 0);
 	}
 
 	async close(): Promise<void> {
-		await Promise.all([...this.#guarded.values()].map(async ({backend}) => backend.close()));
+		await Promise.all(this.#listBackends().map(async backend => backend.close()));
+	}
+
+	#listBackends(): readonly BackendServer[] {
+		return [...[...this.#guarded.values()].map(({backend}) => backend), ...this.#draining];
+	}
+
+	#drain(backend: BackendServer): void {
+		this.#draining.add(backend);
+		void backend.drain().catch(() => undefined).finally(() => {
+			this.#draining.delete(backend);
+		});
 	}
 
 	#update(servers: ReadonlyMap<string, AnnouncedServer>): void {
@@ -106,7 +119,7 @@
 			.filter(([id]) => !servers.has(id))
 			.forEach(([id, {backend}]) => {
 				this.#guarded.delete(id);
-				void backend.close();
+				this.#drain(backend);
 			});
 	}
 
@@ -118,7 +131,10 @@
 			return;
 		}
 
-		void known?.backend.close();
+		if (known) {
+			this.#drain(known.backend);
+		}
+
 		const detector = createDetector(this.#findService(announced.service)?.detection ?? 'cautious');
 		const backend = new BackendServer(announced, outcome => {
 			this.#recordOutcome(announced.id, outcome);
@@ -137,7 +153,7 @@
 		this.#judgements.set(serverId, {isEjected: wasEjected || isFailing, badness});
 		if (isFailing && !wasEjected) {
 			this.#logger.log('serverEjected', {server: serverId, badness});
-			this.#announcements.store.update('eject', ({servers}) => ({servers: new Map(servers)}));
+			this.#announcements.store.update('eject', snapshot => ({...snapshot, servers: new Map(snapshot.servers)}));
 		}
 	}
 
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -51,6 +51,7 @@
 	});
 
 	#configuration: Configuration | undefined;
+	readonly #connections = new Set<Socket>();
 	#inProgress = 0;
 	#isStopping = false;
 
@@ -59,6 +60,12 @@
 		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true}, (message, response) => {
 			this.#handle(message, response);
 		});
+		this.#server.on('connection', socket => {
+			this.#connections.add(socket);
+			socket.once('close', () => {
+				this.#connections.delete(socket);
+			});
+		});
 		this.#server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
 			this.#handleClientError(error, socket as Socket);
 		});
@@ -72,13 +79,22 @@
 		return {host, port: (this.#server.address() as AddressInfo).port};
 	}
 
-	/** Takes no new connections; requests on open ones are refused from now on. */
+	/** From now on every answer closes its connection, so that callers go to other nodes. */
 	startStopping(): void {
 		this.#isStopping = true;
+	}
+
+	/** Takes no new connections and closes idle ones; requests in progress go on. */
+	stopListening(): void {
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
 
+	/** Open connections of callers. */
+	countConnections(): number {
+		return this.#connections.size;
+	}
+
 	close(): void {
 		this.#server.closeAllConnections();
 		this.#server.close();
@@ -92,6 +108,7 @@
 	#handle(message: IncomingMessage, response: ServerResponse): void {
 		const startedAt = performance.now();
 		this.#inProgress++;
+		response.shouldKeepAlive &&= !this.#isStopping;
 		response.once('close', () => {
 			this.#inProgress--;
 			this.#options.metrics.recordDuration('request_duration_us', (performance.now() - startedAt) * usPerMs);
@@ -111,10 +128,6 @@
 	}
 
 	#locate(request: IngressRequest): Either<Failure, Located> {
-		if (this.#isStopping) {
-			return Left(createFailure('nodeStopping', 'send to another node'));
-		}
-
 		const configuration = this.#options.releases.getConfiguration();
 		if (configuration.release === 0) {
 			return Left(createFailure('noRelease', 'no release is known yet'));
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,7 +5,9 @@
 } from '@limpetbarrow/core';
 import {NearestChooser} from '@limpetbarrow/choose';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
-import {Announcements, Gossip, MemberTable} from '@limpetbarrow/members';
+import {
+	announcementSweepMs, Announcements, Gossip, MemberTable,
+} from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/platform';
 import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
 import {Sequencer} from '@limpetbarrow/sequencer';
@@ -16,11 +18,13 @@
 import {Forwarder} from './forwarder.js';
 import {Ingress} from './ingress.js';
 import {registerProcessGauges} from './process-gauges.js';
+import {drainNode, type StoppingNode} from './planned-stop.js';
 import {ServerDirectory} from './server-directory.js';
+import {registerHandover} from './server-handover.js';
 import {type NodeSettings} from './settings.js';
 
-const sweepMs = 500;
-const stopPollMs = 20;
+/** Longest time a starting node waits for the other members' records before it takes callers, in milliseconds. */
+const joinBoundMs = 3000;
 
 function createRecord(settings: NodeSettings): NodeRecord {
 	return {
@@ -90,28 +94,29 @@
 		const settings = this.#settings;
 		const linkAddress = await this.#linkServer.listen(settings.link);
 		const adminAddress = await this.#admin.listen(settings.admin);
-		const ingressAddress = await this.#ingress.listen(settings.ingress);
 		const gossipAddress = await this.#gossip.start(settings.gossip);
-		this.#table.updateSelf(() => ({
-			linkAddress, adminAddress, ingressAddress, gossipAddress,
-		}));
+		this.#table.updateSelf(() => ({linkAddress, adminAddress, gossipAddress}));
 		this.#registerPublishing();
 		this.#follower.start();
+		await this.#gossip.waitUntilJoined(joinBoundMs);
+		const ingressAddress = await this.#ingress.listen(settings.ingress);
+		this.#table.updateSelf(() => ({ingressAddress}));
 		this.#sweep = setInterval(() => {
 			this.#announcements.sweep();
 			this.#sequencer.sweep();
-		}, sweepMs);
+		}, announcementSweepMs);
 		this.#logger.log('nodeStarted', {ingress: `${ingressAddress.host}:${ingressAddress.port}`, admin: `${adminAddress.host}:${adminAddress.port}`});
 		return this.#table.getSelf();
 	}
 
-	/** Stops as planned: no new work, then waits for what is in progress, at most as long as the settings say. */
+	/** Stops as planned: hands its backend servers over, then waits for what is in progress, at most as long as the settings say. */
 	async stop(): Promise<void> {
 		this.#logger.log('nodeStopping');
-		this.#isStopping = true;
-		this.#table.updateSelf(() => ({state: 'stopping'}));
-		this.#ingress.startStopping();
-		await this.#waitUntilIdle(performance.now() + this.#settings.stopTimeoutMs);
+		const isDrained = await drainNode(this.#createStoppingNode(), this.#settings);
+		if (!isDrained) {
+			this.#logger.log('nodeStopForced', {requests: this.#countInProgress()});
+		}
+
 		await this.close();
 		this.#logger.log('nodeStopped');
 	}
@@ -162,6 +167,7 @@
 	}
 
 	#registerPublishing(): void {
+		registerHandover(this.#table, this.#announcements);
 		this.#announcements.store.registerListener(() => {
 			this.#table.updateSelf(() => ({servers: this.#egress.listServers()}));
 		});
@@ -171,15 +177,24 @@
 		});
 	}
 
-	async #waitUntilIdle(bound: number): Promise<void> {
-		const isBusy = this.#ingress.countRequests() + this.#egress.countRequests() + this.#sequencer.countRunning() > 0;
-		if (!isBusy || performance.now() > bound) {
-			return;
-		}
+	#createStoppingNode(): StoppingNode {
+		return {
+			startStopping: () => {
+				this.#isStopping = true;
+				this.#table.updateSelf(() => ({state: 'stopping'}));
+				this.#ingress.startStopping();
+			},
+			countServers: () => this.#announcements.store.getState().servers.size,
+			countConnections: () => this.#ingress.countConnections(),
+			stopListening: () => {
+				this.#ingress.stopListening();
+			},
+			countInProgress: () => this.#countInProgress(),
+		};
+	}
 
-		await new Promise(resolve => {
-			setTimeout(resolve, stopPollMs);
-		});
-		await this.#waitUntilIdle(bound);
+	#countInProgress(): number {
+		return this.#ingress.countRequests() + this.#egress.countRequests() + this.#sequencer.countRunning()
+			+ this.#linkServer.countExchanges() + this.#links.countExchanges();
 	}
 }
--- a/packages/node/src/server-directory.ts
+++ b/packages/node/src/server-directory.ts
@@ -3,11 +3,29 @@
 import {type Candidate} from '@limpetbarrow/choose';
 import {type MemberSnapshot, type MemberTable} from '@limpetbarrow/members';
 
+function isPreferred(one: Candidate, other: Candidate | undefined): boolean {
+	return other === undefined
+		|| one.server.generation > other.server.generation
+		|| (one.server.generation === other.server.generation && one.nodeId < other.nodeId);
+}
+
+/** Keeps one candidate a backend server: the highest generation, then the lowest node id. */
+function selectPreferred(candidates: readonly Candidate[]): readonly Candidate[] {
+	const preferred = new Map<string, Candidate>();
+	candidates.forEach(candidate => {
+		if (isPreferred(candidate, preferred.get(candidate.server.id))) {
+			preferred.set(candidate.server.id, candidate);
+		}
+	});
+	return [...preferred.values()];
+}
+
+/** A stopping node serves its backend servers until they have announced themselves elsewhere. */
 function groupCandidates({members}: MemberSnapshot): ReadonlyMap<string, readonly Candidate[]> {
 	const candidates = [...members.values()]
-		.filter(({status, record}) => status === 'alive' && record.state === 'serving')
+		.filter(({status}) => status === 'alive')
 		.flatMap(({record}) => record.servers.map(server => ({nodeId: record.id, placement: record.placement, server})));
-	return groupItems(candidates, ({server}) => server.service);
+	return groupItems(selectPreferred(candidates), ({server}) => server.service);
 }
 
 /** Looks candidates up; the index is rebuilt when first read after a change. */
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -21,6 +21,8 @@
 	readonly platform: string;
 	/** Longest time a planned stop waits for requests in progress, in milliseconds. */
 	readonly stopTimeoutMs: number;
+	/** Longest time a planned stop serves callers' open connections before it stops listening, in milliseconds. */
+	readonly lameDuckMs: number;
 	readonly logForm: LogForm;
 	readonly logLevel: LogLevel;
 };
@@ -37,6 +39,7 @@
 	seeds: {type: 'string', default: '', describe: 'Gossip addresses of a few other nodes, separated by commas'},
 	platform: {type: 'string', demandOption: true, describe: 'Base URL of the platform\'s object API'},
 	'stop-timeout-ms': {type: 'number', default: 30_000, describe: 'Longest time a planned stop waits, in milliseconds'},
+	'lame-duck-ms': {type: 'number', default: 6000, describe: 'Longest time a stopping node goes on listening, in milliseconds'},
 	'log-form': {
 		type: 'string', choices: ['text', 'json'], default: 'text', describe: 'Form of log lines',
 	},
@@ -66,6 +69,7 @@
 	seeds: z.string().transform(text => text.split(',').filter(part => part.trim() !== '')).pipe(z.array(addressSchema)),
 	platform: z.url({protocol: /^https?$/v}).transform(url => url.replace(/\/$/v, '')),
 	stopTimeoutMs: z.int().min(0).max(3_600_000),
+	lameDuckMs: z.int().min(0).max(3_600_000),
 	logForm: z.enum(['text', 'json']),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']),
 });
