--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,7 +1,11 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 
+import {measureDetection} from './detection.js';
+
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
 
 /** All benchmarks, as `npm run bench -- NAME` takes them. */
-export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>();
+export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
+	['detection', measureDetection],
+]);
--- a/packages/choose/src/floor.ts
+++ b/packages/choose/src/floor.ts
@@ -1,31 +1,58 @@
-/** Keeps a service's serving capacity at its floor, whatever has been ejected. */
-import {type ServerRecord} from '@limpetbarrow/core';
+/**
+ * Keeps a service's serving capacity at its floor, whatever has been ejected.
+ *
+ * The floor is a number of backend servers. It is enforced where a server is chosen, from the caller's own view, and not
+ * where servers are ejected: whatever combination of ejections a view holds, it serves from enough servers.
+ */
+import {type ServerRecord, type ServerState} from '@limpetbarrow/core';
+
+/** Order in which servers out of use are taken back for the floor. */
+const reserveOrder: Readonly<Partial<Record<ServerState, number>>> = {probation: 0, ejected: 1};
 
 /** True when the server may be given work at all. */
 export function isPresent({state}: ServerRecord): boolean {
 	return state !== 'leaving';
 }
 
-/** Orders ejected servers: least evidence first, then by id, the same on every node. */
-export function compareBadness(a: ServerRecord, b: ServerRecord): number {
-	return a.badness - b.badness || a.id.localeCompare(b.id);
+/**
+ * True when the server counts towards the floor by itself. A warming server does, since it takes whatever work the others
+ * leave over; one on probation doesn't, since it takes a trial now and then and no more.
+ */
+export function isHealthy({state}: ServerRecord): boolean {
+	return state === 'ready' || state === 'warming';
+}
+
+/** Orders servers out of use: those on probation first, then least evidence, then by id, the same on every node. */
+export function compareReserve(a: ServerRecord, b: ServerRecord): number {
+	const stateOrder = (reserveOrder[a.state] ?? 0) - (reserveOrder[b.state] ?? 0);
+	return stateOrder || a.badness - b.badness || compareIds(a.id, b.id);
+}
+
+function compareIds(a: string, b: string): number {
+	return Number(a > b) - Number(a < b);
 }
 
 /**
- * Selects the servers of one service that take work: all that are not ejected, and as many of the least bad ejected
- * ones as the floor needs. The caller passes only servers that this node believes to be reachable.
+ * Selects the servers of one service that take work: all healthy ones, and as many of the least bad others as the floor
+ * needs. The caller passes only servers that this node believes to be reachable.
  */
 export function selectServing(servers: readonly ServerRecord[], floor: number): readonly ServerRecord[] {
 	const present = servers.filter(server => isPresent(server));
-	const healthy = present.filter(({state}) => state !== 'ejected');
+	const healthy = present.filter(server => isHealthy(server));
 	const missing = floor - healthy.length;
 	if (missing <= 0) {
 		return healthy;
 	}
 
 	const kept = present
-		.filter(({state}) => state === 'ejected')
-		.toSorted(compareBadness)
+		.filter(server => !isHealthy(server))
+		.toSorted(compareReserve)
 		.slice(0, missing);
 	return [...healthy, ...kept];
 }
+
+/** Selects the servers on probation that the floor doesn't need: they get a trial now and then. */
+export function selectTrials(servers: readonly ServerRecord[], serving: readonly ServerRecord[]): readonly ServerRecord[] {
+	const taken = new Set(serving);
+	return servers.filter(server => server.state === 'probation' && !taken.has(server));
+}
--- /dev/null
+++ b/packages/detect/src/constants.ts
@@ -0,0 +1,34 @@
+/** Bounds of detection. */
+
+/** Failure share that is taken as normal before a service has shown its own, and the least that is ever assumed. */
+export const priorFailureShare = 0.01;
+
+/** Weight of the prior failure share, in requests. */
+export const priorRequests = 100;
+
+/** Quantile of the normal duration that the bound of slowness rests on. */
+export const slowQuantile = 0.99;
+
+/** Factor between that quantile and the bound of slowness. */
+export const slowFactor = 1.5;
+
+/** Least number of answers before slowness is judged. */
+export const minDurationSamples = 50;
+
+/** Length of one half of the window of what is normal, in milliseconds. */
+export const normalWindowMs = 300_000;
+
+/** Length of one half of the medium window, in milliseconds. */
+export const mediumWindowMs = 60_000;
+
+/** Length of one half of the window of what happens right now, in milliseconds. */
+export const recentWindowMs = 5000;
+
+/** Period after which a peer's summary is asked for again, in milliseconds. */
+export const baselineRefreshMs = 30_000;
+
+/** Peers asked for their summaries, for each service. */
+export const baselinePeers = 3;
+
+/** Longest time an alarm waits for the peers' present summaries, in milliseconds. */
+export const confirmTimeoutMs = 500;
--- a/packages/detect/src/detector.ts
+++ b/packages/detect/src/detector.ts
@@ -1,4 +1,6 @@
 /** Judges one backend server from the outcomes of its real work. */
+import {isBad, judgeOutcome} from './evidence.js';
+import {MixtureTest, type Alternative} from './mixture-test.js';
 import {type Baseline, type Verdict, type WorkOutcome} from './types.js';
 
 /** One judgement in progress; one instance for each backend server. */
@@ -19,8 +21,8 @@
 		this.#bound = bound;
 	}
 
-	override recordOutcome({isFailure}: WorkOutcome, _baseline: Baseline): Verdict {
-		this.#count = isFailure ? this.#count + 1 : 0;
+	override recordOutcome(outcome: WorkOutcome, baseline: Baseline): Verdict {
+		this.#count = judgeOutcome(outcome, baseline).isFailure ? this.#count + 1 : 0;
 		return {isFailing: this.#count >= this.#bound, badness: this.#count};
 	}
 
@@ -28,3 +30,49 @@
 		this.#count = 0;
 	}
 }
+
+/** What a sequential detector tests for. */
+export type SequentialOptions = {
+	/** Least mean number of requests between two false alarms of a healthy backend server. */
+	readonly requestsBetweenFalseAlarms: number;
+	readonly failures: readonly Alternative[];
+	readonly slowness: readonly Alternative[];
+};
+
+const badnessSteps = 10;
+const badnessWindow = 16;
+
+/** Tests failures and slowness against the service's baseline, request by request. */
+export class SequentialDetector extends Detector {
+	readonly #bound: number;
+	readonly #failures: MixtureTest;
+	readonly #slowness: MixtureTest;
+	#badShare = 0;
+
+	constructor({requestsBetweenFalseAlarms, failures, slowness}: SequentialOptions) {
+		super();
+		this.#bound = requestsBetweenFalseAlarms;
+		this.#failures = new MixtureTest(failures);
+		this.#slowness = new MixtureTest(slowness);
+	}
+
+	override recordOutcome(outcome: WorkOutcome, baseline: Baseline): Verdict {
+		const evidence = judgeOutcome(outcome, baseline);
+		if (evidence.isFailure !== undefined) {
+			this.#failures.recordRequest(evidence.isFailure, baseline.failureShare);
+		}
+
+		if (evidence.isSlow !== undefined) {
+			this.#slowness.recordRequest(evidence.isSlow, baseline.slowShare);
+		}
+
+		this.#badShare += (Number(isBad(evidence)) - this.#badShare) / badnessWindow;
+		const statistic = this.#failures.computeStatistic() + this.#slowness.computeStatistic();
+		return {isFailing: statistic >= this.#bound, badness: Math.round(this.#badShare * badnessSteps)};
+	}
+
+	override clear(): void {
+		this.#failures.clear();
+		this.#slowness.clear();
+	}
+}
--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -1,4 +1,11 @@
 /** Detection of failing backend servers. */
 export type * from './types.js';
+export * from './constants.js';
+export * from './evidence.js';
+export * from './mixture-test.js';
 export * from './detector.js';
 export * from './policies.js';
+export * from './summary.js';
+export * from './baseline.js';
+export * from './compare-with-peers.js';
+export * from './server-health.js';
--- a/packages/detect/src/policies.ts
+++ b/packages/detect/src/policies.ts
@@ -1,13 +1,43 @@
 /** The detection policies operators choose from, by name. */
-import {ConsecutiveDetector, type Detector} from './detector.js';
+import {SequentialDetector, type Detector} from './detector.js';
+import {type Alternative} from './mixture-test.js';
 
 /** Name of a detection policy, as in a service's `detection`. */
 export type DetectionPolicy = 'fast' | 'cautious';
 
-const fastBound = 3;
-const cautiousBound = 6;
+/** How a policy weighs detection time against false ejections. */
+export type PolicyOptions = {
+	/** Least mean number of requests between two false alarms of a healthy backend server. */
+	readonly requestsBetweenFalseAlarms: number;
+	/** First wait between ejection and probation, in milliseconds. */
+	readonly ejectionMs: number;
+	/** Time a backend server warms after a start or a return, in milliseconds. */
+	readonly warmingMs: number;
+};
+
+/** Options of the policies by name. */
+export const detectionPolicies: Readonly<Record<DetectionPolicy, PolicyOptions>> = {
+	fast: {requestsBetweenFalseAlarms: 1e6, ejectionMs: 10_000, warmingMs: 10_000},
+	cautious: {requestsBetweenFalseAlarms: 1e8, ejectionMs: 5000, warmingMs: 10_000},
+};
+
+const testedShares = [0.03, 0.1, 0.3, 0.999] as const;
+const failureWeight = 0.7;
+
+function createAlternatives(totalWeight: number): readonly Alternative[] {
+	return testedShares.map(share => ({share, weight: totalWeight / testedShares.length}));
+}
+
+/** Creates a detector with a bound of one's own. */
+export function createSequentialDetector(requestsBetweenFalseAlarms: number): Detector {
+	return new SequentialDetector({
+		requestsBetweenFalseAlarms,
+		failures: createAlternatives(failureWeight),
+		slowness: createAlternatives(1 - failureWeight),
+	});
+}
 
 /** Creates the detector of a policy. */
 export function createDetector(policy: DetectionPolicy): Detector {
-	return new ConsecutiveDetector(policy === 'fast' ? fastBound : cautiousBound);
+	return createSequentialDetector(detectionPolicies[policy].requestsBetweenFalseAlarms);
 }
--- /dev/null
+++ b/packages/detect/src/summary.ts
@@ -0,0 +1,97 @@
+/** Sums outcomes up over windows of time, in bounded memory. */
+import {mediumWindowMs, normalWindowMs, recentWindowMs} from './constants.js';
+import {type OutcomeSummary, type ServerSummary, type WorkOutcome} from './types.js';
+
+const bucketsPerDoubling = 4;
+const bucketCount = 80;
+
+/** Finds the bucket of a duration; each is 2^(1/4) times as wide as the one before. */
+export function findBucket(durationMs: number): number {
+	return Math.min(bucketCount - 1, Math.max(0, Math.ceil(Math.log2(Math.max(1, durationMs)) * bucketsPerDoubling)));
+}
+
+/** Upper edge of a bucket, in milliseconds. */
+export function computeBucketEdge(bucket: number): number {
+	return 2 ** (bucket / bucketsPerDoubling);
+}
+
+/** A summary of nothing. */
+export const emptySummary: OutcomeSummary = {requests: 0, failures: 0, durations: []};
+
+/** Adds summaries up. */
+export function mergeSummaries(summaries: readonly OutcomeSummary[]): OutcomeSummary {
+	const length = Math.max(0, ...summaries.map(({durations}) => durations.length));
+	return {
+		requests: summaries.reduce((sum, {requests}) => sum + requests, 0),
+		failures: summaries.reduce((sum, {failures}) => sum + failures, 0),
+		durations: Array.from({length}, (_, bucket) => summaries.reduce((sum, {durations}) => sum + (durations[bucket] ?? 0), 0)),
+	};
+}
+
+class OutcomeWindow {
+	readonly #lengthMs: number;
+	#startedAt = 0;
+	#previous: OutcomeSummary = emptySummary;
+	#requests = 0;
+	#failures = 0;
+	#durations: number[] = [];
+
+	constructor(lengthMs: number) {
+		this.#lengthMs = lengthMs;
+	}
+
+	recordOutcome({at, kind, durationMs}: WorkOutcome): void {
+		this.#update(at);
+		this.#requests++;
+		this.#failures += Number(kind !== 'answered');
+		if (kind === 'answered') {
+			const bucket = findBucket(durationMs);
+			while (this.#durations.length <= bucket) {
+				this.#durations.push(0);
+			}
+
+			this.#durations[bucket]!++;
+		}
+	}
+
+	getSummary(now: number): OutcomeSummary {
+		this.#update(now);
+		return mergeSummaries([this.#previous, this.#getCurrent()]);
+	}
+
+	#getCurrent(): OutcomeSummary {
+		return {requests: this.#requests, failures: this.#failures, durations: this.#durations};
+	}
+
+	#update(now: number): void {
+		const age = now - this.#startedAt;
+		if (age < this.#lengthMs) {
+			return;
+		}
+
+		this.#previous = age < 2 * this.#lengthMs ? this.#getCurrent() : emptySummary;
+		this.#startedAt = now;
+		this.#requests = 0;
+		this.#failures = 0;
+		this.#durations = [];
+	}
+}
+
+/** The outcomes of one backend server over all windows. A cancelled run is not counted. */
+export class OutcomeRecorder {
+	readonly #normal = new OutcomeWindow(normalWindowMs);
+	readonly #medium = new OutcomeWindow(mediumWindowMs);
+	readonly #recent = new OutcomeWindow(recentWindowMs);
+
+	recordOutcome(outcome: WorkOutcome): void {
+		if (outcome.kind !== 'cancelled') {
+			this.#normal.recordOutcome(outcome);
+			this.#medium.recordOutcome(outcome);
+			this.#recent.recordOutcome(outcome);
+		}
+	}
+
+	getSummary(now: number): ServerSummary {
+		return {normal: this.#normal.getSummary(now), medium: this.#medium.getSummary(now), recent: this.#recent.getSummary(now)};
+	}
+}
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -5,7 +5,7 @@
 import {
 	createFailure, exchangeWindowBytes, selectHeaders, timeoutHeader, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
 } from '@limpetbarrow/core';
-import {type WorkOutcome} from '@limpetbarrow/detect';
+import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
 import {isForwardedRequestHeader, isForwardedResponseHeader} from './headers.js';
 
 /** What a run needs of its backend server. */
@@ -64,7 +64,7 @@
 		this.#startedAt = performance.now();
 		const remainingMs = Math.max(1, Math.floor(this.#head.remainingMs - (this.#startedAt - this.#openedAt)));
 		this.#timer = setTimeout(() => {
-			this.#fail(createFailure('serverTimeout', `no whole answer within ${this.#head.remainingMs} ms`), true);
+			this.#fail(createFailure('serverTimeout', `no whole answer within ${this.#head.remainingMs} ms`), 'timedOut');
 		}, remainingMs);
 		this.#pool.dispatch({
 			method: this.#head.method,
@@ -98,7 +98,7 @@
 	/** Gives the request up; the handler is not called again. */
 	cancel(): void {
 		if (this.#state === 'running') {
-			this.#end(undefined);
+			this.#end(this.#createOutcome('cancelled'));
 			this.#controller?.abort(new Error('cancelled'));
 		}
 
@@ -142,7 +142,7 @@
 			},
 			onResponseEnd: () => {
 				if (this.#state === 'running') {
-					this.#end(this.#createOutcome(this.#status >= firstServerError));
+					this.#end(this.#createOutcome(this.#status >= firstServerError ? 'failed' : 'answered'));
 					this.#handler.handleEnd();
 				}
 			},
@@ -154,22 +154,22 @@
 
 	#handleError(error: Error & {readonly code?: string}): void {
 		const isNotConnected = notConnectedCodes.has(error.code ?? '');
-		this.#fail(createFailure(isNotConnected ? 'serverRefused' : 'serverBroke', String(error.message)), true);
+		this.#fail(createFailure(isNotConnected ? 'serverRefused' : 'serverBroke', String(error.message)), 'failed');
 	}
 
-	#fail(failure: Failure, isFailureOfServer: boolean): void {
+	#fail(failure: Failure, kind: OutcomeKind): void {
 		if (this.#state !== 'running') {
 			return;
 		}
 
-		this.#end(isFailureOfServer ? this.#createOutcome(true) : undefined);
+		this.#end(this.#createOutcome(kind));
 		this.#controller?.abort(new Error(failure.detail));
 		this.#handler.handleFailure(failure);
 	}
 
-	#createOutcome(isFailure: boolean): WorkOutcome {
+	#createOutcome(kind: OutcomeKind): WorkOutcome {
 		const at = performance.now();
-		return {at, isFailure, durationMs: at - this.#startedAt};
+		return {at, kind, durationMs: at - this.#startedAt};
 	}
 
 	#end(outcome: WorkOutcome | undefined): void {
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -3,7 +3,7 @@
 	Carrier, createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
 import {
-	createDetector, type Baseline, type Detector, type WorkOutcome,
+	createDetector, noBaseline, type Detector, type WorkOutcome,
 } from '@limpetbarrow/detect';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {type ReleaseState, type Service} from '@limpetbarrow/releases';
@@ -21,7 +21,6 @@
 };
 
 const defaultQueueLimit = 12;
-const noBaseline: Baseline = {failureShare: 0.01, slowMs: 1000, requests: 0};
 
 class RefusedExchange extends Exchange {
 	override writeBody(_chunk: Uint8Array): void {
