--- a/packages/detect/src/baseline.ts
+++ b/packages/detect/src/baseline.ts
@@ -2,8 +2,12 @@
 import {
 	minDurationSamples, priorFailureShare, priorRequests, slowFactor, slowQuantile,
 } from './constants.js';
+import {computeDivergence} from './divergence.js';
 import {computeBucketEdge, findBucket, mergeSummaries} from './summary.js';
-import {type Baseline, type OutcomeSummary, type ServerSummary} from './types.js';
+import {
+	type Baseline, type OutcomeSummary, type ServerSummary, type WindowCounts,
+} from './types.js';
+import {mergeCounts} from './window-ladder.js';
 
 /** Baseline of a service that has shown nothing yet; no duration counts as slow. */
 export const noBaseline: Baseline = {
@@ -13,6 +17,8 @@
 const trimmedPart = 4;
 const minTrimmed = 3;
 const maxShare = 0.999;
+/** Evidence, as a natural logarithm of odds, from which a rise counts. */
+const raisedEvidence = 5;
 
 function countAnswers({durations}: OutcomeSummary): number {
 	return durations.reduce((sum, count) => sum + count, 0);
@@ -39,22 +45,17 @@
 	return summaries.toSorted((a, b) => measure(a) - measure(b)).slice(0, summaries.length - dropped);
 }
 
-function estimateFailureShare({requests, failures}: OutcomeSummary, priorWeight: number): number {
-	const share = (failures + (priorWeight * priorFailureShare)) / (requests + priorWeight);
+function estimateFailureShare({requests, failures}: OutcomeSummary): number {
+	const share = (failures + (priorRequests * priorFailureShare)) / (requests + priorRequests);
 	return Math.min(maxShare, Math.max(priorFailureShare, share));
 }
 
-function estimateSlowShare(summary: OutcomeSummary, slowMs: number): number {
-	const share = (countSlow(summary, slowMs) + (priorRequests * priorFailureShare)) / (countAnswers(summary) + priorRequests);
-	return Math.min(maxShare, share);
-}
-
 /** Estimates the baseline from one summary for each other backend server. */
-export function estimateBaseline(summaries: readonly OutcomeSummary[], priorWeight = priorRequests): Baseline {
+export function estimateBaseline(summaries: readonly OutcomeSummary[]): Baseline {
 	const seen = summaries.filter(({requests}) => requests > 0);
 	const pooled = mergeSummaries(selectTypical(seen, computeFailureShare));
 	const answers = mergeSummaries(selectTypical(seen, summary => findQuantileBucket(summary, 0.5)));
-	const failureShare = estimateFailureShare(pooled, priorWeight);
+	const failureShare = estimateFailureShare(pooled);
 	const total = countAnswers(answers);
 	if (total < minDurationSamples) {
 		return {...noBaseline, failureShare, requests: pooled.requests};
@@ -70,27 +71,31 @@
 	};
 }
 
-function countSlow({durations}: OutcomeSummary, slowMs: number): number {
-	return durations.filter((_, bucket) => computeBucketEdge(bucket) > slowMs).reduce((sum, count) => sum + count, 0);
+/** Share in a window where it is clearly higher than normal; the normal share elsewhere. */
+function estimateRaisedShare(bad: number, requests: number, normalShare: number): number {
+	const share = requests === 0 ? 0 : Math.min(maxShare, bad / requests);
+	const isRaised = share > normalShare && requests * computeDivergence(share, normalShare) > raisedEvidence;
+	return isRaised ? share : normalShare;
 }
 
-/** Number of requests that were bad by a baseline: failed, or answered slowly. */
-export function countBad(summary: OutcomeSummary, {slowMs}: Baseline): number {
-	return Math.min(summary.requests, summary.failures + countSlow(summary, slowMs));
+function selectTypicalCounts(counts: readonly WindowCounts[], count: (counts: WindowCounts) => number): WindowCounts {
+	const dropped = counts.length < minTrimmed ? 0 : Math.ceil(counts.length / trimmedPart);
+	const measure = (window: WindowCounts): number => count(window) / Math.max(1, window.requests);
+	return mergeCounts(counts.toSorted((a, b) => measure(a) - measure(b)).slice(0, counts.length - dropped));
 }
 
 /**
  * Estimates the baseline that a backend server is tested against. A rise that the other servers of the service show in
- * a shorter window counts at once, so that a service degraded as a whole becomes its own measure.
+ * any window counts at once, so that a service degraded as a whole becomes its own measure.
  */
 export function estimateServiceBaseline(others: readonly ServerSummary[]): Baseline {
 	const normal = estimateBaseline(others.map(summary => summary.normal));
-	const shorter = [others.map(({medium}) => medium), others.map(({recent}) => recent)];
-	const failureShares = shorter.map(summaries => estimateBaseline(summaries).failureShare);
-	const slowShares = shorter.map(summaries => estimateSlowShare(mergeSummaries(summaries), normal.slowMs));
+	const windows = others[0]?.windows.map((_, index) => others.flatMap(summary => summary.windows[index] ?? [])) ?? [];
+	const failures = windows.map(counts => selectTypicalCounts(counts, window => window.failures));
+	const slow = windows.map(counts => selectTypicalCounts(counts, window => window.slow));
 	return {
 		...normal,
-		failureShare: Math.max(normal.failureShare, ...failureShares),
-		slowShare: Math.max(normal.slowShare, ...slowShares),
+		failureShare: Math.max(normal.failureShare, ...failures.map(window => estimateRaisedShare(window.failures, window.requests, normal.failureShare))),
+		slowShare: Math.max(normal.slowShare, ...slow.map(window => estimateRaisedShare(window.slow, window.requests, normal.slowShare))),
 	};
 }
--- a/packages/detect/src/compare-with-peers.ts
+++ b/packages/detect/src/compare-with-peers.ts
@@ -1,52 +1,34 @@
 /** Compares a backend server with what its peers show at the same time. */
-import {countBad, estimateBaseline} from './baseline.js';
-import {type Baseline, type OutcomeSummary, type ServerSummary} from './types.js';
+import {computeDivergence} from './divergence.js';
+import {mergeCounts} from './window-ladder.js';
+import {type ServerSummary, type WindowCounts} from './types.js';
 
-/** Evidence, as a natural logarithm of odds, from which peers count as degraded themselves. */
-const degradedEvidence = 3;
-/** Evidence that a backend server is worse than degraded peers: one in 10,000 by chance. */
-const worseEvidence = Math.log(10_000);
-const comparedPriorRequests = 3;
 const minShareRatio = 2;
-const maxShare = 0.999;
+/** Weight of a peer group that is taken as healthy before it has shown anything, in requests. */
+const assumedRequests = 2;
 
-/** Kullback-Leibler divergence between two shares: mean evidence of one request. */
-export function computeDivergence(share: number, from: number): number {
-	const terms = [[share, from], [1 - share, 1 - from]] as const;
-	return terms.reduce((sum, [a, b]) => sum + (a === 0 ? 0 : a * Math.log(a / b)), 0);
-}
-
-function computeEvidence(bad: number, requests: number, baseShare: number): number {
+/** Generalised log-likelihood ratio between two shares of their own and one common share; 0 unless the first is clearly higher. */
+function computeEvidence(bad: number, requests: number, peerBad: number, peerRequests: number): number {
+	const total = peerRequests + assumedRequests;
 	const share = requests === 0 ? 0 : bad / requests;
-	return share <= baseShare ? 0 : requests * computeDivergence(share, baseShare);
-}
-
-function isExplained(own: OutcomeSummary, peers: readonly OutcomeSummary[], normal: Baseline): boolean {
-	const requests = peers.reduce((sum, peer) => sum + peer.requests, 0);
-	const bad = peers.reduce((sum, peer) => sum + countBad(peer, normal), 0);
-	const normalShare = Math.min(maxShare, normal.failureShare + normal.slowShare);
-	if (computeEvidence(bad, requests, normalShare) < degradedEvidence) {
-		return false;
+	const peerShare = peerBad / total;
+	const common = (bad + peerBad) / (requests + total);
+	if (share === 0 || share < peerShare * minShareRatio) {
+		return 0;
 	}
 
-	const peerShare = Math.min(maxShare, (bad + (comparedPriorRequests * normalShare)) / (requests + comparedPriorRequests));
-	const ownBad = countBad(own, normal);
-	const isWorse = ownBad > own.requests * peerShare * minShareRatio || peerShare * minShareRatio > 1;
-	return !isWorse || computeEvidence(ownBad, own.requests, peerShare) < worseEvidence;
+	return (requests * computeDivergence(share, common)) + (total * computeDivergence(peerShare, common));
 }
 
-/** The worst quarter of the peers is left out, so that another failing server explains nothing. */
-function selectTypicalPeers(peers: readonly ServerSummary[], normal: Baseline): readonly ServerSummary[] {
-	const measure = ({recent, medium}: ServerSummary): number => (countBad(recent, normal) / Math.max(1, recent.requests))
-		+ (countBad(medium, normal) / Math.max(1, medium.requests));
-	const dropped = peers.length < 3 ? 0 : Math.ceil(peers.length / 4);
-	return peers.toSorted((a, b) => measure(a) - measure(b)).slice(0, peers.length - dropped);
+function computeWindowEvidence(own: WindowCounts, peers: WindowCounts): number {
+	const measures = [({bad}: WindowCounts) => bad, ({failures}: WindowCounts) => failures, ({slow}: WindowCounts) => slow];
+	return Math.max(...measures.map(count => computeEvidence(count(own), own.requests, count(peers), peers.requests)));
 }
 
-/** True when the peers' present state explains what was seen of the backend server: the service is degraded as a whole. */
-export function isServiceDegraded(own: ServerSummary, peers: readonly ServerSummary[]): boolean {
-	const normal = estimateBaseline(peers.map(peer => peer.normal));
-	const typical = selectTypicalPeers(peers, normal);
-	return isExplained(own.recent, typical.map(({recent}) => recent), normal)
-		|| isExplained(own.medium, typical.map(({medium}) => medium), normal);
+/**
+ * Evidence that a backend server is worse than its peers, as a natural logarithm of odds: the strongest over all
+ * windows. It stays low while the service is degraded as a whole, since the peers then show the same at the same time.
+ */
+export function computePeerEvidence(own: ServerSummary, peers: readonly ServerSummary[]): number {
+	return Math.max(...own.windows.map((counts, index) => computeWindowEvidence(counts, mergeCounts(peers.flatMap(({windows}) => windows[index] ?? [])))));
 }
--- a/packages/detect/src/constants.ts
+++ b/packages/detect/src/constants.ts
@@ -18,17 +18,18 @@
 /** Length of one half of the window of what is normal, in milliseconds. */
 export const normalWindowMs = 300_000;
 
-/** Length of one half of the medium window, in milliseconds. */
-export const mediumWindowMs = 60_000;
-
-/** Length of one half of the window of what happens right now, in milliseconds. */
-export const recentWindowMs = 5000;
-
 /** Period after which a peer's summary is asked for again, in milliseconds. */
 export const baselineRefreshMs = 30_000;
 
-/** Peers asked for their summaries, for each service. */
+/** Peers asked for their summaries each period, for each service. */
 export const baselinePeers = 3;
 
+/** Peers asked when an alarm is to be settled. */
+export const comparedPeers = 6;
+
 /** Longest time an alarm waits for the peers' present summaries, in milliseconds. */
 export const confirmTimeoutMs = 500;
+
+/** Shortest and longest wait between two comparisons with the peers while an alarm stands, in milliseconds. */
+export const minCompareMs = 250;
+export const maxCompareMs = 32_000;
--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -5,6 +5,8 @@
 export * from './mixture-test.js';
 export * from './detector.js';
 export * from './policies.js';
+export * from './divergence.js';
+export * from './window-ladder.js';
 export * from './summary.js';
 export * from './baseline.js';
 export * from './compare-with-peers.js';
--- a/packages/detect/src/policies.ts
+++ b/packages/detect/src/policies.ts
@@ -9,6 +9,8 @@
 export type PolicyOptions = {
 	/** Least mean number of requests between two false alarms of a healthy backend server. */
 	readonly requestsBetweenFalseAlarms: number;
+	/** Evidence against the peers that an ejection needs, as a natural logarithm of odds. */
+	readonly peerEvidence: number;
 	/** First wait between ejection and probation, in milliseconds. */
 	readonly ejectionMs: number;
 	/** Time a backend server warms after a start or a return, in milliseconds. */
@@ -17,8 +19,12 @@
 
 /** Options of the policies by name. */
 export const detectionPolicies: Readonly<Record<DetectionPolicy, PolicyOptions>> = {
-	fast: {requestsBetweenFalseAlarms: 1e6, ejectionMs: 10_000, warmingMs: 10_000},
-	cautious: {requestsBetweenFalseAlarms: 1e8, ejectionMs: 5000, warmingMs: 10_000},
+	fast: {
+		requestsBetweenFalseAlarms: 1e6, peerEvidence: 8, ejectionMs: 10_000, warmingMs: 10_000,
+	},
+	cautious: {
+		requestsBetweenFalseAlarms: 1e8, peerEvidence: 10, ejectionMs: 5000, warmingMs: 10_000,
+	},
 };
 
 const testedShares = [0.03, 0.1, 0.3, 0.999] as const;
--- a/packages/detect/src/server-health.ts
+++ b/packages/detect/src/server-health.ts
@@ -18,6 +18,10 @@
 const maxSickShare = 0.9;
 const badnessSteps = 10;
 
+function computeTrialEvidence(isBadTrial: boolean, healthyShare: number, sickShare: number): number {
+	return Math.log(isBadTrial ? healthyShare / sickShare : (1 - healthyShare) / (1 - sickShare));
+}
+
 /** One backend server; pure but for the evidence it keeps. All times are monotonic milliseconds given by the caller. */
 export class ServerHealth {
 	readonly #detector: Detector;
@@ -73,11 +77,6 @@
 		this.#detector.clear();
 	}
 
-	/** Drops the evidence, since the whole service is degraded. */
-	clear(): void {
-		this.#detector.clear();
-	}
-
 	/** Moves on with time: from ejected to probation, from warming to ready. True when the state changed. */
 	sweep(now: number): boolean {
 		const age = now - this.#changedAt;
@@ -104,10 +103,11 @@
 		}
 
 		const isBadTrial = isBad(evidence);
-		const healthyShare = Math.min(maxSickShare / 2, baseline.failureShare + baseline.slowShare);
+		const healthyShare = baseline.failureShare + baseline.slowShare;
+		const isServiceSick = healthyShare > maxSickShare / 2;
 		const sickShare = Math.min(maxSickShare, Math.max(minSickShare, healthyShare * 2, this.#badness / badnessSteps));
-		this.#evidence += isBadTrial ? Math.log(healthyShare / sickShare) : Math.log((1 - healthyShare) / (1 - sickShare));
-		this.#successes += Number(!isBadTrial);
+		this.#evidence += computeTrialEvidence(isBadTrial && !isServiceSick, Math.min(healthyShare, maxSickShare / 2), sickShare);
+		this.#successes += Number(!isBadTrial || isServiceSick);
 		if (this.#evidence <= -returnEvidence) {
 			this.eject(outcome.at);
 		} else if (this.#evidence >= returnEvidence && this.#successes >= minReturnSuccesses) {
--- a/packages/detect/src/summary.ts
+++ b/packages/detect/src/summary.ts
@@ -1,6 +1,10 @@
 /** Sums outcomes up over windows of time, in bounded memory. */
-import {mediumWindowMs, normalWindowMs, recentWindowMs} from './constants.js';
-import {type OutcomeSummary, type ServerSummary, type WorkOutcome} from './types.js';
+import {normalWindowMs} from './constants.js';
+import {judgeOutcome} from './evidence.js';
+import {
+	type Baseline, type Evidence, type OutcomeSummary, type ServerSummary, type WorkOutcome,
+} from './types.js';
+import {WindowLadder} from './window-ladder.js';
 
 const bucketsPerDoubling = 4;
 const bucketCount = 80;
@@ -40,10 +44,10 @@
 		this.#lengthMs = lengthMs;
 	}
 
-	recordOutcome({at, kind, durationMs}: WorkOutcome): void {
+	recordOutcome({at, kind, durationMs}: WorkOutcome, {isFailure}: Evidence): void {
 		this.#update(at);
 		this.#requests++;
-		this.#failures += Number(kind !== 'answered');
+		this.#failures += Number(isFailure === true);
 		if (kind === 'answered') {
 			const bucket = findBucket(durationMs);
 			while (this.#durations.length <= bucket) {
@@ -77,21 +81,25 @@
 	}
 }
 
-/** The outcomes of one backend server over all windows. A cancelled run is not counted. */
+/** The outcomes of one backend server, summed up. */
 export class OutcomeRecorder {
 	readonly #normal = new OutcomeWindow(normalWindowMs);
-	readonly #medium = new OutcomeWindow(mediumWindowMs);
-	readonly #recent = new OutcomeWindow(recentWindowMs);
-
-	recordOutcome(outcome: WorkOutcome): void {
-		if (outcome.kind !== 'cancelled') {
-			this.#normal.recordOutcome(outcome);
-			this.#medium.recordOutcome(outcome);
-			this.#recent.recordOutcome(outcome);
+	readonly #ladder = new WindowLadder();
+
+	/** Takes an outcome, judged by what was normal at that time; one that says nothing isn't counted. */
+	recordOutcome(outcome: WorkOutcome, baseline: Baseline): void {
+		const evidence = judgeOutcome(outcome, baseline);
+		if (evidence.isFailure === undefined && evidence.isSlow === undefined) {
+			return;
+		}
+
+		this.#ladder.recordEvidence(outcome.at, evidence);
+		if (evidence.isFailure !== undefined) {
+			this.#normal.recordOutcome(outcome, evidence);
 		}
 	}
 
 	getSummary(now: number): ServerSummary {
-		return {normal: this.#normal.getSummary(now), medium: this.#medium.getSummary(now), recent: this.#recent.getSummary(now)};
+		return {normal: this.#normal.getSummary(now), windows: this.#ladder.listWindows(now)};
 	}
 }
--- a/packages/detect/src/types.ts
+++ b/packages/detect/src/types.ts
@@ -51,12 +51,19 @@
 	readonly durations: readonly number[];
 };
 
-/** The windows over which a backend server is summed up. */
+/** Counts of one window up to now. */
+export type WindowCounts = {
+	readonly requests: number;
+	/** Requests that failed or were slow. */
+	readonly bad: number;
+	readonly failures: number;
+	readonly slow: number;
+};
+
+/** What a backend server has shown lately. */
 export type ServerSummary = {
 	/** Some minutes: what is normal. */
 	readonly normal: OutcomeSummary;
-	/** About a minute. */
-	readonly medium: OutcomeSummary;
-	/** Seconds: what happens right now. */
-	readonly recent: OutcomeSummary;
+	/** Windows of growing length; see `WindowLadder`. */
+	readonly windows: readonly WindowCounts[];
 };
