--- a/packages/choose/src/index.ts
+++ b/packages/choose/src/index.ts
@@ -2,3 +2,7 @@
 export * from './route-table.js';
 export * from './floor.js';
 export * from './chooser.js';
+export * from './retry-budget.js';
+export * from './path-health.js';
+export * from './subset.js';
+export * from './server-selection.js';
--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -11,3 +11,5 @@
 export * from './baseline.js';
 export * from './compare-with-peers.js';
 export * from './server-health.js';
+export * from './baseline-source.js';
+export * from './server-judge.js';
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -38,6 +38,9 @@
 	#startedAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#status = 0;
+	/** Monotonic times: the request's body was whole, the answer's head came. */
+	#bodyEndedAt: number | undefined;
+	#headAt: number | undefined;
 
 	constructor(pool: Dispatcher, head: RequestHead, handler: ExchangeHandler, owner: RunOwner) {
 		this.#pool = pool;
@@ -85,6 +88,7 @@
 	}
 
 	endBody(): void {
+		this.#bodyEndedAt = performance.now();
 		this.#body.end();
 	}
 
@@ -121,6 +125,7 @@
 			onResponseStart: (_controller, status, headers) => {
 				if (this.#state === 'running' && status >= 200) {
 					this.#status = status;
+					this.#headAt = performance.now();
 					this.#handler.handleHead({
 						status,
 						headers: selectHeaders(flattenHeaders(headers), name => isForwardedResponseHeader(name)),
@@ -167,9 +172,16 @@
 		this.#handler.handleFailure(failure);
 	}
 
+	/**
+	 * Counts only the time in which it was the backend server's turn: from the end of the request's body to the head of
+	 * the answer, and on while the caller takes more than it gets.
+	 */
 	#createOutcome(kind: OutcomeKind): WorkOutcome {
 		const at = performance.now();
-		return {at, kind, durationMs: at - this.#startedAt};
+		const turnAt = Math.max(this.#startedAt, this.#bodyEndedAt ?? (this.#hasBody() ? at : this.#startedAt));
+		const isServersTurn = kind !== 'answered' && this.#credit > 0;
+		const untilAt = this.#headAt === undefined || isServersTurn ? at : this.#headAt;
+		return {at, kind, durationMs: Math.max(0, untilAt - turnAt)};
 	}
 
 	#end(outcome: WorkOutcome | undefined): void {
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -1,75 +1,56 @@
 /** The part of a node that stands before the backend servers of its own host. */
 import {
-	Carrier, createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead, type ServerRecord,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Logger, type MetricRegistry, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
-import {
-	createDetector, noBaseline, type Detector, type WorkOutcome,
-} from '@limpetbarrow/detect';
+import {ServerJudge, type BaselineSource, type HealthChange} from '@limpetbarrow/detect';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {type ReleaseState, type Service} from '@limpetbarrow/releases';
 import {BackendServer} from './backend-server.js';
+import {answerExchange, refuseExchange} from './closed-exchange.js';
+import {summariesPath} from './peer-baseline-source.js';
+
+/** What an egress works with. */
+export type EgressOptions = {
+	readonly announcements: Announcements;
+	readonly releases: ReleaseState;
+	readonly baselineSource: BaselineSource;
+	readonly metrics: MetricRegistry;
+	readonly logger: Logger;
+};
 
 type Guarded = {
 	readonly announced: AnnouncedServer;
 	readonly backend: BackendServer;
-	readonly detector: Detector;
-};
-
-type Judgement = {
-	readonly isEjected: boolean;
-	readonly badness: number;
 };
 
 const defaultQueueLimit = 12;
-
-class RefusedExchange extends Exchange {
-	override writeBody(_chunk: Uint8Array): void {
-		// Refused already.
-	}
-
-	override endBody(): void {
-		// Refused already.
-	}
-
-	override grantCredit(_bytes: number): void {
-		// Refused already.
-	}
-
-	override cancel(): void {
-		// Refused already.
-	}
-}
-
-/** Refuses an exchange after the current turn. */
-export function refuseExchange(handler: ExchangeHandler, failure: Failure): Exchange {
-	queueMicrotask(() => {
-		handler.handleFailure(failure);
-	});
-	return new RefusedExchange();
-}
+const defaultPolicy = 'cautious';
 
 /** Runs requests on the backend servers that announced themselves here. */
 export class Egress extends Carrier {
-	readonly #announcements: Announcements;
-	readonly #releases: ReleaseState;
-	readonly #metrics: MetricRegistry;
-	readonly #logger: Logger;
+	readonly #options: EgressOptions;
+	readonly #judge: ServerJudge;
 	readonly #guarded = new Map<string, Guarded>();
-	readonly #judgements = new Map<string, Judgement>();
 
-	constructor(announcements: Announcements, releases: ReleaseState, metrics: MetricRegistry, logger: Logger) {
+	constructor(options: EgressOptions) {
 		super();
-		this.#announcements = announcements;
-		this.#releases = releases;
-		this.#metrics = metrics;
-		this.#logger = logger;
-		announcements.store.registerListener(({after}) => {
+		this.#options = options;
+		this.#judge = new ServerJudge(options.baselineSource);
+		this.#judge.changes.registerListener(change => {
+			this.#handleChange(change);
+		});
+		options.announcements.store.registerListener(({after}) => {
 			this.#update(after.servers);
 		});
 	}
 
+	/** Runs a request, whatever this node thinks of the backend server: the floor of another node's view may need it. */
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
 		const serverId = head.target.kind === 'egress' ? head.target.serverId : '';
+		if (serverId === '' && head.path === summariesPath) {
+			return answerExchange(handler, this.#judge.listSummaries(head.service));
+		}
+
 		const guarded = this.#guarded.get(serverId);
 		if (guarded?.announced.service !== head.service) {
 			return refuseExchange(handler, createFailure('serverNotHere', `server ${serverId}`));
@@ -79,7 +60,7 @@
 			return refuseExchange(handler, createFailure('serverLeaving', `server ${serverId}`));
 		}
 
-		this.#metrics.addCount('egress_requests_total');
+		this.#options.metrics.addCount('egress_requests_total');
 		return guarded.backend.openExchange(head, handler, this.#findService(head.service)?.queueLimit ?? defaultQueueLimit);
 	}
 
@@ -93,6 +74,11 @@
 		return [...this.#guarded.values()].reduce((sum, {backend}) => sum + backend.countRequests(), 0);
 	}
 
+	/** Moves the judgement of the backend servers on with time. */
+	sweep(): void {
+		this.#judge.sweep();
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([...this.#guarded.values()].map(async ({backend}) => backend.close()));
 	}
@@ -105,6 +91,7 @@
 			.filter(([id]) => !servers.has(id))
 			.forEach(([id, {backend}]) => {
 				this.#guarded.delete(id);
+				this.#judge.removeServer(id);
 				void backend.close();
 			});
 	}
@@ -112,42 +99,42 @@
 	#guard(announced: AnnouncedServer): void {
 		const known = this.#guarded.get(announced.id);
 		const isSame = known?.announced.address.port === announced.address.port && known.announced.address.host === announced.address.host;
+		const policy = this.#findService(announced.service)?.detection ?? defaultPolicy;
+		if (!isSame || this.#judge.findPolicy(announced.id) !== policy) {
+			this.#judge.addServer(announced.id, announced.service, policy);
+		}
+
 		if (known && isSame) {
 			this.#guarded.set(announced.id, {...known, announced});
 			return;
 		}
 
 		void known?.backend.close();
-		const detector = createDetector(this.#findService(announced.service)?.detection ?? 'cautious');
 		const backend = new BackendServer(announced, outcome => {
-			this.#recordOutcome(announced.id, outcome);
+			this.#judge.recordOutcome(announced.id, outcome);
 		});
-		this.#guarded.set(announced.id, {announced, backend, detector});
+		this.#guarded.set(announced.id, {announced, backend});
 	}
 
-	#recordOutcome(serverId: string, outcome: WorkOutcome): void {
-		const guarded = this.#guarded.get(serverId);
-		if (!guarded) {
-			return;
+	#handleChange({serverId, before, after, badness}: HealthChange): void {
+		const {announcements, logger, metrics} = this.#options;
+		if (after === 'ejected') {
+			metrics.addCount('egress_ejections_total');
+			logger.log('serverEjected', {server: serverId, badness});
+		} else if (before === 'probation') {
+			logger.log('serverReturned', {server: serverId});
 		}
 
-		const {isFailing, badness} = guarded.detector.recordOutcome(outcome, noBaseline);
-		const wasEjected = this.#judgements.get(serverId)?.isEjected ?? false;
-		this.#judgements.set(serverId, {isEjected: wasEjected || isFailing, badness});
-		if (isFailing && !wasEjected) {
-			this.#logger.log('serverEjected', {server: serverId, badness});
-			this.#announcements.store.update('eject', ({servers}) => ({servers: new Map(servers)}));
-		}
+		announcements.store.update('judge', ({servers}) => ({servers: new Map(servers)}));
 	}
 
 	#createRecord({id, service, slots, generation, isLeaving}: AnnouncedServer): ServerRecord {
-		const judgement = this.#judgements.get(id);
 		return {
-			id, service, slots, generation, state: isLeaving ? 'leaving' : (judgement?.isEjected ? 'ejected' : 'ready'), badness: judgement?.badness ?? 0,
+			id, service, slots, generation, state: isLeaving ? 'leaving' : this.#judge.getState(id), badness: this.#judge.getBadness(id),
 		};
 	}
 
 	#findService(name: string): Service | undefined {
-		return this.#releases.getConfiguration().services.get(name);
+		return this.#options.releases.getConfiguration().services.get(name);
 	}
 }
--- /dev/null
+++ b/packages/node/src/load-tracker.ts
@@ -0,0 +1,43 @@
+/** Loads of backend servers as this node sees them. */
+import {type LoadHint} from '@limpetbarrow/core';
+import {type LoadView} from '@limpetbarrow/choose';
+
+type TimedHint = {
+	readonly hint: LoadHint;
+	readonly expiresAt: number;
+};
+
+/** Time after which a hint says nothing any more, in milliseconds. */
+const hintLifetimeMs = 1000;
+const maxHints = 4096;
+
+/** Counts requests in progress and keeps the latest hints. */
+export class LoadTracker implements LoadView {
+	readonly #inFlight = new Map<string, number>();
+	readonly #hints = new Map<string, TimedHint>();
+
+	readonly countInFlight = (serverId: string): number => this.#inFlight.get(serverId) ?? 0;
+
+	readonly getHint = (serverId: string): LoadHint | undefined => {
+		const found = this.#hints.get(serverId);
+		return found && performance.now() < found.expiresAt ? found.hint : undefined;
+	};
+
+	add(serverId: string, amount: 1 | -1): void {
+		const count = this.countInFlight(serverId) + amount;
+		if (count > 0) {
+			this.#inFlight.set(serverId, count);
+		} else {
+			this.#inFlight.delete(serverId);
+		}
+	}
+
+	recordHint(hint: LoadHint): void {
+		this.#hints.delete(hint.serverId);
+		this.#hints.set(hint.serverId, {hint, expiresAt: performance.now() + hintLifetimeMs});
+		const [oldest] = this.#hints.keys();
+		if (this.#hints.size > maxHints && oldest !== undefined) {
+			this.#hints.delete(oldest);
+		}
+	}
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -15,6 +15,8 @@
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
 import {Ingress} from './ingress.js';
+import {registerProcessGauges} from './process-gauges.js';
+import {PeerBaselineSource} from './peer-baseline-source.js';
 import {ServerDirectory} from './server-directory.js';
 import {type NodeSettings} from './settings.js';
 
@@ -50,6 +52,7 @@
 	readonly #follower: ReleaseFollower;
 	readonly #egress: Egress;
 	readonly #links: LinkPool;
+	readonly #directory: ServerDirectory;
 	readonly #linkServer: LinkServer;
 	readonly #gossip: Gossip;
 	readonly #sequencer: Sequencer;
@@ -61,12 +64,20 @@
 	constructor(settings: NodeSettings, logger: Logger) {
 		this.#settings = settings;
 		this.#logger = logger;
+		registerProcessGauges(this.#metrics);
 		this.#platform = new HttpObjectStore(settings.platform);
 		this.#table = new MemberTable(createRecord(settings));
 		this.#announcements = new Announcements(logger);
 		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
-		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
 		this.#links = new LinkPool(this.#table.self);
+		this.#directory = new ServerDirectory(this.#table);
+		this.#egress = new Egress({
+			announcements: this.#announcements,
+			releases: this.#releases,
+			baselineSource: new PeerBaselineSource(settings.id, this.#directory, nodeId => this.#findLink(nodeId)),
+			metrics: this.#metrics,
+			logger,
+		});
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
 		this.#gossip = new Gossip(this.#table, settings.seeds);
 		const forwarder = this.#createForwarder();
@@ -97,6 +108,7 @@
 		this.#follower.start();
 		this.#sweep = setInterval(() => {
 			this.#announcements.sweep();
+			this.#egress.sweep();
 			this.#sequencer.sweep();
 		}, sweepMs);
 		this.#logger.log('nodeStarted', {ingress: `${ingressAddress.host}:${ingressAddress.port}`, admin: `${adminAddress.host}:${adminAddress.port}`});
@@ -130,10 +142,12 @@
 	#createForwarder(): Forwarder {
 		const self = {id: this.#table.self.id, placement: this.#table.getSelf().placement};
 		return new Forwarder({
-			directory: new ServerDirectory(this.#table),
+			self,
+			directory: this.#directory,
 			releases: this.#releases,
 			chooser: new NearestChooser(self),
 			findEgress: nodeId => nodeId === self.id ? this.#egress : this.#findLink(nodeId),
+			metrics: this.#metrics,
 		});
 	}
 
