--- a/packages/detect/src/compare-with-peers.ts
+++ b/packages/detect/src/compare-with-peers.ts
@@ -1,4 +1,5 @@
 /** Compares a backend server with what its peers show at the same time. */
+import {priorFailureShare} from './constants.js';
 import {computeDivergence} from './divergence.js';
 import {mergeCounts} from './window-ladder.js';
 import {type ServerSummary, type WindowCounts} from './types.js';
@@ -6,6 +7,10 @@
 const minShareRatio = 2;
 /** Weight of a peer group that is taken as healthy before it has shown anything, in requests. */
 const assumedRequests = 2;
+/** Evidence from which the peers count as degraded, and what evidence against one server is worth while they are. */
+const raisedEvidence = 3;
+const degradedWeight = 0.5;
+const maxShare = 0.999;
 
 /** Generalised log-likelihood ratio between two shares of their own and one common share; 0 unless the first is clearly higher. */
 function computeEvidence(bad: number, requests: number, peerBad: number, peerRequests: number): number {
@@ -20,15 +25,34 @@
 	return (requests * computeDivergence(share, common)) + (total * computeDivergence(peerShare, common));
 }
 
-function computeWindowEvidence(own: WindowCounts, peers: WindowCounts): number {
+function computeWindowEvidence(own: WindowCounts, peers: WindowCounts, normalShare: number): number {
 	const measures = [({bad}: WindowCounts) => bad, ({failures}: WindowCounts) => failures, ({slow}: WindowCounts) => slow];
-	return Math.max(...measures.map(count => computeEvidence(count(own), own.requests, count(peers), peers.requests)));
+	const evidence = Math.max(...measures.map(count => computeEvidence(count(own), own.requests, count(peers), peers.requests)));
+	return isRaised(peers, normalShare) ? evidence * degradedWeight : evidence;
+}
+
+/** True when the peers themselves are clearly worse than normal. */
+function isRaised({bad, requests}: WindowCounts, normalShare: number): boolean {
+	const share = requests === 0 ? 0 : bad / requests;
+	return share > normalShare && requests * computeDivergence(share, normalShare) > raisedEvidence;
+}
+
+/** Share of bad requests that the peers take for normal: slow ones included, by the definition of slow. */
+function computeNormalShare(peers: readonly ServerSummary[]): number {
+	const requests = peers.reduce((sum, {normal}) => sum + normal.requests, 0);
+	const failures = peers.reduce((sum, {normal}) => sum + normal.failures, 0);
+	return Math.min(maxShare, priorFailureShare + Math.max(priorFailureShare, requests === 0 ? 0 : failures / requests));
 }
 
 /**
  * Evidence that a backend server is worse than its peers, as a natural logarithm of odds: the strongest over all
- * windows. It stays low while the service is degraded as a whole, since the peers then show the same at the same time.
+ * windows. It stays low while the service is degraded as a whole, since the peers then show the same at the same time;
+ * and what there is counts half.
  */
 export function computePeerEvidence(own: ServerSummary, peers: readonly ServerSummary[]): number {
-	return Math.max(...own.windows.map((counts, index) => computeWindowEvidence(counts, mergeCounts(peers.flatMap(({windows}) => windows[index] ?? [])))));
+	const normalShare = computeNormalShare(peers);
+	return Math.max(...own.windows.map((counts, index) => {
+		const peerCounts = mergeCounts(peers.flatMap(({windows}) => windows[index] ?? []));
+		return computeWindowEvidence(counts, peerCounts, normalShare);
+	}));
 }
--- /dev/null
+++ b/packages/node/src/__tests__/unit/forwarder.test.ts
@@ -0,0 +1,158 @@
+import {expect} from 'chai';
+import {
+	Carrier, createFailure, Exchange, MetricRegistry, type ExchangeHandler, type RequestHead, type ResultName, type ServerState,
+} from '@limpetbarrow/core';
+import {NearestChooser, type Candidate} from '@limpetbarrow/choose';
+import {Forwarder} from '../../index.js';
+
+const self = {id: 'node-self', placement: {region: 'volta', failureDomain: 'volta-1'}};
+const service = {
+	name: 'harvest-ledger', floor: 1, detection: 'cautious', queueLimit: 12,
+} as const;
+
+class NullExchange extends Exchange {
+	override writeBody(): void {
+		// Nothing runs.
+	}
+
+	override endBody(): void {
+		// Nothing runs.
+	}
+
+	override grantCredit(): void {
+		// Nothing runs.
+	}
+
+	override cancel(): void {
+		// Nothing runs.
+	}
+}
+
+/** Answers as told and counts what it got. */
+class FakeEgress extends Carrier {
+	readonly served: string[] = [];
+	readonly #pickFailure: (serverId: string) => ResultName | undefined;
+
+	constructor(pickFailure: (serverId: string) => ResultName | undefined) {
+		super();
+		this.#pickFailure = pickFailure;
+	}
+
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		const serverId = head.target.kind === 'egress' ? head.target.serverId : '';
+		this.served.push(serverId);
+		const failure = this.#pickFailure(serverId);
+		queueMicrotask(() => {
+			if (failure) {
+				handler.handleFailure(createFailure(failure, 'fake'));
+			} else {
+				handler.handleHead({status: 200, headers: []});
+				handler.handleEnd();
+			}
+		});
+		return new NullExchange();
+	}
+}
+
+function createCandidate(index: number, state: ServerState = 'ready'): Candidate {
+	const server = {
+		id: `server-${index}`, service: service.name, slots: 3, state, generation: 1, badness: 0,
+	};
+	return {nodeId: `node-${index}`, placement: self.placement, server};
+}
+
+function createForwarder(egress: Carrier, candidates: readonly Candidate[], pickRandom: () => number = () => 0.99): Forwarder {
+	return new Forwarder({
+		self,
+		directory: {listCandidates: () => candidates},
+		releases: {
+			getConfiguration: () => ({
+				release: 1, services: new Map([[service.name, service]]), routes: new Map(), terms: new Map(), organisations: new Map(),
+			}),
+		},
+		chooser: new NearestChooser(self, () => 0),
+		findEgress: () => egress,
+		metrics: new MetricRegistry(),
+		pickRandom,
+	});
+}
+
+async function sendRequest(forwarder: Forwarder, isRepeatable: boolean): Promise<string> {
+	return new Promise(resolve => {
+		const head: RequestHead = {
+			requestId: 'r', target: {kind: 'egress', serverId: ''}, service: service.name, method: 'GET', path: '/', headers: [], remainingMs: 5000, isRepeatable, organisation: '',
+		};
+		forwarder.openExchange(head, {
+			handleHead() {
+				// Only the end counts.
+			},
+			handleData() {
+				// Only the end counts.
+			},
+			handleCredit() {
+				// Only the end counts.
+			},
+			handleEnd() {
+				resolve('answered');
+			},
+			handleFailure({name}) {
+				resolve(name);
+			},
+		});
+	});
+}
+
+async function sendRequests(forwarder: Forwarder, count: number): Promise<readonly string[]> {
+	return Promise.all(Array.from({length: count}, async () => sendRequest(forwarder, true)));
+}
+
+describe('forwarder', () => {
+	describe('retries', () => {
+		const cases: ReadonlyArray<{failure: ResultName; isRepeatable: boolean; tries: number}> = [
+			{failure: 'queueFull', isRepeatable: false, tries: 2},
+			{failure: 'serverBroke', isRepeatable: true, tries: 2},
+			{failure: 'serverBroke', isRepeatable: false, tries: 1},
+			{failure: 'linkLost', isRepeatable: false, tries: 1},
+			{failure: 'poisonRequest', isRepeatable: true, tries: 1},
+		];
+		cases.forEach(({failure, isRepeatable, tries}) => {
+			it(`${failure} of a ${isRepeatable ? 'repeatable' : 'non-repeatable'} request leads to ${tries} tries`, async () => {
+				const egress = new FakeEgress(serverId => serverId === 'server-1' ? failure : undefined);
+				const outcome = await sendRequest(createForwarder(egress, [createCandidate(1), createCandidate(2)]), isRepeatable);
+				expect(egress.served).to.have.length(tries);
+				expect(outcome).to.equal(tries === 2 ? 'answered' : failure);
+			});
+		});
+
+		it('stay within the budget when every try fails', async () => {
+			const egress = new FakeEgress(() => 'serverBroke');
+			await sendRequests(createForwarder(egress, [createCandidate(1), createCandidate(2), createCandidate(3)]), 1000);
+			expect(egress.served.length).to.be.within(1001, 1000 + 100 + 3);
+		});
+	});
+
+	describe('states of servers', () => {
+		it('keep an ejected server in use for the floor', async () => {
+			const egress = new FakeEgress(() => undefined);
+			expect(await sendRequest(createForwarder(egress, [createCandidate(1, 'ejected')]), false)).to.equal('answered');
+		});
+
+		it('give a server on probation repeatable requests only', async () => {
+			const egress = new FakeEgress(() => undefined);
+			const forwarder = createForwarder(egress, [createCandidate(1, 'probation'), createCandidate(2)], () => 0);
+			await sendRequest(forwarder, false);
+			await sendRequest(forwarder, true);
+			expect(egress.served).to.deep.equal(['server-2', 'server-1']);
+		});
+	});
+
+	describe('paths', () => {
+		it('that failed are avoided by the next requests', async () => {
+			const egress = new FakeEgress(serverId => serverId === 'server-1' ? 'linkUnreachable' : undefined);
+			const forwarder = createForwarder(egress, [createCandidate(1), createCandidate(2)]);
+			await sendRequest(forwarder, false);
+			await sendRequest(forwarder, false);
+			expect(egress.served).to.deep.equal(['server-1', 'server-2', 'server-2']);
+		});
+	});
+});
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,4 @@
 /** The node daemon as a library. */
 export * from './settings.js';
 export * from './node.js';
+export * from './forwarder.js';
