Eject on a sequential test against peers, and quarantine poison requests

Cause: failures in a row miss a server that fails a share of its work (3 in a row needs 2,057 requests at 10% and never ends at 3%), eject a whole degraded service, and one poison request takes down server after server. Ruled out: time windows of fixed length (at 0.4 s after the onset the peers look healthy), one threshold alone (5 to 10 nats trade detection time for false ejections).

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,6 +1,7 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 import {measureDetection} from './detection.js';
 import {measureLatency} from './latency.js';
+import {measurePoison} from './poison.js';
 
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
@@ -9,4 +10,5 @@
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
 	['detection', measureDetection],
 	['latency', measureLatency],
+	['poison', measurePoison],
 ]);
--- /dev/null
+++ b/packages/detect/src/__tests__/unit/poison.test.ts
@@ -0,0 +1,75 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {type PoisonMark} from '@limpetbarrow/core';
+import {
+	isPoison, maxMarks, maxMergedMarks, mergePoisonMarks, PoisonRegister, quarantineMs,
+} from '../../index.js';
+
+const seed = 20_254;
+
+function createMark(fingerprint: string, serverIds: readonly string[], expiresAt = 1000): PoisonMark {
+	return {fingerprint, serverIds, expiresAt};
+}
+
+describe('poison requests', () => {
+	describe('register', () => {
+		it('marks what a crashed server ran and nothing else', () => {
+			const register = new PoisonRegister();
+			register.recordBreak('server-1', 'a', 0);
+			register.recordBreak('server-2', 'b', 0);
+			expect(register.recordCrash('server-1', 10)).to.equal(true);
+			expect(register.listMarks(10)).to.deep.equal([createMark('a', ['server-1'], 10 + quarantineMs)]);
+		});
+
+		it('marks nothing when a connection broke and the server lives', () => {
+			const register = new PoisonRegister();
+			register.recordBreak('server-1', 'a', 0);
+			expect(register.listMarks(10)).to.deep.equal([]);
+		});
+
+		it('passes over a request that was answered before, and clears one that is answered after', () => {
+			const register = new PoisonRegister();
+			register.recordAnswer('popular');
+			register.recordBreak('server-1', 'popular', 0);
+			register.recordBreak('server-1', 'rare', 0);
+			register.recordCrash('server-1', 10);
+			expect(register.listMarks(10).map(({fingerprint}) => fingerprint)).to.deep.equal(['rare']);
+			register.recordAnswer('rare');
+			expect(register.listMarks(10)).to.deep.equal([]);
+		});
+
+		it('forgets marks after the quarantine and holds no more than its bound', () => {
+			const register = new PoisonRegister();
+			Array.from({length: 100}, (_, index) => index).forEach(index => {
+				register.recordBreak('server-1', `request-${index}`, index);
+				register.recordCrash('server-1', index);
+			});
+			expect(register.listMarks(100)).to.have.length(maxMarks);
+			expect(register.listMarks(100 + quarantineMs)).to.deep.equal([]);
+		});
+	});
+
+	describe('merge', () => {
+		it('refuses only what crashed two distinct servers', () => {
+			const merged = mergePoisonMarks([
+				createMark('a', ['server-1']), createMark('a', ['server-2']), createMark('b', ['server-1']), createMark('b', ['server-1']), createMark('c', ['server-1', 'server-2'], 5),
+			], 10);
+			expect([...merged.values()].filter(mark => isPoison(mark)).map(({fingerprint}) => fingerprint)).to.deep.equal(['a']);
+			expect(merged.has('c')).to.equal(false);
+		});
+
+		it('gives the same whatever the order, merged once or twice, and stays bounded', () => {
+			const mark = fc.record({
+				fingerprint: fc.nat(2000).map(String), serverIds: fc.array(fc.constantFrom('s1', 's2', 's3'), {minLength: 1, maxLength: 3}), expiresAt: fc.nat(100),
+			});
+			fc.assert(fc.property(fc.array(mark, {maxLength: 1500, size: 'max'}), marks => {
+				const merged = mergePoisonMarks(marks, 20);
+				const again = mergePoisonMarks([...merged.values(), ...merged.values()], 20);
+				const reversed = mergePoisonMarks(marks.toReversed(), 20);
+				expect([...again]).to.deep.equal([...merged]);
+				expect([...reversed]).to.deep.equal([...merged]);
+				expect(merged.size).to.be.at.most(maxMergedMarks);
+			}), {seed, numRuns: 30});
+		});
+	});
+});
--- a/packages/detect/src/__tests__/unit/server-judge.test.ts
+++ b/packages/detect/src/__tests__/unit/server-judge.test.ts
@@ -7,7 +7,8 @@
 const startMs = 20_000;
 
 class FakeSource extends BaselineSource {
-	kind: OutcomeKind = 'answered';
+	/** Monotonic time since which every request of the peers fails. */
+	failingSince = Number.POSITIVE_INFINITY;
 	asked = 0;
 
 	override async fetchSummaries(_service: string, peers: number): Promise<readonly ServerSummary[]> {
@@ -18,8 +19,9 @@
 	#createSummary(): ServerSummary {
 		const recorder = new OutcomeRecorder();
 		const now = performance.now();
-		Array.from({length: 100}, (_, index) => index).forEach(index => {
-			recorder.recordOutcome({at: Math.max(0, now - ((100 - index) * 100)), kind: index < 90 ? 'answered' : this.kind, durationMs: 40}, noBaseline);
+		Array.from({length: 400}, (_, index) => now - ((400 - index) * 100)).filter(at => at >= 0).forEach(at => {
+			const kind: OutcomeKind = at < this.failingSince ? 'answered' : 'failed';
+			recorder.recordOutcome({at, kind, durationMs: 40}, noBaseline);
 		});
 		return recorder.getSummary(now);
 	}
@@ -70,13 +72,13 @@
 	});
 
 	it('ejects nobody while the peers fail too', async () => {
-		source.kind = 'failed';
+		source.failingSince = performance.now();
 		await recordOutcomes(200, 'failed');
 		expect(judge.getState('server-1')).to.equal('ready');
 	});
 
 	it('asks a bounded number of peers while an alarm stands', async () => {
-		source.kind = 'failed';
+		source.failingSince = performance.now();
 		source.asked = 0;
 		await recordOutcomes(1000, 'failed');
 		expect(source.asked).to.be.at.most(comparedPeers * 9);
--- a/packages/detect/src/compare-with-peers.ts
+++ b/packages/detect/src/compare-with-peers.ts
@@ -11,6 +11,7 @@
 const raisedEvidence = 3;
 const degradedWeight = 0.5;
 const maxShare = 0.999;
+const minExplainedRequests = 4;
 
 /** Generalised log-likelihood ratio between two shares of their own and one common share; 0 unless the first is clearly higher. */
 function computeEvidence(bad: number, requests: number, peerBad: number, peerRequests: number): number {
@@ -37,6 +38,15 @@
 	return share > normalShare && requests * computeDivergence(share, normalShare) > raisedEvidence;
 }
 
+/**
+ * True when the peers are degraded in a window and the server isn't clearly worse there. One such window is enough: what
+ * longer ones show is then a matter of how the server's traffic was spread over time.
+ */
+function isExplained(own: WindowCounts, peers: WindowCounts, normalShare: number): boolean {
+	const isWorse = own.bad * Math.max(1, peers.requests) > minShareRatio * peers.bad * own.requests;
+	return own.bad >= minExplainedRequests && !isWorse && isRaised(peers, normalShare);
+}
+
 /** Share of bad requests that the peers take for normal: slow ones included, by the definition of slow. */
 function computeNormalShare(peers: readonly ServerSummary[]): number {
 	const requests = peers.reduce((sum, {normal}) => sum + normal.requests, 0);
@@ -51,8 +61,10 @@
  */
 export function computePeerEvidence(own: ServerSummary, peers: readonly ServerSummary[]): number {
 	const normalShare = computeNormalShare(peers);
-	return Math.max(...own.windows.map((counts, index) => {
-		const peerCounts = mergeCounts(peers.flatMap(({windows}) => windows[index] ?? []));
-		return computeWindowEvidence(counts, peerCounts, normalShare);
-	}));
+	const pairs = own.windows.map((counts, index) => ({counts, peerCounts: mergeCounts(peers.flatMap(({windows}) => windows[index] ?? []))}));
+	if (pairs.some(({counts, peerCounts}) => isExplained(counts, peerCounts, normalShare))) {
+		return 0;
+	}
+
+	return Math.max(0, ...pairs.map(({counts, peerCounts}) => computeWindowEvidence(counts, peerCounts, normalShare)));
 }
--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -13,3 +13,4 @@
 export * from './server-health.js';
 export * from './baseline-source.js';
 export * from './server-judge.js';
+export * from './poison.js';
--- a/packages/detect/src/policies.ts
+++ b/packages/detect/src/policies.ts
@@ -20,10 +20,10 @@
 /** Options of the policies by name. */
 export const detectionPolicies: Readonly<Record<DetectionPolicy, PolicyOptions>> = {
 	fast: {
-		requestsBetweenFalseAlarms: 1e6, peerEvidence: 6, ejectionMs: 10_000, warmingMs: 10_000,
+		requestsBetweenFalseAlarms: 1e6, peerEvidence: 8, ejectionMs: 10_000, warmingMs: 10_000,
 	},
 	cautious: {
-		requestsBetweenFalseAlarms: 1e8, peerEvidence: 8, ejectionMs: 5000, warmingMs: 10_000,
+		requestsBetweenFalseAlarms: 1e8, peerEvidence: 10, ejectionMs: 5000, warmingMs: 10_000,
 	},
 };
 
--- /dev/null
+++ b/packages/node/src/__tests__/unit/quarantine.test.ts
@@ -0,0 +1,140 @@
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import {
+	createFailure, Exchange, type ExchangeHandler, type PoisonMark, type RequestHead,
+} from '@limpetbarrow/core';
+import {Quarantine} from '../../index.js';
+
+const address = {host: '127.0.0.1', port: 1};
+const poison = 'a size no shoe has';
+
+/** A backend server that crashes on one body; counts what it ran. */
+class FakeServer {
+	readonly id: string;
+	runs = 0;
+
+	constructor(id: string) {
+		this.id = id;
+	}
+
+	openExchange(handler: ExchangeHandler): Exchange {
+		return new FakeExchange(this, handler);
+	}
+}
+
+class FakeExchange extends Exchange {
+	readonly #server: FakeServer;
+	readonly #handler: ExchangeHandler;
+	#body = '';
+
+	constructor(server: FakeServer, handler: ExchangeHandler) {
+		super();
+		this.#server = server;
+		this.#handler = handler;
+	}
+
+	override writeBody(chunk: Uint8Array): void {
+		this.#body += Buffer.from(chunk).toString();
+	}
+
+	override endBody(): void {
+		this.#server.runs++;
+		if (this.#body === poison) {
+			this.#handler.handleFailure(createFailure('serverBroke', 'crashed'));
+			return;
+		}
+
+		this.#handler.handleHead({status: 200, headers: []});
+		this.#handler.handleEnd();
+	}
+
+	override grantCredit(): void {
+		// Bodies are small.
+	}
+
+	override cancel(): void {
+		// Nothing is left to cancel.
+	}
+}
+
+function createHead(): RequestHead {
+	return {
+		requestId: 'r', target: {kind: 'egress', serverId: 's'}, service: 'fitting-desk', method: 'POST', path: '/orders', headers: [], remainingMs: 1000, isRepeatable: false, organisation: '',
+	};
+}
+
+async function sendRequest(quarantine: Quarantine, server: FakeServer, body: string): Promise<string> {
+	const outcome = await new Promise<string>(resolve => {
+		const exchange = quarantine.openExchange(createHead(), {
+			handleHead() {
+				// Only the end counts.
+			},
+			handleData() {
+				// Only the end counts.
+			},
+			handleCredit() {
+				// Only the end counts.
+			},
+			handleEnd() {
+				resolve('answered');
+			},
+			handleFailure({name}) {
+				resolve(name);
+			},
+		}, {id: server.id, address}, handler => server.openExchange(handler));
+		exchange.writeBody(Buffer.from(body));
+		exchange.endBody();
+	});
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	return outcome;
+}
+
+/** Two nodes with one server each, which publish their marks to one another. */
+function createNodes(isCrashed: boolean): ReadonlyArray<{quarantine: Quarantine; server: FakeServer}> {
+	const nodes: Array<{quarantine: Quarantine; server: FakeServer}> = [];
+	const listFleetMarks = (): readonly PoisonMark[] => nodes.flatMap(({quarantine}) => quarantine.listMarks());
+	['server-1', 'server-2', 'server-3'].forEach(id => {
+		nodes.push({quarantine: new Quarantine(listFleetMarks, async () => isCrashed), server: new FakeServer(id)});
+	});
+	return nodes;
+}
+
+async function sendToEach(nodes: ReadonlyArray<{quarantine: Quarantine; server: FakeServer}>, body: string): Promise<readonly string[]> {
+	return nodes.reduce<Promise<readonly string[]>>(async (before, {quarantine, server}) => {
+		const outcomes = await before;
+		quarantine.sweep();
+		return [...outcomes, await sendRequest(quarantine, server, body)];
+	}, Promise.resolve([]));
+}
+
+describe('quarantine', () => {
+	it('refuses a request "not run" after two servers crashed, on all nodes', async () => {
+		const nodes = createNodes(true);
+		expect(await sendToEach(nodes, poison)).to.deep.equal(['serverBroke', 'serverBroke', 'poisonRequest']);
+		expect(nodes.map(({server}) => server.runs)).to.deep.equal([1, 1, 0]);
+		nodes.forEach(({quarantine}) => {
+			quarantine.sweep();
+		});
+		expect(await sendToEach(nodes, poison)).to.deep.equal(['poisonRequest', 'poisonRequest', 'poisonRequest']);
+		expect(nodes.map(({server}) => server.runs)).to.deep.equal([1, 1, 0]);
+	});
+
+	it('lets other bodies to the same path through, whole', async () => {
+		const nodes = createNodes(true);
+		await sendToEach(nodes, poison);
+		expect(await sendToEach(nodes, 'size 36')).to.deep.equal(['answered', 'answered', 'answered']);
+	});
+
+	it('refuses nothing when connections broke and the servers live', async () => {
+		const nodes = createNodes(false);
+		expect(await sendToEach(nodes, poison)).to.deep.equal(['serverBroke', 'serverBroke', 'serverBroke']);
+	});
+
+	it('names the servers whose crash is excused', async () => {
+		const nodes = createNodes(true);
+		await sendToEach(nodes, poison);
+		expect(['server-1', 'server-2', 'server-3'].map(id => nodes[2]!.quarantine.hasCrashed(id))).to.deep.equal([true, true, false]);
+	});
+});
--- a/packages/node/src/closed-exchange.ts
+++ b/packages/node/src/closed-exchange.ts
@@ -21,6 +21,11 @@
 	}
 }
 
+/** Creates an exchange that does nothing. */
+export function createClosedExchange(): Exchange {
+	return new ClosedExchange();
+}
+
 /** Refuses an exchange after the current turn. */
 export function refuseExchange(handler: ExchangeHandler, failure: Failure): Exchange {
 	queueMicrotask(() => {
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -1,6 +1,6 @@
 /** The part of a node that stands before the backend servers of its own host. */
 import {
-	Carrier, createFailure, type Exchange, type ExchangeHandler, type Logger, type MetricRegistry, type RequestHead, type ServerRecord,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Logger, type MetricRegistry, type PoisonMark, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
 import {ServerJudge, type BaselineSource, type HealthChange} from '@limpetbarrow/detect';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
@@ -8,12 +8,15 @@
 import {BackendServer} from './backend-server.js';
 import {answerExchange, refuseExchange} from './closed-exchange.js';
 import {summariesPath} from './peer-baseline-source.js';
+import {Quarantine} from './quarantine.js';
 
 /** What an egress works with. */
 export type EgressOptions = {
 	readonly announcements: Announcements;
 	readonly releases: ReleaseState;
 	readonly baselineSource: BaselineSource;
+	/** Marks that all nodes publish. */
+	readonly listFleetMarks: () => readonly PoisonMark[];
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 };
@@ -30,7 +33,10 @@
 export class Egress extends Carrier {
 	readonly #options: EgressOptions;
 	readonly #judge: ServerJudge;
+	readonly #quarantine: Quarantine;
 	readonly #guarded = new Map<string, Guarded>();
+	/** Servers whose crashes were excused. */
+	#excused: ReadonlySet<string> = new Set();
 
 	constructor(options: EgressOptions) {
 		super();
@@ -39,6 +45,11 @@
 		this.#judge.changes.registerListener(change => {
 			this.#handleChange(change);
 		});
+		this.#quarantine = new Quarantine(options.listFleetMarks);
+		this.#quarantine.changes.registerListener(marks => {
+			options.logger.log('poisonMarked', {fingerprint: marks.at(-1)?.fingerprint, servers: marks.at(-1)?.serverIds.join(',')});
+			this.#publish();
+		});
 		options.announcements.store.registerListener(({after}) => {
 			this.#update(after.servers);
 		});
@@ -61,7 +72,8 @@
 		}
 
 		this.#options.metrics.addCount('egress_requests_total');
-		return guarded.backend.openExchange(head, handler, this.#findService(head.service)?.queueLimit ?? defaultQueueLimit);
+		const queueLimit = this.#findService(head.service)?.queueLimit ?? defaultQueueLimit;
+		return this.#quarantine.openExchange(head, handler, guarded.announced, next => guarded.backend.openExchange(head, next, queueLimit));
 	}
 
 	/** The backend servers as the node publishes them. */
@@ -69,6 +81,11 @@
 		return [...this.#guarded.values()].map(({announced}) => this.#createRecord(announced));
 	}
 
+	/** Requests that crashed backend servers of this node, as the node publishes them. */
+	listPoison(): readonly PoisonMark[] {
+		return this.#quarantine.listMarks();
+	}
+
 	/** Requests running or waiting at all backend servers. */
 	countRequests(): number {
 		return [...this.#guarded.values()].reduce((sum, {backend}) => sum + backend.countRequests(), 0);
@@ -77,6 +94,8 @@
 	/** Moves the judgement of the backend servers on with time. */
 	sweep(): void {
 		this.#judge.sweep();
+		this.#quarantine.sweep();
+		this.#forgetCrashes();
 	}
 
 	async close(): Promise<void> {
@@ -117,7 +136,7 @@
 	}
 
 	#handleChange({serverId, before, after, badness}: HealthChange): void {
-		const {announcements, logger, metrics} = this.#options;
+		const {logger, metrics} = this.#options;
 		if (after === 'ejected') {
 			metrics.addCount('egress_ejections_total');
 			logger.log('serverEjected', {server: serverId, badness});
@@ -125,7 +144,22 @@
 			logger.log('serverReturned', {server: serverId});
 		}
 
-		announcements.store.update('judge', ({servers}) => ({servers: new Map(servers)}));
+		this.#publish();
+	}
+
+	/** Judges servers anew that a poison request has crashed: the crash says nothing about them. */
+	#forgetCrashes(): void {
+		const crashed = [...this.#guarded.values()].filter(({announced}) => this.#quarantine.hasCrashed(announced.id)).map(({announced}) => announced);
+		crashed.filter(({id}) => !this.#excused.has(id)).forEach(({id, service}) => {
+			this.#judge.addServer(id, service, this.#findService(service)?.detection ?? defaultPolicy);
+			this.#publish();
+		});
+		this.#excused = new Set(crashed.map(({id}) => id));
+	}
+
+	/** Makes the node publish its servers and marks again. */
+	#publish(): void {
+		this.#options.announcements.store.update('judge', ({servers}) => ({servers: new Map(servers)}));
 	}
 
 	#createRecord({id, service, slots, generation, isLeaving}: AnnouncedServer): ServerRecord {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,3 +2,4 @@
 export * from './settings.js';
 export * from './node.js';
 export * from './forwarder.js';
+export * from './quarantine.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -75,6 +75,7 @@
 			announcements: this.#announcements,
 			releases: this.#releases,
 			baselineSource: new PeerBaselineSource(settings.id, this.#directory, nodeId => this.#findLink(nodeId)),
+			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
 			metrics: this.#metrics,
 			logger,
 		});
@@ -175,7 +176,7 @@
 
 	#registerPublishing(): void {
 		this.#announcements.store.registerListener(() => {
-			this.#table.updateSelf(() => ({servers: this.#egress.listServers()}));
+			this.#table.updateSelf(() => ({servers: this.#egress.listServers(), poison: this.#egress.listPoison()}));
 		});
 		this.#releases.store.registerListener(({after}) => {
 			this.#logger.log('releaseInForce', {release: after.configuration.release});
