Measure retries and queues under overload

Cause: nothing showed what the retry budget and the deadline before a run are worth when a service has more load than it can take. The queue is modelled here; the retry decision is the node's own.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,6 +1,7 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 import {measureDetection} from './detection.js';
 import {measureLatency} from './latency.js';
+import {measureOverload} from './overload.js';
 import {measurePoison} from './poison.js';
 
 /** Runs one benchmark and prints its table. */
@@ -10,5 +11,6 @@
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
 	['detection', measureDetection],
 	['latency', measureLatency],
+	['overload', measureOverload],
 	['poison', measurePoison],
 ]);
