--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -3,3 +3,5 @@
 export * from './node.js';
 export * from './forwarder.js';
 export * from './quarantine.js';
+export * from './egress.js';
+export * from './peer-baseline-source.js';
