--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,6 +1,8 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 import {measureDetection} from './detection.js';
 import {measureLatency} from './latency.js';
+import {measureLink} from './link.js';
+import {measureMembership} from './membership.js';
 import {measureOverload} from './overload.js';
 import {measurePoison} from './poison.js';
 
@@ -9,8 +11,10 @@
 
 /** All benchmarks, as `npm run bench -- NAME` takes them. */
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
-	['detection', measureDetection],
+	['link', measureLink],
 	['latency', measureLatency],
+	['membership', measureMembership],
+	['detection', measureDetection],
 	['overload', measureOverload],
 	['poison', measurePoison],
 ]);
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -66,6 +66,12 @@
 	callerGone: {
 		code: 1012, status: 499, ran: 'unknown', resend: 'same-key', meaning: 'The caller closed its connection before the answer was whole.',
 	},
+	bodyBroken: {
+		code: 1013, status: 400, ran: 'unknown', resend: 'same-key', meaning: 'The body of the request broke the rules of HTTP after a part of it was handed on.',
+	},
+	bodyGrewTooLarge: {
+		code: 1014, status: 413, ran: 'unknown', resend: 'never', meaning: 'The body of undeclared length grew larger than the route allows after a part of it was handed on.',
+	},
 
 	// Links
 	linkUnreachable: {
@@ -151,6 +157,12 @@
 	releaseUnknown: {
 		code: 6004, status: 503, ran: 'none', resend: 'later', meaning: 'It is not known whether the release was accepted; apply the same note again.',
 	},
+	releaseGone: {
+		code: 6005, status: 410, ran: 'none', resend: 'never', meaning: 'The node no longer keeps the releases asked for; fetch its configuration.',
+	},
+	releaseUnreadable: {
+		code: 6006, status: 502, ran: 'none', resend: 'later', meaning: 'A stored or fetched release could not be read.',
+	},
 
 	// Platform
 	platformUnavailable: {
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -111,7 +111,7 @@
 			.forEach(([id, {backend}]) => {
 				this.#guarded.delete(id);
 				this.#judge.removeServer(id);
-				void backend.close();
+				void backend.drain();
 			});
 	}
 
@@ -125,10 +125,11 @@
 
 		if (known && isSame) {
 			this.#guarded.set(announced.id, {...known, announced});
+			known.backend.applyAnnouncement(announced);
 			return;
 		}
 
-		void known?.backend.close();
+		void known?.backend.drain();
 		const backend = new BackendServer(announced, outcome => {
 			this.#judge.recordOutcome(announced.id, outcome);
 		});
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,3 +5,5 @@
 export * from './quarantine.js';
 export * from './egress.js';
 export * from './peer-baseline-source.js';
+export type {AuditEntry, AuditTrail, ItemNames} from './admin-releases.js';
+export type {FleetStatus, NodeStatus} from './admin-fleet.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -7,13 +7,14 @@
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {Announcements, Gossip, MemberTable} from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/platform';
-import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
+import {ReleaseFollower, ReleaseState} from '@limpetbarrow/releases';
 import {Sequencer} from '@limpetbarrow/sequencer';
 import {Right} from 'purify-ts';
 import {Admin} from './admin.js';
 import {sendFailure} from './answer.js';
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
+import {HttpReleasePeers} from './http-release-peers.js';
 import {Ingress} from './ingress.js';
 import {registerProcessGauges} from './process-gauges.js';
 import {PeerBaselineSource} from './peer-baseline-source.js';
@@ -49,6 +50,7 @@
 	readonly #table: MemberTable;
 	readonly #announcements: Announcements;
 	readonly #releases = new ReleaseState();
+	readonly #peers: HttpReleasePeers;
 	readonly #follower: ReleaseFollower;
 	readonly #egress: Egress;
 	readonly #links: LinkPool;
@@ -68,19 +70,15 @@
 		this.#platform = new HttpObjectStore(settings.platform);
 		this.#table = new MemberTable(createRecord(settings));
 		this.#announcements = new Announcements(logger);
-		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
-		this.#links = new LinkPool(this.#table.self);
-		this.#directory = new ServerDirectory(this.#table);
-		this.#egress = new Egress({
-			announcements: this.#announcements,
-			releases: this.#releases,
-			baselineSource: new PeerBaselineSource(settings.id, this.#directory, nodeId => this.#findLink(nodeId)),
-			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
-			metrics: this.#metrics,
-			logger,
+		this.#peers = new HttpReleasePeers(this.#table);
+		this.#follower = new ReleaseFollower({
+			store: this.#platform, state: this.#releases, peers: this.#peers, expectsPeers: settings.seeds.length > 0, logger,
 		});
-		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
-		this.#gossip = new Gossip(this.#table, settings.seeds);
+		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
+		this.#directory = new ServerDirectory(this.#table);
+		this.#egress = this.#createEgress();
+		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
+		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
 		const forwarder = this.#createForwarder();
 		this.#sequencer = new Sequencer(forwarder);
 		this.#ingress = this.#createIngress(forwarder);
@@ -88,7 +86,7 @@
 			announcements: this.#announcements,
 			table: this.#table,
 			releases: this.#releases,
-			log: new ReleaseLog(this.#platform),
+			platform: this.#platform,
 			metrics: this.#metrics,
 			logger,
 			isStopping: () => this.#isStopping,
@@ -137,9 +135,21 @@
 		this.#links.close();
 		await this.#linkServer.close();
 		await this.#egress.close();
+		await this.#peers.close();
 		await this.#platform.close();
 	}
 
+	#createEgress(): Egress {
+		return new Egress({
+			announcements: this.#announcements,
+			releases: this.#releases,
+			baselineSource: new PeerBaselineSource(this.#settings.id, this.#directory, nodeId => this.#findLink(nodeId)),
+			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
+			metrics: this.#metrics,
+			logger: this.#logger,
+		});
+	}
+
 	#createForwarder(): Forwarder {
 		const self = {id: this.#table.self.id, placement: this.#table.getSelf().placement};
 		return new Forwarder({
