Withhold "not run" when an earlier try may have run

Cause: a repeatable request whose first try broke at the backend server and whose second was refused was reported to the caller as "not run", though it may have run. The forwarder now reports the first failure that leaves it open.

--- a/packages/node/src/__tests__/unit/forwarder.test.ts
+++ b/packages/node/src/__tests__/unit/forwarder.test.ts
@@ -131,6 +131,17 @@
 		});
 	});
 
+	describe('"not run"', () => {
+		const refusals: readonly ResultName[] = ['queueFull', 'poisonRequest', 'linkUnreachable', 'serverRefused'];
+		refusals.forEach(refusal => {
+			it(`is withheld when an earlier try may have run and the last ended with ${refusal}`, async () => {
+				const egress = new FakeEgress(serverId => serverId === 'server-1' ? 'serverBroke' : refusal);
+				expect(await sendRequest(createForwarder(egress, [createCandidate(1), createCandidate(2)]), true)).to.equal('serverBroke');
+				expect(egress.served).to.deep.equal(['server-1', 'server-2']);
+			});
+		});
+	});
+
 	describe('states of servers', () => {
 		it('keep an ejected server in use for the floor', async () => {
 			const egress = new FakeEgress(() => undefined);
--- a/packages/node/src/forwarded-exchange.ts
+++ b/packages/node/src/forwarded-exchange.ts
@@ -32,6 +32,8 @@
 	#isBodyEnded = false;
 	#isHeadReceived = false;
 	#isOver = false;
+	/** Failure of the first try that may have run. */
+	#unknown: Failure | undefined;
 
 	constructor(head: RequestHead, handler: ExchangeHandler, options: TryOptions) {
 		super();
@@ -121,6 +123,10 @@
 	}
 
 	#handleFailure(failure: Failure): void {
+		if (failure.ran !== 'not-run') {
+			this.#unknown ??= failure;
+		}
+
 		if (this.#isRetryable(failure) && this.#options.retries.takeRetry(failure.ran === 'not-run', performance.now())) {
 			this.#options.recordRetry();
 			this.open(failure);
@@ -134,7 +140,9 @@
 		return isSafe && failure.resend !== 'never' && !this.#isHeadReceived && this.#isReplayable() && this.#tried.length < maxTries;
 	}
 
-	#fail(failure: Failure): void {
+	/** What the last try says of itself holds for the request only if no earlier try may have run. */
+	#fail(last: Failure): void {
+		const failure = last.ran === 'not-run' ? this.#unknown ?? last : last;
 		this.#isOver = true;
 		queueMicrotask(() => {
 			this.#handler.handleFailure(failure);
