--- a/packages/choose/src/chooser.ts
+++ b/packages/choose/src/chooser.ts
@@ -16,7 +16,7 @@
 };
 
 /** Distance classes, nearest first. */
-const tierOrder = ['host', 'failureDomain', 'region', 'remote'] as const;
+export const tierOrder = ['host', 'failureDomain', 'region', 'remote'] as const;
 
 /** How far a candidate is. */
 export type Tier = typeof tierOrder[number];
@@ -64,10 +64,15 @@
 	}
 }
 
+/** Share of its slots that a server takes work for: half while it warms. */
+function computeCapacity({slots, state}: ServerRecord): number {
+	return state === 'warming' ? Math.ceil(slots / 2) : slots;
+}
+
 function computeLoad({server}: Candidate, load: LoadView): number {
 	const hint = load.getHint(server.id);
 	const busy = hint ? server.slots - hint.freeSlots + hint.queued : 0;
-	return Math.max(load.countInFlight(server.id), busy) / server.slots;
+	return Math.max(load.countInFlight(server.id), busy) / computeCapacity(server);
 }
 
 function hasRoom(candidate: Candidate, load: LoadView): boolean {
--- /dev/null
+++ b/packages/choose/src/retry-budget.ts
@@ -0,0 +1,61 @@
+/** Bounds retries to a share of the traffic, so that they can't keep an overload going. */
+
+/** Share of first tries that may be followed by a retry. */
+const retryShare = 0.1;
+/** Retries that may be saved up, and those a service starts with. */
+const maxTokens = 20;
+const initialTokens = 3;
+/** Retries per second that a proven "not run" may always have. */
+const assuredPerS = 1;
+const maxAssured = 2;
+const msPerS = 1000;
+
+/** Decides on retries. */
+export abstract class RetryPolicy {
+	/** Counts a first try. */
+	abstract recordRequest(): void;
+	/** Takes the permit for one retry; `isNotRun` when the request is proven not to have run. */
+	abstract takeRetry(isNotRun: boolean, now: number): boolean;
+}
+
+/** Allows every retry; the baseline that budgets are compared with. */
+export class UnlimitedRetries extends RetryPolicy {
+	override recordRequest(): void {
+		// Nothing is counted.
+	}
+
+	override takeRetry(_isNotRun: boolean, _now: number): boolean {
+		return true;
+	}
+}
+
+/** Token bucket filled by first tries. */
+export class RetryBudget extends RetryPolicy {
+	#tokens = initialTokens;
+	#assured = maxAssured;
+	#assuredAt = 0;
+
+	override recordRequest(): void {
+		this.#tokens = Math.min(maxTokens, this.#tokens + retryShare);
+	}
+
+	override takeRetry(isNotRun: boolean, now: number): boolean {
+		if (this.#tokens >= 1) {
+			this.#tokens--;
+			return true;
+		}
+
+		return isNotRun && this.#takeAssured(now);
+	}
+
+	#takeAssured(now: number): boolean {
+		this.#assured = Math.min(maxAssured, this.#assured + (Math.max(0, now - this.#assuredAt) * assuredPerS / msPerS));
+		this.#assuredAt = now;
+		if (this.#assured < 1) {
+			return false;
+		}
+
+		this.#assured--;
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/detect/src/baseline.ts
@@ -0,0 +1,101 @@
+/** Works out what is normal for a service from summaries of its backend servers. */
+import {
+	minDurationSamples, priorFailureShare, priorRequests, slowFactor, slowQuantile,
+} from './constants.js';
+import {computeDivergence} from './divergence.js';
+import {computeBucketEdge, findBucket, mergeSummaries} from './summary.js';
+import {
+	type Baseline, type OutcomeSummary, type ServerSummary, type WindowCounts,
+} from './types.js';
+import {mergeCounts} from './window-ladder.js';
+
+/** Baseline of a service that has shown nothing yet; no duration counts as slow. */
+export const noBaseline: Baseline = {
+	failureShare: priorFailureShare, slowMs: Number.POSITIVE_INFINITY, slowShare: priorFailureShare, requests: 0,
+};
+
+const trimmedPart = 4;
+const minTrimmed = 3;
+const maxShare = 0.999;
+/** Evidence, as a natural logarithm of odds, from which a rise counts. */
+const raisedEvidence = 5;
+
+function countAnswers({durations}: OutcomeSummary): number {
+	return durations.reduce((sum, count) => sum + count, 0);
+}
+
+/** Finds the bucket below or in which a share of the answers lies. */
+function findQuantileBucket({durations}: OutcomeSummary, quantile: number): number {
+	const total = durations.reduce((sum, count) => sum + count, 0);
+	let below = 0;
+	const bucket = durations.findIndex(count => {
+		below += count;
+		return below >= total * quantile;
+	});
+	return Math.max(0, bucket);
+}
+
+function computeFailureShare({requests, failures}: OutcomeSummary): number {
+	return requests === 0 ? 0 : failures / requests;
+}
+
+/** Drops the worst quarter, so that another failing backend server doesn't pass for normal. */
+function selectTypical(summaries: readonly OutcomeSummary[], measure: (summary: OutcomeSummary) => number): readonly OutcomeSummary[] {
+	const dropped = summaries.length < minTrimmed ? 0 : Math.ceil(summaries.length / trimmedPart);
+	return summaries.toSorted((a, b) => measure(a) - measure(b)).slice(0, summaries.length - dropped);
+}
+
+function estimateFailureShare({requests, failures}: OutcomeSummary): number {
+	const share = (failures + (priorRequests * priorFailureShare)) / (requests + priorRequests);
+	return Math.min(maxShare, Math.max(priorFailureShare, share));
+}
+
+/** Estimates the baseline from one summary for each other backend server. */
+export function estimateBaseline(summaries: readonly OutcomeSummary[]): Baseline {
+	const seen = summaries.filter(({requests}) => requests > 0);
+	const pooled = mergeSummaries(selectTypical(seen, computeFailureShare));
+	const answers = mergeSummaries(selectTypical(seen, summary => findQuantileBucket(summary, 0.5)));
+	const failureShare = estimateFailureShare(pooled);
+	const total = countAnswers(answers);
+	if (total < minDurationSamples) {
+		return {...noBaseline, failureShare, requests: pooled.requests};
+	}
+
+	const slowBucket = findBucket(computeBucketEdge(findQuantileBucket(answers, slowQuantile)) * slowFactor);
+	const slow = answers.durations.slice(slowBucket + 1).reduce((sum, count) => sum + count, 0);
+	return {
+		failureShare,
+		slowMs: computeBucketEdge(slowBucket),
+		slowShare: Math.min(maxShare, Math.max(priorFailureShare, slow / total)),
+		requests: pooled.requests,
+	};
+}
+
+/** Share in a window where it is clearly higher than normal; the normal share elsewhere. */
+function estimateRaisedShare(bad: number, requests: number, normalShare: number): number {
+	const share = requests === 0 ? 0 : Math.min(maxShare, bad / requests);
+	const isRaised = share > normalShare && requests * computeDivergence(share, normalShare) > raisedEvidence;
+	return isRaised ? share : normalShare;
+}
+
+function selectTypicalCounts(counts: readonly WindowCounts[], count: (counts: WindowCounts) => number): WindowCounts {
+	const dropped = counts.length < minTrimmed ? 0 : Math.ceil(counts.length / trimmedPart);
+	const measure = (window: WindowCounts): number => count(window) / Math.max(1, window.requests);
+	return mergeCounts(counts.toSorted((a, b) => measure(a) - measure(b)).slice(0, counts.length - dropped));
+}
+
+/**
+ * Estimates the baseline that a backend server is tested against. A rise that the other servers of the service show in
+ * any window counts at once, so that a service degraded as a whole becomes its own measure.
+ */
+export function estimateServiceBaseline(others: readonly ServerSummary[]): Baseline {
+	const normal = estimateBaseline(others.map(summary => summary.normal));
+	const windows = others[0]?.windows.map((_, index) => others.flatMap(summary => summary.windows[index] ?? [])) ?? [];
+	const failures = windows.map(counts => selectTypicalCounts(counts, window => window.failures));
+	const slow = windows.map(counts => selectTypicalCounts(counts, window => window.slow));
+	return {
+		...normal,
+		failureShare: Math.max(normal.failureShare, ...failures.map(window => estimateRaisedShare(window.failures, window.requests, normal.failureShare))),
+		slowShare: Math.max(normal.slowShare, ...slow.map(window => estimateRaisedShare(window.slow, window.requests, normal.slowShare))),
+	};
+}
--- a/packages/node/src/__tests__/unit/keyed-path.test.ts
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -9,7 +9,7 @@
 import {type Member} from '@limpetbarrow/members';
 import {SteadyClock, type KeyedRequest} from '@limpetbarrow/sequencer';
 import {Admission} from '../../admission.js';
-import {refuseExchange} from '../../egress.js';
+import {refuseExchange} from '../../closed-exchange.js';
 import {HomeCarrier} from '../../home-carrier.js';
 import {HomeRouter} from '../../home-router.js';
 import {type IngressRequest} from '../../ingress-request.js';
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -166,7 +166,10 @@
 		}
 
 		if (outcome) {
-			this.#serviceTime.record(outcome.durationMs);
+			if (outcome.kind !== 'cancelled') {
+				this.#serviceTime.record(outcome.durationMs);
+			}
+
 			this.#recordOutcome(outcome);
 		}
 
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -1,78 +1,69 @@
 /** The part of a node that stands before the backend servers of its own host. */
 import {
-	Carrier, createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead, type ServerRecord,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type Logger, type MetricRegistry, type PoisonMark, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
-import {
-	createDetector, type Baseline, type Detector, type WorkOutcome,
-} from '@limpetbarrow/detect';
+import {ServerJudge, type BaselineSource, type HealthChange} from '@limpetbarrow/detect';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {type ReleaseState, type Service} from '@limpetbarrow/releases';
 import {BackendServer} from './backend-server.js';
+import {answerExchange, refuseExchange} from './closed-exchange.js';
+import {summariesPath} from './peer-baseline-source.js';
+import {Quarantine} from './quarantine.js';
+
+/** What an egress works with. */
+export type EgressOptions = {
+	readonly announcements: Announcements;
+	readonly releases: ReleaseState;
+	readonly baselineSource: BaselineSource;
+	/** Marks that all nodes publish. */
+	readonly listFleetMarks: () => readonly PoisonMark[];
+	readonly metrics: MetricRegistry;
+	readonly logger: Logger;
+};
 
 type Guarded = {
 	readonly announced: AnnouncedServer;
 	readonly backend: BackendServer;
-	readonly detector: Detector;
-};
-
-type Judgement = {
-	readonly isEjected: boolean;
-	readonly badness: number;
 };
 
 const defaultQueueLimit = 12;
-const noBaseline: Baseline = {failureShare: 0.01, slowMs: 1000, requests: 0};
-
-class RefusedExchange extends Exchange {
-	override writeBody(_chunk: Uint8Array): void {
-		// Refused already.
-	}
-
-	override endBody(): void {
-		// Refused already.
-	}
-
-	override grantCredit(_bytes: number): void {
-		// Refused already.
-	}
-
-	override cancel(): void {
-		// Refused already.
-	}
-}
-
-/** Refuses an exchange after the current turn. */
-export function refuseExchange(handler: ExchangeHandler, failure: Failure): Exchange {
-	queueMicrotask(() => {
-		handler.handleFailure(failure);
-	});
-	return new RefusedExchange();
-}
+const defaultPolicy = 'cautious';
 
 /** Runs requests on the backend servers that announced themselves here. */
 export class Egress extends Carrier {
-	readonly #announcements: Announcements;
-	readonly #releases: ReleaseState;
-	readonly #metrics: MetricRegistry;
-	readonly #logger: Logger;
+	readonly #options: EgressOptions;
+	readonly #judge: ServerJudge;
+	readonly #quarantine: Quarantine;
 	readonly #guarded = new Map<string, Guarded>();
 	/** Backend servers that are not guarded any more and still run requests. */
 	readonly #draining = new Set<BackendServer>();
-	readonly #judgements = new Map<string, Judgement>();
+	/** Servers whose crashes were excused. */
+	#excused: ReadonlySet<string> = new Set();
 
-	constructor(announcements: Announcements, releases: ReleaseState, metrics: MetricRegistry, logger: Logger) {
+	constructor(options: EgressOptions) {
 		super();
-		this.#announcements = announcements;
-		this.#releases = releases;
-		this.#metrics = metrics;
-		this.#logger = logger;
-		announcements.store.registerListener(({after}) => {
+		this.#options = options;
+		this.#judge = new ServerJudge(options.baselineSource);
+		this.#judge.changes.registerListener(change => {
+			this.#handleChange(change);
+		});
+		this.#quarantine = new Quarantine(options.listFleetMarks);
+		this.#quarantine.changes.registerListener(marks => {
+			options.logger.log('poisonMarked', {fingerprint: marks.at(-1)?.fingerprint, servers: marks.at(-1)?.serverIds.join(',')});
+			this.#publish();
+		});
+		options.announcements.store.registerListener(({after}) => {
 			this.#update(after.servers);
 		});
 	}
 
+	/** Runs a request, whatever this node thinks of the backend server: the floor of another node's view may need it. */
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
 		const serverId = head.target.kind === 'egress' ? head.target.serverId : '';
+		if (serverId === '' && head.path === summariesPath) {
+			return answerExchange(handler, this.#judge.listSummaries(head.service));
+		}
+
 		const guarded = this.#guarded.get(serverId);
 		if (guarded?.announced.service !== head.service) {
 			return refuseExchange(handler, createFailure('serverNotHere', `server ${serverId}`));
@@ -82,8 +73,9 @@
 			return refuseExchange(handler, createFailure('serverLeaving', `server ${serverId}`));
 		}
 
-		this.#metrics.addCount('egress_requests_total');
-		return guarded.backend.openExchange(head, handler, this.#findService(head.service)?.queueLimit ?? defaultQueueLimit);
+		this.#options.metrics.addCount('egress_requests_total');
+		const queueLimit = this.#findService(head.service)?.queueLimit ?? defaultQueueLimit;
+		return this.#quarantine.openExchange(head, handler, guarded.announced, next => guarded.backend.openExchange(head, next, queueLimit));
 	}
 
 	/** The backend servers as the node publishes them. */
@@ -91,11 +83,23 @@
 		return [...this.#guarded.values()].map(({announced}) => this.#createRecord(announced));
 	}
 
+	/** Requests that crashed backend servers of this node, as the node publishes them. */
+	listPoison(): readonly PoisonMark[] {
+		return this.#quarantine.listMarks();
+	}
+
 	/** Requests running or waiting at all backend servers. */
 	countRequests(): number {
 		return this.#listBackends().reduce((sum, backend) => sum + backend.countRequests(), 0);
 	}
 
+	/** Moves the judgement of the backend servers on with time. */
+	sweep(): void {
+		this.#judge.sweep();
+		this.#quarantine.sweep();
+		this.#forgetCrashes();
+	}
+
 	async close(): Promise<void> {
 		await Promise.all(this.#listBackends().map(async backend => backend.close()));
 	}
@@ -119,6 +123,7 @@
 			.filter(([id]) => !servers.has(id))
 			.forEach(([id, {backend}]) => {
 				this.#guarded.delete(id);
+				this.#judge.removeServer(id);
 				this.#drain(backend);
 			});
 	}
@@ -126,6 +131,11 @@
 	#guard(announced: AnnouncedServer): void {
 		const known = this.#guarded.get(announced.id);
 		const isSame = known?.announced.address.port === announced.address.port && known.announced.address.host === announced.address.host;
+		const policy = this.#findService(announced.service)?.detection ?? defaultPolicy;
+		if (!isSame || this.#judge.findPolicy(announced.id) !== policy) {
+			this.#judge.addServer(announced.id, announced.service, policy);
+		}
+
 		if (known && isSame) {
 			this.#guarded.set(announced.id, {...known, announced});
 			known.backend.applyAnnouncement(announced);
@@ -136,36 +146,46 @@
 			this.#drain(known.backend);
 		}
 
-		const detector = createDetector(this.#findService(announced.service)?.detection ?? 'cautious');
 		const backend = new BackendServer(announced, outcome => {
-			this.#recordOutcome(announced.id, outcome);
+			this.#judge.recordOutcome(announced.id, outcome);
 		});
-		this.#guarded.set(announced.id, {announced, backend, detector});
+		this.#guarded.set(announced.id, {announced, backend});
 	}
 
-	#recordOutcome(serverId: string, outcome: WorkOutcome): void {
-		const guarded = this.#guarded.get(serverId);
-		if (!guarded) {
-			return;
+	#handleChange({serverId, before, after, badness}: HealthChange): void {
+		const {logger, metrics} = this.#options;
+		if (after === 'ejected') {
+			metrics.addCount('egress_ejections_total');
+			logger.log('serverEjected', {server: serverId, badness});
+		} else if (before === 'probation') {
+			logger.log('serverReturned', {server: serverId});
 		}
 
-		const {isFailing, badness} = guarded.detector.recordOutcome(outcome, noBaseline);
-		const wasEjected = this.#judgements.get(serverId)?.isEjected ?? false;
-		this.#judgements.set(serverId, {isEjected: wasEjected || isFailing, badness});
-		if (isFailing && !wasEjected) {
-			this.#logger.log('serverEjected', {server: serverId, badness});
-			this.#announcements.store.update('eject', snapshot => ({...snapshot, servers: new Map(snapshot.servers)}));
-		}
+		this.#publish();
+	}
+
+	/** Judges servers anew that a poison request has crashed: the crash says nothing about them. */
+	#forgetCrashes(): void {
+		const crashed = [...this.#guarded.values()].filter(({announced}) => this.#quarantine.hasCrashed(announced.id)).map(({announced}) => announced);
+		crashed.filter(({id}) => !this.#excused.has(id)).forEach(({id, service}) => {
+			this.#judge.addServer(id, service, this.#findService(service)?.detection ?? defaultPolicy);
+			this.#publish();
+		});
+		this.#excused = new Set(crashed.map(({id}) => id));
+	}
+
+	/** Makes the node publish its servers and marks again. */
+	#publish(): void {
+		this.#options.announcements.store.update('judge', snapshot => ({...snapshot, servers: new Map(snapshot.servers)}));
 	}
 
 	#createRecord({id, service, slots, generation, isLeaving}: AnnouncedServer): ServerRecord {
-		const judgement = this.#judgements.get(id);
 		return {
-			id, service, slots, generation, state: isLeaving ? 'leaving' : (judgement?.isEjected ? 'ejected' : 'ready'), badness: judgement?.badness ?? 0,
+			id, service, slots, generation, state: isLeaving ? 'leaving' : this.#judge.getState(id), badness: this.#judge.getBadness(id),
 		};
 	}
 
 	#findService(name: string): Service | undefined {
-		return this.#releases.getConfiguration().services.get(name);
+		return this.#options.releases.getConfiguration().services.get(name);
 	}
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -18,6 +18,7 @@
 import {Ingress} from './ingress.js';
 import {registerProcessGauges} from './process-gauges.js';
 import {drainNode, type StoppingNode} from './planned-stop.js';
+import {PeerBaselineSource} from './peer-baseline-source.js';
 import {ServerDirectory} from './server-directory.js';
 import {registerHandover} from './server-handover.js';
 import {type NodeSettings} from './settings.js';
@@ -55,6 +56,7 @@
 	readonly #follower: ReleaseFollower;
 	readonly #egress: Egress;
 	readonly #links: LinkPool;
+	readonly #directory: ServerDirectory;
 	readonly #linkServer: LinkServer;
 	readonly #gossip: Gossip;
 	readonly #callers: CallerServices;
@@ -74,8 +76,9 @@
 		this.#follower = new ReleaseFollower({
 			store: this.#platform, state: this.#releases, peers: this.#peers, expectsPeers: settings.seeds.length > 0, logger,
 		});
-		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
 		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
+		this.#directory = new ServerDirectory(this.#table);
+		this.#egress = this.#createEgress();
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
 		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
 		const forwarder = this.#createForwarder();
@@ -116,6 +119,7 @@
 		this.#table.updateSelf(() => ({ingressAddress}));
 		this.#sweep = setInterval(() => {
 			this.#announcements.sweep();
+			this.#egress.sweep();
 			this.#callers.sweep();
 		}, announcementSweepMs);
 		this.#logger.log('nodeStarted', {ingress: `${ingressAddress.host}:${ingressAddress.port}`, admin: `${adminAddress.host}:${adminAddress.port}`});
@@ -149,13 +153,26 @@
 		await this.#platform.close();
 	}
 
+	#createEgress(): Egress {
+		return new Egress({
+			announcements: this.#announcements,
+			releases: this.#releases,
+			baselineSource: new PeerBaselineSource(this.#settings.id, this.#directory, nodeId => this.#findLink(nodeId)),
+			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
+			metrics: this.#metrics,
+			logger: this.#logger,
+		});
+	}
+
 	#createForwarder(): Forwarder {
 		const self = {id: this.#table.self.id, placement: this.#table.getSelf().placement};
 		return new Forwarder({
-			directory: new ServerDirectory(this.#table),
+			self,
+			directory: this.#directory,
 			releases: this.#releases,
 			chooser: new NearestChooser(self),
 			findEgress: nodeId => nodeId === self.id ? this.#egress : this.#findLink(nodeId),
+			metrics: this.#metrics,
 		});
 	}
 
@@ -184,7 +201,7 @@
 	#registerPublishing(): void {
 		registerHandover(this.#table, this.#announcements);
 		this.#announcements.store.registerListener(() => {
-			this.#table.updateSelf(() => ({servers: this.#egress.listServers()}));
+			this.#table.updateSelf(() => ({servers: this.#egress.listServers(), poison: this.#egress.listPoison()}));
 		});
 		this.#releases.store.registerListener(({after}) => {
 			this.#logger.log('releaseInForce', {release: after.configuration.release});
--- /dev/null
+++ b/packages/node/src/peer-baseline-source.ts
@@ -0,0 +1,117 @@
+/** Asks other nodes' egresses for summaries, over the links that carry requests. */
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import {
+	createRandomId, type Carrier, type ExchangeHandler, type RequestHead,
+} from '@limpetbarrow/core';
+import {BaselineSource, confirmTimeoutMs, type ServerSummary} from '@limpetbarrow/detect';
+import {type FindEgress} from './forwarder.js';
+import {type ServerDirectory} from './server-directory.js';
+
+/** Path under which an egress answers with its summaries. Callers can't reach it: an ingress keeps such paths to itself. */
+export const summariesPath = '/.limpetbarrow/summaries';
+
+const maxSummariesBytes = 65_536;
+const maxBuckets = 100;
+const maxSummaries = 64;
+
+const countSchema = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
+const summariesSchema = z.array(z.object({
+	normal: z.object({requests: countSchema, failures: countSchema, durations: z.array(countSchema).max(maxBuckets)}),
+	windows: z.array(z.object({
+		requests: countSchema, bad: countSchema, failures: countSchema, slow: countSchema,
+	})).max(maxBuckets),
+})).max(maxSummaries);
+
+function parseSummaries(chunks: readonly Uint8Array[]): readonly ServerSummary[] {
+	try {
+		const result = summariesSchema.safeParse(JSON.parse(Buffer.concat(chunks).toString()));
+		return result.success ? result.data : [];
+	} catch {
+		return [];
+	}
+}
+
+function createHead(service: string): RequestHead {
+	return {
+		requestId: createRandomId(),
+		target: {kind: 'egress', serverId: ''},
+		service,
+		method: 'GET',
+		path: summariesPath,
+		headers: [],
+		remainingMs: confirmTimeoutMs,
+		isRepeatable: true,
+		organisation: '',
+	};
+}
+
+/** Reads one egress's summaries; nothing when it fails or is late. */
+async function fetchFrom(carrier: Carrier, service: string): Promise<readonly ServerSummary[]> {
+	return new Promise(resolve => {
+		const received: Uint8Array[] = [];
+		let bytes = 0;
+		const finish = (summaries: readonly ServerSummary[]): void => {
+			clearTimeout(timer);
+			resolve(summaries);
+		};
+
+		const handler: ExchangeHandler = {
+			handleHead() {
+				// Only the body matters.
+			},
+			handleData(chunk) {
+				bytes += chunk.length;
+				if (bytes <= maxSummariesBytes) {
+					received.push(chunk);
+				}
+			},
+			handleCredit() {
+				// No body is sent.
+			},
+			handleEnd() {
+				finish(parseSummaries(received));
+			},
+			handleFailure() {
+				finish([]);
+			},
+		};
+		const exchange = carrier.openExchange(createHead(service), handler);
+		const timer = setTimeout(() => {
+			exchange.cancel();
+			finish([]);
+		}, confirmTimeoutMs);
+		exchange.endBody();
+	});
+}
+
+function pickRandom<Item>(items: readonly Item[], count: number): readonly Item[] {
+	return items
+		.map(item => ({item, order: Math.random()}))
+		.toSorted((a, b) => a.order - b.order)
+		.slice(0, count)
+		.map(({item}) => item);
+}
+
+/** Picks nodes with backend servers of the service that are in use. */
+export class PeerBaselineSource extends BaselineSource {
+	readonly #selfId: string;
+	readonly #directory: ServerDirectory;
+	readonly #findEgress: FindEgress;
+
+	constructor(selfId: string, directory: ServerDirectory, findEgress: FindEgress) {
+		super();
+		this.#selfId = selfId;
+		this.#directory = directory;
+		this.#findEgress = findEgress;
+	}
+
+	override async fetchSummaries(service: string, peers: number): Promise<readonly ServerSummary[]> {
+		const inUse = this.#directory.listCandidates(service)
+			.filter(({nodeId, server}) => nodeId !== this.#selfId && (server.state === 'ready' || server.state === 'warming'));
+		const nodeIds = pickRandom([...new Set(inUse.map(({nodeId}) => nodeId))], peers);
+		const carriers = nodeIds.flatMap(nodeId => this.#findEgress(nodeId) ?? []);
+		const replies = await Promise.all(carriers.map(async carrier => fetchFrom(carrier, service)));
+		return replies.flat();
+	}
+}
