--- a/packages/bench/src/keys.ts
+++ b/packages/bench/src/keys.ts
@@ -120,7 +120,9 @@
 		sequencer.sweep();
 		const sweepMs = performance.now() - sweepAt;
 		const kept = sequencer.countKeys();
-		process.stdout.write(`| ${count} | ${kept} | ${sequencer.countBytes()} | ${(heap / mebibyte).toFixed(1)} | ${Math.round(heap / kept)} | ${(spentMs * usPerMs / count).toFixed(1)} | ${sweepMs.toFixed(2)} |\n`);
+		const spentUs = (spentMs * usPerMs / count).toFixed(1);
+		const heapText = `${(heap / mebibyte).toFixed(1)} | ${Math.round(heap / kept)}`;
+		process.stdout.write(`| ${count} | ${kept} | ${sequencer.countBytes()} | ${heapText} | ${spentUs} | ${sweepMs.toFixed(2)} |\n`);
 		return [...done, heap];
 	}, Promise.resolve([]));
 	return Math.max(...heaps) <= maxControlBytes ? 0 : 1;
--- a/packages/node/src/admission.ts
+++ b/packages/node/src/admission.ts
@@ -6,7 +6,7 @@
 } from '@limpetbarrow/limits';
 import {type SteadyClock} from '@limpetbarrow/sequencer';
 import {type IngressRequest} from './ingress-request.js';
-import {createKeyedRequest, replaceUnproven} from './keyed-request.js';
+import {createKeyedRequest} from './keyed-request.js';
 import {type TermsKeys} from './terms-keys.js';
 
 /** What admission works with. */
