--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -9,7 +9,7 @@
 	startFleet, stopFleet, type Fleet, type HostPlan,
 } from './fleet.js';
 import {
-	computeTally, fetchLedger, isSound, setBackendFaults, type SentRequest, type Tally
+	computeTally, fetchLedger, isSound, setBackendFaults, type SentRequest, type Tally,
 } from './ledger.js';
 import {sendWorkload, serviceNames} from './workload.js';
 
