--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,4 +1,5 @@
 /** `npm run demo`: both workloads on a small fleet, with a backend server that fails gray and a planned stop. */
+import {createHash} from 'node:crypto';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {formatAddress, type ServerRecord} from '@limpetbarrow/core';
@@ -19,6 +20,9 @@
 const grayFailShare = 0.7;
 const stopAfterMs = 10_000;
 const msPerS = 1000;
+const callers = 8;
+const organisation = 'demo-shop';
+const secret = 'demo secret';
 
 /** Services whose operators weigh detection time more. */
 const fastServices: ReadonlySet<string> = new Set(['fitting-desk', 'catalogue']);
@@ -35,6 +39,8 @@
 	operator: 'demo',
 	base: 0,
 	added: {
+		terms: [{name: 'shop', initialRate: 100, topRate: 400}],
+		organisations: [{name: organisation, terms: 'shop', secretHash: createHash('sha256').update(secret).digest('hex')}],
 		services: serviceNames.map(name => ({name, floor: 2, detection: fastServices.has(name) ? 'fast' : 'cautious'})),
 		routes: serviceNames.map(name => ({
 			name, host: '*', pathPrefix: `/${name}`, service: name,
@@ -96,7 +102,9 @@
 		await applyRelease(fleet);
 		await wait(settleMs);
 		const origins = fleet.nodes.map(({record}) => `http://${formatAddress(record.ingressAddress)}`);
-		const [sent, gray, stopCode] = await Promise.all([sendWorkload(origins, {requests, ratePerS, label: 'demo'}), startGrayFault(fleet), stopOneNode(fleet)]);
+		const [sent, gray, stopCode] = await Promise.all([sendWorkload({
+			origins, organisation, secret, callers,
+		}, {requests, ratePerS, label: 'demo'}), startGrayFault(fleet), stopOneNode(fleet)]);
 		const ledgers = await Promise.all(fleet.backends.map(async backend => fetchLedger(backend)));
 		const ledger = ledgers.flat();
 		const grayRuns = ledger.filter(({serverId, startedAt}) => serverId === gray.serverId && startedAt >= gray.startedAt);
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -128,6 +128,7 @@
 		const isSame = known?.announced.address.port === announced.address.port && known.announced.address.host === announced.address.host;
 		if (known && isSame) {
 			this.#guarded.set(announced.id, {...known, announced});
+			known.backend.applyAnnouncement(announced);
 			return;
 		}
 
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -6,7 +6,7 @@
 import {type AddressInfo, type Socket} from 'node:net';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, createRandomId, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
+	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
 import {isRepeatable, RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
@@ -14,6 +14,7 @@
 import {formatRawFailure, sendFailure} from './answer.js';
 import {IngressExchange} from './ingress-exchange.js';
 import {parseIngressRequest, type IngressRequest} from './ingress-request.js';
+import {replaceUnproven} from './keyed-request.js';
 
 /** Checks a request against the caller's terms; undefined terms where the caller holds none. */
 export type AdmitRequest = (request: IngressRequest) => Either<Failure, Terms | undefined>;
@@ -50,6 +51,7 @@
 		release: 0, services: new Map(), routes: new Map(), terms: new Map(), organisations: new Map(),
 	});
 
+	readonly #exchanges = new Set<IngressExchange>();
 	#configuration: Configuration | undefined;
 	readonly #connections = new Set<Socket>();
 	#inProgress = 0;
@@ -57,7 +59,7 @@
 
 	constructor(options: IngressOptions) {
 		this.#options = options;
-		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true}, (message, response) => {
+		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false}, (message, response) => {
 			this.#handle(message, response);
 		});
 		this.#server.on('connection', socket => {
@@ -66,6 +68,15 @@
 				this.#connections.delete(socket);
 			});
 		});
+		this.#server.on('checkContinue', (message, response) => {
+			this.#handle(message, response);
+		});
+		this.#server.on('checkExpectation', (message, response) => {
+			this.#refuse(message, response, createFailure('malformedRequest', 'only 100-continue can be expected'));
+		});
+		this.#server.on('connect', (_message, socket) => {
+			this.#refuseSocket(socket as Socket, createFailure('malformedRequest', 'CONNECT is not served'));
+		});
 		this.#server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
 			this.#handleClientError(error, socket as Socket);
 		});
@@ -123,7 +134,7 @@
 			.chain(request => this.#locate(request))
 			.chain(located => this.#open(located, message, response))
 			.ifLeft(failure => {
-				this.#refuse(message, response, failure);
+				this.#refuse(message, response, message.headers[idempotencyHeader] === undefined ? failure : replaceUnproven(message.rawHeaders, failure));
 			});
 	}
 
@@ -152,7 +163,14 @@
 					this.#recordFailure(failure);
 				},
 			});
+			this.#exchanges.add(exchange);
+			response.once('close', () => {
+				this.#exchanges.delete(exchange);
+			});
 			exchange.open(carrier, createHead(located));
+			if (message.headers.expect !== undefined) {
+				response.writeContinue();
+			}
 		});
 	}
 
@@ -166,14 +184,26 @@
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
 	}
 
+	/** Bytes that are not HTTP. In the middle of a request that was handed on, "not run" can't be promised any more. */
 	#handleClientError(error: Error & {readonly code?: string}, socket: Socket): void {
+		const exchanges = [...this.#exchanges].filter(exchange => exchange.isFrom(socket));
+		if (exchanges.length > 0) {
+			exchanges.forEach(exchange => {
+				exchange.failBody(createFailure('bodyBroken', error.message));
+			});
+			return;
+		}
+
+		this.#refuseSocket(socket, createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message));
+	}
+
+	#refuseSocket(socket: Socket, failure: Failure): void {
+		this.#recordFailure(failure);
 		if (!socket.writable) {
 			socket.destroy();
 			return;
 		}
 
-		const failure = createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message);
-		this.#recordFailure(failure);
 		socket.end(formatRawFailure(failure));
 	}
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,7 @@
 /** One node of the fleet: ingress, egress, links, membership, releases and admin API in one process. */
 import process from 'node:process';
 import {
-	createFailure, MetricRegistry, type Carrier, type Logger, type NodeRecord, type RequestTarget,
+	MetricRegistry, type Carrier, type Logger, type NodeRecord, type RequestTarget,
 } from '@limpetbarrow/core';
 import {NearestChooser} from '@limpetbarrow/choose';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
@@ -9,13 +9,12 @@
 	announcementSweepMs, Announcements, Gossip, MemberTable,
 } from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/platform';
-import {ReleaseFollower, ReleaseLog, ReleaseState} from '@limpetbarrow/releases';
-import {Sequencer} from '@limpetbarrow/sequencer';
-import {Right} from 'purify-ts';
+import {ReleaseFollower, ReleaseState} from '@limpetbarrow/releases';
 import {Admin} from './admin.js';
-import {sendFailure} from './answer.js';
+import {CallerServices} from './caller-services.js';
 import {Egress} from './egress.js';
 import {Forwarder} from './forwarder.js';
+import {HttpReleasePeers} from './http-release-peers.js';
 import {Ingress} from './ingress.js';
 import {registerProcessGauges} from './process-gauges.js';
 import {drainNode, type StoppingNode} from './planned-stop.js';
@@ -52,12 +51,13 @@
 	readonly #table: MemberTable;
 	readonly #announcements: Announcements;
 	readonly #releases = new ReleaseState();
+	readonly #peers: HttpReleasePeers;
 	readonly #follower: ReleaseFollower;
 	readonly #egress: Egress;
 	readonly #links: LinkPool;
 	readonly #linkServer: LinkServer;
 	readonly #gossip: Gossip;
-	readonly #sequencer: Sequencer;
+	readonly #callers: CallerServices;
 	readonly #ingress: Ingress;
 	readonly #admin: Admin;
 	#sweep: NodeJS.Timeout | undefined;
@@ -70,19 +70,31 @@
 		this.#platform = new HttpObjectStore(settings.platform);
 		this.#table = new MemberTable(createRecord(settings));
 		this.#announcements = new Announcements(logger);
-		this.#follower = new ReleaseFollower(this.#platform, this.#releases, logger);
+		this.#peers = new HttpReleasePeers(this.#table);
+		this.#follower = new ReleaseFollower({
+			store: this.#platform, state: this.#releases, peers: this.#peers, expectsPeers: settings.seeds.length > 0, logger,
+		});
 		this.#egress = new Egress(this.#announcements, this.#releases, this.#metrics, logger);
-		this.#links = new LinkPool(this.#table.self);
-		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger);
+		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
+		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
 		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
 		const forwarder = this.#createForwarder();
-		this.#sequencer = new Sequencer(forwarder);
-		this.#ingress = this.#createIngress(forwarder);
+		this.#callers = new CallerServices({
+			table: this.#table,
+			releases: this.#releases,
+			platform: this.#platform,
+			links: this.#links,
+			forwarder,
+			metrics: this.#metrics,
+			logger,
+			isStopping: () => this.#isStopping,
+		});
+		this.#ingress = this.#createIngress();
 		this.#admin = new Admin({
 			announcements: this.#announcements,
 			table: this.#table,
 			releases: this.#releases,
-			log: new ReleaseLog(this.#platform),
+			platform: this.#platform,
 			metrics: this.#metrics,
 			logger,
 			isStopping: () => this.#isStopping,
@@ -101,9 +113,10 @@
 		await this.#gossip.waitUntilJoined(joinBoundMs);
 		const ingressAddress = await this.#ingress.listen(settings.ingress);
 		this.#table.updateSelf(() => ({ingressAddress}));
+		this.#callers.start();
 		this.#sweep = setInterval(() => {
 			this.#announcements.sweep();
-			this.#sequencer.sweep();
+			this.#callers.sweep();
 		}, announcementSweepMs);
 		this.#logger.log('nodeStarted', {ingress: `${ingressAddress.host}:${ingressAddress.port}`, admin: `${adminAddress.host}:${adminAddress.port}`});
 		return this.#table.getSelf();
@@ -125,12 +138,14 @@
 	async close(): Promise<void> {
 		clearInterval(this.#sweep);
 		this.#follower.stop();
+		this.#callers.stop();
 		this.#gossip.stop();
 		this.#ingress.close();
 		this.#admin.close();
 		this.#links.close();
 		await this.#linkServer.close();
 		await this.#egress.close();
+		await this.#peers.close();
 		await this.#platform.close();
 	}
 
@@ -144,13 +159,13 @@
 		});
 	}
 
-	#createIngress(forwarder: Forwarder): Ingress {
+	#createIngress(): Ingress {
 		return new Ingress({
 			releases: this.#releases,
-			admitRequest: () => Right(undefined),
-			selectNext: ({idempotencyKey}) => Right(idempotencyKey === undefined ? forwarder : this.#sequencer),
-			handleReserved(message, response) {
-				sendFailure(message, response, createFailure('unknownRoute', message.url ?? ''));
+			admitRequest: request => this.#callers.admitRequest(request),
+			selectNext: (request, terms) => this.#callers.selectNext(request, terms),
+			handleReserved: (message, response) => {
+				this.#callers.handleReserved(message, response);
 			},
 			metrics: this.#metrics,
 			logger: this.#logger,
@@ -158,7 +173,7 @@
 	}
 
 	#selectCarrier(target: RequestTarget): Carrier {
-		return target.kind === 'egress' ? this.#egress : this.#sequencer;
+		return target.kind === 'egress' ? this.#egress : this.#callers.home;
 	}
 
 	#findLink(nodeId: string): Carrier | undefined {
@@ -194,7 +209,7 @@
 	}
 
 	#countInProgress(): number {
-		return this.#ingress.countRequests() + this.#egress.countRequests() + this.#sequencer.countRunning()
+		return this.#ingress.countRequests() + this.#egress.countRequests() + this.#callers.countRunning()
 			+ this.#linkServer.countExchanges() + this.#links.countExchanges();
 	}
 }
