--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,6 +1,7 @@
 /** Benchmarks by name. Each resolves to its exit code: 0 when its bounds from the stated targets hold. */
 import {measureDetection} from './detection.js';
 import {measureLatency} from './latency.js';
+import {measureKeys} from './keys.js';
 import {measureLimits} from './limits.js';
 import {measureLink} from './link.js';
 import {measureMembership} from './membership.js';
@@ -15,6 +16,7 @@
 export const benchmarks: ReadonlyMap<string, Benchmark> = new Map<string, Benchmark>([
 	['detection', measureDetection],
 	['latency', measureLatency],
+	['keys', measureKeys],
 	['limits', measureLimits],
 	['link', measureLink],
 	['membership', measureMembership],
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -113,10 +113,10 @@
 		this.#table.updateSelf(() => ({linkAddress, adminAddress, gossipAddress}));
 		this.#registerPublishing();
 		this.#follower.start();
-		this.#callers.start();
 		await this.#gossip.waitUntilJoined(joinBoundMs);
 		const ingressAddress = await this.#ingress.listen(settings.ingress);
 		this.#table.updateSelf(() => ({ingressAddress}));
+		this.#callers.start();
 		this.#sweep = setInterval(() => {
 			this.#announcements.sweep();
 			this.#egress.sweep();
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -5,6 +5,8 @@
 	createFailure, parseAddress, type Address, type Failure, type LogForm, type LogLevel,
 } from '@limpetbarrow/core';
 
+const defaultLameDuckMs = 6000;
+
 /** Checked settings of a node. */
 export type NodeSettings = {
 	readonly id: string;
@@ -39,7 +41,7 @@
 	seeds: {type: 'string', default: '', describe: 'Gossip addresses of a few other nodes, separated by commas'},
 	platform: {type: 'string', describe: 'Required. Base URL of the platform\'s object API'},
 	'stop-timeout-ms': {type: 'number', default: 30_000, describe: 'Longest time a planned stop waits, in milliseconds'},
-	'lame-duck-ms': {type: 'number', default: 6000, describe: 'Longest time a stopping node goes on listening, in milliseconds'},
+	'lame-duck-ms': {type: 'number', default: defaultLameDuckMs, describe: 'Longest time a stopping node goes on listening, in milliseconds'},
 	'log-form': {
 		type: 'string', default: 'text', describe: 'Form of log lines: text or json',
 	},
@@ -69,7 +71,7 @@
 	seeds: z.string().transform(text => text.split(',').filter(part => part.trim() !== '')).pipe(z.array(addressSchema)),
 	platform: z.url({protocol: /^https?$/v}).transform(url => url.replace(/\/$/v, '')),
 	stopTimeoutMs: z.int().min(0).max(3_600_000),
-	lameDuckMs: z.int().min(0).max(3_600_000),
+	lameDuckMs: z.int().min(0).max(3_600_000).default(defaultLameDuckMs),
 	logForm: z.enum(['text', 'json']),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']),
 });
