Give the test of spread the setting that a planned stop now needs

Ruled out: a default inside the check of settings, which would hide a missing one. After: the test alone passes.

--- a/packages/node/src/__tests__/unit/release-spread.test.ts
+++ b/packages/node/src/__tests__/unit/release-spread.test.ts
@@ -34,6 +34,7 @@
 			seeds: seeds.map(seed => formatAddress(seed)).join(','),
 			platform: `http://${formatAddress(platformAddress)}`,
 			stopTimeoutMs: 100,
+			lameDuckMs: 0,
 			logForm: 'text',
 			logLevel: 'error',
 		});
