--- /dev/null
+++ b/packages/choose/src/path-health.ts
@@ -0,0 +1,63 @@
+/** Judges the paths to other nodes, apart from the backend servers behind them. */
+
+type PathState = {
+	readonly failures: number;
+	/** Monotonic time until which the path is avoided, in milliseconds. */
+	readonly avoidedUntil: number;
+};
+
+const firstBackOffMs = 500;
+const maxBackOffMs = 10_000;
+const maxPaths = 4096;
+
+/** Paths that failed lately. */
+export class PathHealth {
+	readonly #paths = new Map<string, PathState>();
+	#version = 0;
+	#validUntil = Number.POSITIVE_INFINITY;
+
+	/** Takes a connection that failed or was lost. Several failures at once count as one. */
+	recordFailure(nodeId: string, now: number): void {
+		const known = this.#paths.get(nodeId);
+		if (known && now < known.avoidedUntil) {
+			return;
+		}
+
+		const failures = (known?.failures ?? 0) + 1;
+		const backOffMs = Math.min(maxBackOffMs, firstBackOffMs * (2 ** (failures - 1)));
+		this.#paths.delete(nodeId);
+		this.#paths.set(nodeId, {failures, avoidedUntil: now + backOffMs});
+		this.#sweep(now);
+	}
+
+	/** Takes an answer that came back by the path. */
+	recordSuccess(nodeId: string, now: number): void {
+		if (this.#paths.delete(nodeId)) {
+			this.#sweep(now);
+		}
+	}
+
+	isAvoided(nodeId: string, now: number): boolean {
+		return now < (this.#paths.get(nodeId)?.avoidedUntil ?? 0);
+	}
+
+	/** Grows whenever the set of avoided paths may have changed. */
+	getVersion(now: number): number {
+		if (now >= this.#validUntil) {
+			this.#sweep(now);
+		}
+
+		return this.#version;
+	}
+
+	#sweep(now: number): void {
+		this.#version++;
+		const [oldest] = this.#paths.keys();
+		if (this.#paths.size > maxPaths && oldest !== undefined) {
+			this.#paths.delete(oldest);
+		}
+
+		const ends = [...this.#paths.values()].map(({avoidedUntil}) => avoidedUntil).filter(end => end > now);
+		this.#validUntil = Math.min(Number.POSITIVE_INFINITY, ...ends);
+	}
+}
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -4,7 +4,7 @@
 import {
 	createFailure, exchangeWindowBytes, Exchange, timeoutHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead,
 } from '@limpetbarrow/core';
-import {type WorkOutcome} from '@limpetbarrow/detect';
+import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
 import {selectRequestHeaders, selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
 
@@ -44,6 +44,9 @@
 	#startedAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#status = 0;
+	/** Monotonic times: the request's body was whole, the answer's head came. */
+	#bodyEndedAt: number | undefined;
+	#headAt: number | undefined;
 
 	constructor(head: RequestHead, handler: ExchangeHandler, owner: RunOwner) {
 		super();
@@ -110,6 +113,7 @@
 			return;
 		}
 
+		this.#bodyEndedAt = performance.now();
 		this.#body.end();
 		if (this.#state === 'waiting' && this.#bodyForm === 'whole') {
 			this.#owner.handleReady(this);
@@ -133,7 +137,7 @@
 
 		if (this.#state === 'running') {
 			const failure = this.getRemainingMs() <= 1 ? this.#createTimeout() : undefined;
-			this.#finish(failure && this.#createOutcome(true), failure);
+			this.#finish(this.#createOutcome(failure ? 'timedOut' : 'cancelled'), failure);
 			this.#controller?.abort(new Error('cancelled'));
 		}
 	}
@@ -149,6 +153,7 @@
 			onResponseStart: (controller, status) => {
 				if (this.#state === 'running' && status >= 200) {
 					this.#status = status;
+					this.#headAt = performance.now();
 					this.#handler.handleHead({status, headers: selectResponseHeaders(decodeHeaders(controller.rawHeaders)), load: this.#owner.getLoad()});
 				}
 			},
@@ -179,13 +184,13 @@
 
 	#handleEnd(): void {
 		if (this.#state === 'running') {
-			this.#finish(this.#createOutcome(this.#status >= firstServerError), undefined);
+			this.#finish(this.#createOutcome(this.#status >= firstServerError ? 'failed' : 'answered'), undefined);
 			this.#handler.handleEnd();
 		}
 	}
 
 	#handleDeadline(): void {
-		this.#fail(this.#createTimeout());
+		this.#fail(this.#createTimeout(), 'timedOut');
 	}
 
 	#createTimeout(): Failure {
@@ -194,22 +199,29 @@
 
 	/** Without a controller the client never began to write the request. */
 	#handleError(error: Error): void {
-		this.#fail(createFailure(this.#controller === undefined ? 'serverRefused' : 'serverBroke', String(error.message)));
+		this.#fail(createFailure(this.#controller === undefined ? 'serverRefused' : 'serverBroke', String(error.message)), 'failed');
 	}
 
-	#fail(failure: Failure): void {
+	#fail(failure: Failure, kind: OutcomeKind): void {
 		if (this.#state !== 'running') {
 			return;
 		}
 
-		this.#finish(this.#createOutcome(true), failure);
+		this.#finish(this.#createOutcome(kind), failure);
 		this.#controller?.abort(new Error(failure.detail));
 		this.#handler.handleFailure(failure);
 	}
 
-	#createOutcome(isFailure: boolean): WorkOutcome {
+	/**
+	 * Counts only the time in which it was the backend server's turn: from the end of the request's body to the head of
+	 * the answer, and on while the caller takes more than it gets.
+	 */
+	#createOutcome(kind: OutcomeKind): WorkOutcome {
 		const at = performance.now();
-		return {at, isFailure, durationMs: at - this.#startedAt};
+		const turnAt = Math.max(this.#startedAt, this.#bodyEndedAt ?? (this.#bodyForm === 'none' ? this.#startedAt : at));
+		const isServersTurn = kind !== 'answered' && this.#credit > 0;
+		const untilAt = this.#headAt === undefined || isServersTurn ? at : this.#headAt;
+		return {at, kind, durationMs: Math.max(0, untilAt - turnAt)};
 	}
 
 	#finish(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
--- a/packages/node/src/use-reports.ts
+++ b/packages/node/src/use-reports.ts
@@ -6,7 +6,7 @@
 	readTerms, type ReportUse, type SigningKey, type Terms, type UseAccounts,
 } from '@limpetbarrow/limits';
 import {type Either} from 'purify-ts';
-import {refuseExchange} from './egress.js';
+import {refuseExchange} from './closed-exchange.js';
 
 /** Terms with the token that proves them. */
 export type HeldTerms = Terms & {
