--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,6 +6,7 @@
 import {measureMembership} from './membership.js';
 import {measureOverload} from './overload.js';
 import {measurePoison} from './poison.js';
+import {measureReleases} from './releases.js';
 
 /** Runs one benchmark and prints its table. */
 export type Benchmark = () => Promise<number>;
@@ -19,4 +20,5 @@
 	['detection', measureDetection],
 	['overload', measureOverload],
 	['poison', measurePoison],
+	['releases', measureReleases],
 ]);
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,14 +1,15 @@
 /** `npm run demo`: both workloads on a small fleet, with a backend server that fails gray and a planned stop. */
+import {createHash} from 'node:crypto';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
-import {formatAddress, type ServerRecord} from '@limpetbarrow/core';
+import {formatAddress, groupItems, type ServerRecord} from '@limpetbarrow/core';
 import {request} from 'undici';
 import {stopProcess} from './child-process.js';
 import {
 	startFleet, stopFleet, type Fleet, type HostPlan,
 } from './fleet.js';
 import {
-	computeTally, fetchLedger, isSound, setBackendFaults, type Tally,
+	computeTally, fetchLedger, isSound, setBackendFaults, type SentRequest, type Tally
 } from './ledger.js';
 import {sendWorkload, serviceNames} from './workload.js';
 
@@ -19,6 +20,9 @@
 const grayFailShare = 0.7;
 const stopAfterMs = 10_000;
 const msPerS = 1000;
+const callers = 8;
+const organisation = 'demo-shop';
+const secret = 'demo secret';
 
 /** Services whose operators weigh detection time more. */
 const fastServices: ReadonlySet<string> = new Set(['fitting-desk', 'catalogue']);
@@ -35,6 +39,8 @@
 	operator: 'demo',
 	base: 0,
 	added: {
+		terms: [{name: 'shop', initialRate: 100, topRate: 400}],
+		organisations: [{name: organisation, terms: 'shop', secretHash: createHash('sha256').update(secret).digest('hex')}],
 		services: serviceNames.map(name => ({name, floor: 2, detection: fastServices.has(name) ? 'fast' : 'cautious'})),
 		routes: serviceNames.map(name => ({
 			name, host: '*', pathPrefix: `/${name}`, service: name,
@@ -75,6 +81,11 @@
 	return await answer.body.json() as readonly ServerRow[];
 }
 
+function formatCodes(sent: readonly SentRequest[]): string {
+	const failed = sent.filter(({outcome}) => outcome !== 'whole');
+	return [...groupItems(failed, ({code}) => code ?? 0)].map(([code, group]) => `${code}: ${group.length}`).join(', ') || 'none';
+}
+
 function reportTally(tally: Tally, rows: ReadonlyArray<readonly [string, string | number]>): void {
 	const all: ReadonlyArray<readonly [string, string | number]> = [
 		['sent', tally.sent],
@@ -96,7 +107,9 @@
 		await applyRelease(fleet);
 		await wait(settleMs);
 		const origins = fleet.nodes.map(({record}) => `http://${formatAddress(record.ingressAddress)}`);
-		const [sent, gray, stopCode] = await Promise.all([sendWorkload(origins, {requests, ratePerS, label: 'demo'}), startGrayFault(fleet), stopOneNode(fleet)]);
+		const [sent, gray, stopCode] = await Promise.all([sendWorkload({
+			origins, organisation, secret, callers,
+		}, {requests, ratePerS, label: 'demo'}), startGrayFault(fleet), stopOneNode(fleet)]);
 		const ledgers = await Promise.all(fleet.backends.map(async backend => fetchLedger(backend)));
 		const ledger = ledgers.flat();
 		const grayRuns = ledger.filter(({serverId, startedAt}) => serverId === gray.serverId && startedAt >= gray.startedAt);
@@ -106,6 +119,7 @@
 		const lastGrayRun = Math.max(gray.startedAt, ...grayRuns.map(({startedAt}) => startedAt));
 		const tally = computeTally(sent, ledger);
 		reportTally(tally, [
+			['codes of refusals', formatCodes(sent)],
 			['gray server ejected', ejected.includes(gray.serverId) ? 'yes' : 'no'],
 			['detection time, s', ((lastGrayRun - gray.startedAt) / msPerS).toFixed(2)],
 			['requests sent to the gray server', grayRuns.length],
--- a/packages/demo/src/workload.ts
+++ b/packages/demo/src/workload.ts
@@ -1,6 +1,7 @@
 /** Both users' requests, sent open loop through all nodes. */
 import {setTimeout as wait} from 'node:timers/promises';
-import {Caller, type CallerAnswer} from '@limpetbarrow/caller';
+import {FleetCaller, type FleetAnswer, type FleetFailure} from '@limpetbarrow/caller';
+import {foldResult} from '@limpetbarrow/core';
 import {type SentRequest} from './ledger.js';
 
 /** Services of both users. */
@@ -12,6 +13,15 @@
 const orderPeriod = 3;
 const msPerS = 1000;
 
+/** Who sends. */
+export type Workforce = {
+	/** Base URLs of the nodes' ingresses. */
+	readonly origins: readonly string[];
+	readonly organisation: string;
+	readonly secret: string;
+	readonly callers: number;
+};
+
 /** How much to send. */
 export type WorkloadPlan = {
 	readonly requests: number;
@@ -20,7 +30,7 @@
 	readonly label: string;
 };
 
-function hasOwnTag({text}: CallerAnswer, tag: string): boolean {
+function hasOwnTag({text}: FleetAnswer, tag: string): boolean {
 	try {
 		return (JSON.parse(text) as {readonly tag?: string}).tag === tag;
 	} catch {
@@ -28,30 +38,33 @@
 	}
 }
 
-async function sendOne(caller: Caller, index: number, tag: string): Promise<SentRequest> {
+async function sendOne(caller: FleetCaller, index: number, tag: string): Promise<SentRequest> {
 	const service = serviceNames[index % serviceNames.length]!;
 	const isOrder = orderServices.has(service) && index % orderPeriod === 0;
-	const answer = await caller.send({
+	const request = {
 		method: isOrder ? 'POST' : 'GET',
 		path: `/${service}/${isOrder ? 'orders' : 'records'}/${index}`,
 		...(isOrder && {body: JSON.stringify({item: index})}),
 		headers: {'x-request-tag': tag},
-	}, Math.floor(index / serviceNames.length));
-	return {
-		tag,
-		service,
-		isRepeatable: !isOrder,
-		outcome: answer.ran === 'ran' ? 'whole' : answer.ran,
-		code: answer.code,
-		isOwnAnswer: hasOwnTag(answer, tag),
-	};
+	} as const;
+	const result = isOrder ? await caller.sendOnce(request) : await caller.send(request);
+	const sent = {tag, service, isRepeatable: !isOrder};
+	return foldResult<FleetFailure, FleetAnswer, SentRequest>(
+		result,
+		({ran, code}) => ({
+			...sent, outcome: ran === 'not-run' ? 'not-run' : 'unknown', code, isOwnAnswer: false,
+		}),
+		answer => ({
+			...sent, outcome: 'whole', code: undefined, isOwnAnswer: hasOwnTag(answer, tag),
+		}),
+	);
 }
 
-/** Sends the workload and resolves once all requests are answered. */
-export async function sendWorkload(origins: readonly string[], {requests, ratePerS, label}: WorkloadPlan): Promise<readonly SentRequest[]> {
-	const caller = new Caller(origins);
+/** Sends the workload and resolves once all requests are answered; orders carry idempotency keys. */
+export async function sendWorkload({origins, organisation, secret, callers}: Workforce, {requests, ratePerS, label}: WorkloadPlan): Promise<readonly SentRequest[]> {
+	const force = Array.from({length: callers}, () => new FleetCaller({origins, credentials: {organisation, secret}}));
 	return Promise.all(Array.from({length: requests}, async (_, index) => {
 		await wait(index * msPerS / ratePerS);
-		return sendOne(caller, index, `${label}-${index}`);
+		return sendOne(force[Math.floor(index / serviceNames.length) % callers]!, index, `${label}-${index}`);
 	}));
 }
--- a/packages/detect/src/__tests__/unit/detector.test.ts
+++ b/packages/detect/src/__tests__/unit/detector.test.ts
@@ -168,6 +168,13 @@
 			expect(waits).to.deep.equal([options.ejectionMs, options.ejectionMs * 2, options.ejectionMs * 4]);
 		});
 
+		it('does not wait for ever for a repeatable request', () => {
+			const health = createEjected();
+			health.sweep(40_000);
+			expect([99_999, 100_000].map(now => health.sweep(now))).to.deep.equal([false, true]);
+			expect(health.getState()).to.equal('warming');
+		});
+
 		it('does not stay out when the whole service is sick', () => {
 			const health = createEjected();
 			health.sweep(60_000);
--- a/packages/detect/src/server-health.ts
+++ b/packages/detect/src/server-health.ts
@@ -12,6 +12,8 @@
 const backOffFactor = 2;
 /** A backend server that stayed ready this many times its last ejection starts with the shortest wait again. */
 const forgivenAfter = 10;
+/** Time on probation without a trial after which the server warms all the same, since it may never get a repeatable request. */
+const maxIdleTrialMs = 60_000;
 const returnEvidence = Math.log(20);
 const minReturnSuccesses = 3;
 const minSickShare = 0.03;
@@ -33,6 +35,7 @@
 	#lastBadness = 0;
 	#evidence = 0;
 	#successes = 0;
+	#trialAt = 0;
 
 	constructor(detector: Detector, options: PolicyOptions, now: number) {
 		this.#detector = detector;
@@ -83,10 +86,16 @@
 		if (this.#state === 'ejected' && age >= this.#ejectionMs) {
 			this.#evidence = 0;
 			this.#successes = 0;
+			this.#trialAt = now;
 			this.#setState('probation', now);
 			return true;
 		}
 
+		if (this.#state === 'probation' && now - this.#trialAt >= maxIdleTrialMs) {
+			this.#setState('warming', now);
+			return true;
+		}
+
 		if (this.#state === 'warming' && age >= this.#options.warmingMs) {
 			this.#setState('ready', now);
 			return true;
@@ -103,6 +112,7 @@
 		}
 
 		const isBadTrial = isBad(evidence);
+		this.#trialAt = outcome.at;
 		const healthyShare = baseline.failureShare + baseline.slowShare;
 		const isServiceSick = healthyShare > maxSickShare / 2;
 		const sickShare = Math.min(maxSickShare, Math.max(minSickShare, healthyShare * 2, this.#badness / badnessSteps));
