--- a/packages/cli/src/__tests__/unit/command-line.test.ts
+++ b/packages/cli/src/__tests__/unit/command-line.test.ts
@@ -68,6 +68,7 @@
 			seeds: '',
 			platform: `http://${formatAddress(platformAddress)}`,
 			stopTimeoutMs: 100,
+			lameDuckMs: 0,
 			logForm: 'text',
 			logLevel: 'error',
 		});
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -35,6 +35,8 @@
 	readonly #judge: ServerJudge;
 	readonly #quarantine: Quarantine;
 	readonly #guarded = new Map<string, Guarded>();
+	/** Backend servers that are not guarded any more and still run requests. */
+	readonly #draining = new Set<BackendServer>();
 	/** Servers whose crashes were excused. */
 	#excused: ReadonlySet<string> = new Set();
 
@@ -88,7 +90,7 @@
 
 	/** Requests running or waiting at all backend servers. */
 	countRequests(): number {
-		return [...this.#guarded.values()].reduce((sum, {backend}) => sum + backend.countRequests(), 0);
+		return this.#listBackends().reduce((sum, backend) => sum + backend.countRequests(), 0);
 	}
 
 	/** Moves the judgement of the backend servers on with time. */
@@ -99,7 +101,18 @@
 	}
 
 	async close(): Promise<void> {
-		await Promise.all([...this.#guarded.values()].map(async ({backend}) => backend.close()));
+		await Promise.all(this.#listBackends().map(async backend => backend.close()));
+	}
+
+	#listBackends(): readonly BackendServer[] {
+		return [...[...this.#guarded.values()].map(({backend}) => backend), ...this.#draining];
+	}
+
+	#drain(backend: BackendServer): void {
+		this.#draining.add(backend);
+		void backend.drain().catch(() => undefined).finally(() => {
+			this.#draining.delete(backend);
+		});
 	}
 
 	#update(servers: ReadonlyMap<string, AnnouncedServer>): void {
@@ -111,7 +124,7 @@
 			.forEach(([id, {backend}]) => {
 				this.#guarded.delete(id);
 				this.#judge.removeServer(id);
-				void backend.drain();
+				this.#drain(backend);
 			});
 	}
 
@@ -129,7 +142,10 @@
 			return;
 		}
 
-		void known?.backend.drain();
+		if (known) {
+			this.#drain(known.backend);
+		}
+
 		const backend = new BackendServer(announced, outcome => {
 			this.#judge.recordOutcome(announced.id, outcome);
 		});
@@ -160,7 +176,7 @@
 
 	/** Makes the node publish its servers and marks again. */
 	#publish(): void {
-		this.#options.announcements.store.update('judge', ({servers}) => ({servers: new Map(servers)}));
+		this.#options.announcements.store.update('judge', snapshot => ({...snapshot, servers: new Map(snapshot.servers)}));
 	}
 
 	#createRecord({id, service, slots, generation, isLeaving}: AnnouncedServer): ServerRecord {
