End a stopped node's process: close links that were asked for before another

Cause: a planned stop sometimes took 50 to 60 s, past its bound of 30 s, though the drain was over after 2 s. The pool dropped links without a session each time another link was asked for, so a link handed out just before lost its place; the session it then opened was closed by nobody and kept the process alive until it idled out after 60 s. Asking several peers for summaries does just that. Ruled out: drain (counts in progress were 0, now also gauges), platform and HTTP clients (an ended process listed only sockets to another node's link address). Change: the pool drops a link only when nobody asked for it for a minute; a closed pool hands out closed links.

--- a/packages/link/src/constants.ts
+++ b/packages/link/src/constants.ts
@@ -60,3 +60,6 @@
 
 /** Credit that is collected before it is sent, in bytes; a quarter of the window. */
 export const creditStepBytes = exchangeWindowBytes / 4;
+
+/** Time after which a link without a session that nobody asked for is dropped, in milliseconds. */
+export const forgetAfterMs = 60_000;
--- a/packages/link/src/link-pool.ts
+++ b/packages/link/src/link-pool.ts
@@ -5,6 +5,7 @@
 } from '@limpetbarrow/core';
 import {type OpenConnection} from './client-session.js';
 import {FrameConnection} from './frame-connection.js';
+import {forgetAfterMs} from './constants.js';
 import {LinkClient} from './link-client.js';
 import {type LinkOptions} from './link-options.js';
 import {type LinkPeer} from './types.js';
@@ -17,12 +18,19 @@
 	return `${identity.id}/${identity.incarnation}/${address.host}:${address.port}`;
 }
 
+type PooledLink = {
+	readonly link: LinkClient;
+	/** Monotonic time when the link was last asked for, in milliseconds. */
+	readonly askedAt: number;
+};
+
 /** Opens links as they are asked for, and drops those that are not used. */
 export class LinkPool {
 	readonly #self: NodeIdentity;
 	readonly #options: LinkOptions;
 	readonly #openConnection: OpenConnection;
-	readonly #links = new Map<string, LinkClient>();
+	readonly #links = new Map<string, PooledLink>();
+	#isClosed = false;
 
 	constructor(self: NodeIdentity, options: Partial<LinkOptions> = {}, openConnection: OpenConnection = connectSocket) {
 		this.#self = self;
@@ -30,37 +38,43 @@
 		this.#openConnection = openConnection;
 	}
 
-	/** The link to a node; it connects when first used. */
+	/** The link to a node; it connects when first used. Links of a closed pool refuse everything. */
 	getLink(peer: LinkPeer): Carrier {
 		const key = getPeerKey(peer);
 		const known = this.#links.get(key);
 		if (known) {
-			return known;
+			this.#links.set(key, {...known, askedAt: performance.now()});
+			return known.link;
 		}
 
 		this.#forgetUnused();
 		const link = new LinkClient({
 			...this.#options, self: this.#self, peer, openConnection: this.#openConnection,
 		});
-		this.#links.set(key, link);
+		if (this.#isClosed) {
+			link.close();
+			return link;
+		}
+
+		this.#links.set(key, {link, askedAt: performance.now()});
 		return link;
 	}
 
 	/** Number of exchanges in progress that this node opened on its links. */
 	countExchanges(): number {
-		return [...this.#links.values()].reduce((sum, link) => sum + link.countExchanges(), 0);
+		return [...this.#links.values()].reduce((sum, {link}) => sum + link.countExchanges(), 0);
 	}
 
 	/** Number of links with an open session. */
 	countSessions(): number {
-		return [...this.#links.values()].filter(link => link.hasSession()).length;
+		return [...this.#links.values()].filter(({link}) => link.hasSession()).length;
 	}
 
 	/** Closes the links without exchanges in progress. */
 	closeIdle(): void {
 		[...this.#links]
-			.filter(([, link]) => link.countExchanges() === 0)
-			.forEach(([key, link]) => {
+			.filter(([, {link}]) => link.countExchanges() === 0)
+			.forEach(([key, {link}]) => {
 				link.close();
 				this.#links.delete(key);
 			});
@@ -68,15 +82,18 @@
 
 	/** Closes every link; exchanges in progress fail. */
 	close(): void {
-		[...this.#links.values()].forEach(link => {
+		this.#isClosed = true;
+		[...this.#links.values()].forEach(({link}) => {
 			link.close();
 		});
 		this.#links.clear();
 	}
 
+	/** A link just asked for has no session yet and must stay, or its session would be closed by nobody. */
 	#forgetUnused(): void {
+		const oldest = performance.now() - forgetAfterMs;
 		[...this.#links]
-			.filter(([, link]) => !link.hasSession())
+			.filter(([, {link, askedAt}]) => !link.hasSession() && askedAt < oldest)
 			.forEach(([key]) => {
 				this.#links.delete(key);
 			});
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,7 +16,7 @@
 import {Forwarder} from './forwarder.js';
 import {HttpReleasePeers} from './http-release-peers.js';
 import {Ingress} from './ingress.js';
-import {registerProcessGauges} from './process-gauges.js';
+import {registerProcessGauges, registerProgressGauges, type ProgressCount} from './process-gauges.js';
 import {PeerBaselineSource} from './peer-baseline-source.js';
 import {drainNode, type StoppingNode} from './planned-stop.js';
 import {ServerDirectory} from './server-directory.js';
@@ -112,6 +112,7 @@
 		const gossipAddress = await this.#gossip.start(settings.gossip);
 		this.#table.updateSelf(() => ({linkAddress, adminAddress, gossipAddress}));
 		this.#registerPublishing();
+		registerProgressGauges(this.#metrics, this.#listProgress());
 		this.#follower.start();
 		this.#callers.start();
 		await this.#gossip.waitUntilJoined(joinBoundMs);
@@ -225,8 +226,17 @@
 		};
 	}
 
+	#listProgress(): readonly ProgressCount[] {
+		return [
+			{name: 'ingress_requests', count: () => this.#ingress.countRequests()},
+			{name: 'egress_requests', count: () => this.#egress.countRequests()},
+			{name: 'keys', count: () => this.#callers.countRunning()},
+			{name: 'link_exchanges_served', count: () => this.#linkServer.countExchanges()},
+			{name: 'link_exchanges_opened', count: () => this.#links.countExchanges()},
+		];
+	}
+
 	#countInProgress(): number {
-		return this.#ingress.countRequests() + this.#egress.countRequests() + this.#callers.countRunning()
-			+ this.#linkServer.countExchanges() + this.#links.countExchanges();
+		return this.#listProgress().reduce((sum, {count}) => sum + count(), 0);
 	}
 }
--- a/packages/node/src/process-gauges.ts
+++ b/packages/node/src/process-gauges.ts
@@ -2,6 +2,19 @@
 import process from 'node:process';
 import {type MetricRegistry} from '@limpetbarrow/core';
 
+/** Number of one kind of work in progress. */
+export type ProgressCount = {
+	readonly name: string;
+	readonly count: () => number;
+};
+
+/** Registers a gauge for each kind of work in progress, which a planned stop waits for. */
+export function registerProgressGauges(metrics: MetricRegistry, counts: readonly ProgressCount[]): void {
+	counts.forEach(({name, count}) => {
+		metrics.registerGauge(`${name}_in_progress`, count);
+	});
+}
+
 /** Registers the gauges; units are in their names. */
 export function registerProcessGauges(metrics: MetricRegistry): void {
 	metrics.registerGauge('process_cpu_user_us', () => process.cpuUsage().user);
