--- a/packages/checks/src/__tests__/unit/tree.test.ts
+++ b/packages/checks/src/__tests__/unit/tree.test.ts
@@ -7,6 +7,11 @@
 const maxFileLines = 400;
 const files = listSourceFiles();
 
+function listUnused(names: readonly string[], tableFile: string): readonly string[] {
+	const source = files.filter(({path}) => !path.endsWith(tableFile) && !path.includes('__tests__')).map(({text}) => text).join('\n');
+	return names.filter(name => !source.includes(`'${name}'`));
+}
+
 describe('the tree', () => {
 	describe('result codes', () => {
 		it('have numbers of their own', () => {
@@ -18,6 +23,10 @@
 			const page = readRepositoryFile('docs/RESULT-CODES.md');
 			expect(page).to.equal(replaceTable(page, formatResultCodes()));
 		});
+
+		it('are each used in the source', () => {
+			expect(listUnused(Object.keys(resultCodes), 'result-codes.ts')).to.deep.equal([]);
+		});
 	});
 
 	describe('log events', () => {
@@ -30,6 +39,10 @@
 			const page = readRepositoryFile('docs/LOG-EVENTS.md');
 			expect(page).to.equal(replaceTable(page, formatLogEvents()));
 		});
+
+		it('are each used in the source', () => {
+			expect(listUnused(Object.keys(logEvents), 'log-events.ts')).to.deep.equal([]);
+		});
 	});
 
 	describe('names', () => {
--- a/packages/cli/src/daemon-commands.ts
+++ b/packages/cli/src/daemon-commands.ts
@@ -34,6 +34,9 @@
 
 	await runDaemon({
 		stop: async () => node.stop(),
+		handleUnexpectedError(error) {
+			logger.log('unexpectedError', {detail: error.stack ?? error.message});
+		},
 		handleForcedStop() {
 			logger.log('nodeStopForced');
 		},
--- a/packages/cli/src/run-daemon.ts
+++ b/packages/cli/src/run-daemon.ts
@@ -9,9 +9,14 @@
 	readonly stop: () => Promise<void>;
 	/** Called when a second signal ends the stop. */
 	readonly handleForcedStop: () => void;
+	/** Called with an error that nothing caught, before the process ends. */
+	readonly handleUnexpectedError?: (error: Error) => void;
 };
 
-/** Resolves after SIGTERM or SIGINT and a planned stop; a second signal ends the process at once. */
+/**
+ * Resolves after SIGTERM or SIGINT and a planned stop; a second signal, or an error that
+ * nothing caught, ends the process at once.
+ */
 export async function runDaemon(daemon: Daemon): Promise<void> {
 	await new Promise<void>(resolve => {
 		let isStopping = false;
@@ -25,6 +30,10 @@
 			void daemon.stop().then(resolve);
 		};
 
+		process.on('uncaughtException', error => {
+			daemon.handleUnexpectedError?.(error);
+			process.exit(forcedExitCode);
+		});
 		process.on('SIGTERM', handleSignal);
 		process.on('SIGINT', handleSignal);
 	});
--- a/packages/sequencer/src/constants.ts
+++ b/packages/sequencer/src/constants.ts
@@ -4,7 +4,7 @@
 export const maxAnswerBytes = 65_536;
 
 /** Most bytes a node keeps for all keys, in bytes. */
-export const maxKeptBytes = 16_777_216;
+export const maxKeptBytes = 12_582_912;
 
 /** Most bytes kept for the keys of one caller's terms, in bytes. */
 export const maxKeptBytesPerTerms = 4_194_304;
--- a/xo.config.js
+++ b/xo.config.js
@@ -15,6 +15,11 @@
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 		},
 	},
+	{
+		// Tests are arranged by nested `describe`.
+		files: ['packages/*/src/__tests__/**'],
+		rules: {'max-nested-callbacks': 'off'},
+	},
 	{
 		files: ['packages/cli/src/run-daemon.ts', 'packages/checks/src/run-tests.ts'],
 		rules: {'unicorn/no-process-exit': 'off'},
