--- /dev/null
+++ b/packages/admission/src/constants.ts
@@ -0,0 +1,31 @@
+/** Bounds of admission. */
+
+/** Expected duration of a request before a route has shown its own, in milliseconds; the middle of today's services. */
+export const initialWorkMs = 150;
+
+/** Weight of the latest duration in a route's mean; a change of speed shows within some ten requests. */
+export const workWeight = 0.15;
+
+/** Requests that may wait before one backend server. The slots of a service drain so many in a few seconds. */
+export const maxWaiting = 24;
+
+/** Factor by which a backend server is slower while it is cold, as the platform announces cold starts. */
+export const coldFactor = 2;
+
+/** Probability of sickness above which a request that may not be repeated is refused: losing it costs all of it. */
+export const unrepeatableSickness = 0.3;
+
+/** Probability of sickness above which repeatable requests are trials only: losing one costs a retry. */
+export const repeatableSickness = 0.4;
+
+/** Least time between two trials of a sick backend server, in milliseconds. */
+export const trialPauseMs = 250;
+
+/** A running request this many times over its expected duration says that the backend server stalls. */
+export const overdueFactor = 4;
+
+/** Least time before a running request counts as overdue, in milliseconds. */
+export const minOverdueMs = 400;
+
+/** Share of the objective that a request's whole time here may take; above, it is better off elsewhere. */
+export const objectiveShare = 0.85;
--- /dev/null
+++ b/packages/admission/src/server-gate.ts
@@ -0,0 +1,125 @@
+/**
+ * Decides whether one backend server takes a request, from all that its own host knows.
+ *
+ * Only the backend server's own host sends to it, so the gate sees every outcome and the exact queue. It answers
+ * gray failures (a sick server gets trials only, and none that may not be repeated) and uneven load (a request is told
+ * the real wait at once, so that its sender can go elsewhere within its time).
+ */
+import {createFailure, type Failure} from '@limpetbarrow/core';
+import {SicknessFilter} from '@limpetbarrow/detect';
+import {
+	coldFactor, maxWaiting, objectiveShare, repeatableSickness, trialPauseMs, unrepeatableSickness,
+} from './constants.js';
+import {estimateWait, type Running} from './slot-forecast.js';
+import {type Waiting} from './wait-queue.js';
+import {WorkTimes} from './work-times.js';
+
+/** What the gate looks at in a request. */
+export type GateRequest = {
+	readonly route: string;
+	readonly priority: number;
+	readonly isRepeatable: boolean;
+	/** Time left until the deadline, in milliseconds. */
+	readonly remainingMs: number;
+	/** Time in which the route's answers are worth most, in milliseconds. */
+	readonly objectiveMs: number;
+	/** Longest wait that the sender takes here, in milliseconds. */
+	readonly patienceMs: number;
+	readonly isLastResort: boolean;
+};
+
+/** Load of the backend server at this moment. */
+export type GateLoad = {
+	readonly slots: number;
+	readonly running: readonly Running[];
+	/** Requests that would be started before the one in question. */
+	readonly ahead: readonly Waiting[];
+	readonly waitingCount: number;
+};
+
+/** What became of a request, as far as it speaks for or against the backend server. */
+export type GateOutcome = 'well' | 'failed' | 'unreachable';
+
+/** Gate before one backend server. Times are monotonic milliseconds given by the caller. */
+export class ServerGate {
+	readonly #times = new WorkTimes();
+	readonly #sickness: SicknessFilter;
+	#coldUntil = 0;
+	#trialAt = Number.NEGATIVE_INFINITY;
+	#isUnreachable = false;
+
+	constructor(now: number) {
+		this.#sickness = new SicknessFilter(now);
+	}
+
+	/** Takes how much longer the backend server is slow after its start. */
+	setCold(coldMs: number, now: number): void {
+		this.#coldUntil = now + coldMs;
+	}
+
+	recordOutcome(outcome: GateOutcome, now: number): void {
+		this.#isUnreachable = outcome === 'unreachable';
+		this.#sickness.recordOutcome(outcome !== 'well', now);
+	}
+
+	/** Takes the duration of an answer, from the hand-over on. */
+	recordWork(route: string, durationMs: number): void {
+		this.#times.recordWork(route, durationMs);
+	}
+
+	/** Expected duration of a request of that route now, in milliseconds. */
+	estimateWork(route: string, now: number): number {
+		return this.#times.estimateWork(route) * (now < this.#coldUntil ? coldFactor : 1);
+	}
+
+	/** Probability that the backend server is in a spell of failing. */
+	estimateSickness(now: number): number {
+		return this.#sickness.estimateShare(now);
+	}
+
+	isUnwell(now: number): boolean {
+		return this.#isUnreachable || this.estimateSickness(now) > repeatableSickness;
+	}
+
+	/** Time until a request that came now would get a slot, in milliseconds. */
+	estimateWait({slots, running, ahead}: GateLoad, now: number): number {
+		return estimateWait(slots, running, ahead, now);
+	}
+
+	/** Why the request is not taken; undefined when it is. */
+	findRefusal(request: GateRequest, load: GateLoad, now: number): Failure | undefined {
+		const waitMs = this.estimateWait(load, now);
+		const workMs = this.estimateWork(request.route, now);
+		if (load.waitingCount >= maxWaiting) {
+			return createFailure('queueFull', `${load.waitingCount} requests wait`, waitMs);
+		}
+
+		if (waitMs + (workMs / 2) > request.remainingMs) {
+			return createFailure('queueDeadline', `wait ${Math.round(waitMs)} ms and work ${Math.round(workMs)} ms, ${Math.round(request.remainingMs)} ms left`, waitMs);
+		}
+
+		if (request.isLastResort) {
+			return undefined;
+		}
+
+		return waitMs > request.patienceMs
+			? createFailure('queueFull', `wait ${Math.round(waitMs)} ms, patience ${Math.round(request.patienceMs)} ms`, waitMs)
+			: this.#findSickRefusal(request, workMs, load, now);
+	}
+
+	/** A backend server that fails, or whose work alone takes the whole objective, gets one trial at a time. */
+	#findSickRefusal({isRepeatable, objectiveMs}: GateRequest, workMs: number, {running}: GateLoad, now: number): Failure | undefined {
+		const sickness = this.estimateSickness(now);
+		const isSlow = workMs > objectiveMs * objectiveShare;
+		if (!isSlow && !this.#isUnreachable && sickness <= (isRepeatable ? repeatableSickness : unrepeatableSickness)) {
+			return undefined;
+		}
+
+		if (isRepeatable && running.length === 0 && now - this.#trialAt >= trialPauseMs) {
+			this.#trialAt = now;
+			return undefined;
+		}
+
+		return createFailure('serverUnwell', `sickness ${sickness.toFixed(2)}, work ${Math.round(workMs)} ms${this.#isUnreachable ? ', no connection' : ''}`);
+	}
+}
--- a/packages/bench/src/release-sizes.ts
+++ b/packages/bench/src/release-sizes.ts
@@ -4,7 +4,7 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {formatAddress} from '@limpetbarrow/core';
-import {HttpObjectStore} from '@limpetbarrow/platform';
+import {HttpObjectStore} from '@limpetbarrow/object-store';
 import {
 	applyReleases,
 	emptyConfiguration,
--- a/packages/choose/src/index.ts
+++ b/packages/choose/src/index.ts
@@ -6,3 +6,6 @@
 export * from './path-health.js';
 export * from './subset.js';
 export * from './server-selection.js';
+export * from './share-pick.js';
+export * from './windowed-retries.js';
+export * from './spill-plan.js';
--- a/packages/choose/src/route-table.ts
+++ b/packages/choose/src/route-table.ts
@@ -15,7 +15,7 @@
 
 /** True when running such a request twice does no harm. */
 export function isRepeatable(route: Route, method: string): boolean {
-	return route.isRepeatable || safeMethods.has(method);
+	return route.isRepeatable || (route.ignoresMethod !== true && safeMethods.has(method));
 }
 
 function isPathBelow(path: string, prefix: string): boolean {
--- a/packages/cli/src/daemon-commands.ts
+++ b/packages/cli/src/daemon-commands.ts
@@ -5,14 +5,13 @@
 	ConsolaLogger, createFailure, foldResult, parseAddress, type Address,
 } from '@limpetbarrow/core';
 import {
-	LimpetbarrowNode, nodeFlags, parseSettings, type NodeSettings,
+	LimpetbarrowNode, nodeFlags, parseSettings, runDaemon, type NodeSettings,
 } from '@limpetbarrow/node';
 import {BackendStandIn, PlatformStandIn} from '@limpetbarrow/stand-ins';
 import {applyEnvironment, type Environment} from './environment.js';
 import {listenFlag} from './flags.js';
 import {type Finish} from './release-commands.js';
 import {reportFailure} from './report-result.js';
-import {runDaemon} from './run-daemon.js';
 
 const anyPort: Address = {host: '127.0.0.1', port: 0};
 const listenErrors: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EACCES', 'EADDRNOTAVAIL', 'ENOTFOUND']);
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -25,6 +25,13 @@
 	requestFailed: {number: 105, level: 'debug', meaning: 'A request was refused or failed.'},
 	unexpectedError: {number: 106, level: 'error', meaning: 'An unexpected error was caught.'},
 
+	requestAnswered: {number: 107, level: 'info', meaning: 'A backend server\'s answer was delivered, after the tries that are listed.'},
+	requestRefused: {number: 108, level: 'info', meaning: 'A request was refused or failed, after the tries that are listed.'},
+	requestGivenUp: {number: 109, level: 'info', meaning: 'The caller left, or its time was up, before an answer was whole.'},
+	settingsApplied: {number: 110, level: 'info', meaning: 'The settings were read again; what is named has changed.'},
+	settingsNotApplied: {number: 111, level: 'warn', meaning: 'The settings could not be read again; the ones before stay in force.'},
+	logLinesDropped: {number: 112, level: 'warn', meaning: 'Log lines were left out to keep to the bound.'},
+
 	// Links
 	linkOpened: {number: 201, level: 'info', meaning: 'A link session to another node began.'},
 	linkReplaced: {number: 202, level: 'warn', meaning: 'A silent connection was replaced within its session.'},
@@ -35,6 +42,8 @@
 	serverEjected: {number: 301, level: 'warn', meaning: 'A backend server was judged failing.'},
 	serverReturned: {number: 302, level: 'info', meaning: 'An ejected backend server takes work again.'},
 	poisonMarked: {number: 303, level: 'warn', meaning: 'A request was marked as poison.'},
+	egressFailed: {number: 304, level: 'info', meaning: 'The egress refused a request, or its backend server failed it.'},
+	serverReplaced: {number: 305, level: 'warn', meaning: 'Another backend server was found at the address; the one announced is not used any more.'},
 
 	// Sequencer
 	keyDropped: {number: 401, level: 'debug', meaning: 'A kept outcome expired.'},
@@ -59,6 +68,9 @@
 	platformLost: {number: 701, level: 'warn', meaning: 'The object API does not answer.'},
 	platformBack: {number: 702, level: 'info', meaning: 'The object API answers again.'},
 
+	discoveryFailed: {number: 703, level: 'warn', meaning: 'The list of nodes could not be read or written; it is tried again.'},
+	discoveryDone: {number: 704, level: 'info', meaning: 'This node stands in the list of nodes and has read it.'},
+
 	// Members and announcements
 	serverAnnounced: {number: 801, level: 'info', meaning: 'A backend server announced itself.'},
 	serverLeft: {number: 802, level: 'info', meaning: 'A backend server said that it leaves.'},
@@ -66,6 +78,7 @@
 	serverMoved: {number: 807, level: 'info', meaning: 'A backend server announced itself to another node under a higher generation.'},
 	memberJoined: {number: 804, level: 'info', meaning: 'Another node became known.'},
 	memberSuspected: {number: 805, level: 'info', meaning: 'Another node does not answer probes.'},
+	announcementRefused: {number: 808, level: 'warn', meaning: 'An announcement was not taken.'},
 	memberLost: {number: 806, level: 'warn', meaning: 'Another node was declared dead.'},
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
 
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -112,6 +112,15 @@
 	poisonRequest: {
 		code: 3008, status: 503, ran: 'not-run', resend: 'never', meaning: 'The request crashed backend servers before and is refused for a while.',
 	},
+	serverUnwell: {
+		code: 3009, status: 503, ran: 'not-run', resend: 'anywhere', meaning: 'The backend server fails or stalls, and only trials are sent to it.',
+	},
+	serverShed: {
+		code: 3010, status: 503, ran: 'not-run', resend: 'later', meaning: 'The backend server rejected the request without running it.',
+	},
+	serverReplaced: {
+		code: 3011, status: 503, ran: 'not-run', resend: 'anywhere', meaning: 'Another backend server has the address.',
+	},
 
 	// Sequencer
 	keyMalformed: {
@@ -189,6 +198,9 @@
 	platformTooLarge: {
 		code: 7005, status: 413, ran: 'none', resend: 'never', meaning: 'The value is larger than the object API holds.',
 	},
+	platformHistoryGone: {
+		code: 7006, status: 410, ran: 'none', resend: 'later', meaning: 'The object API no longer holds the changes asked for; read the objects again.',
+	},
 
 	// Members and announcements
 	announcementInvalid: {
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -100,6 +100,20 @@
 	readonly organisation: string;
 	/** Hash of method, service, path and body prefix; names a poison request. */
 	readonly fingerprint?: string;
+	/** Name of the route that the request took. */
+	readonly route?: string;
+	/** Rank of the request, 0 the most urgent; a request without one ranks last. */
+	readonly priority?: number;
+	/** Backend servers that may be handed the request, at most. */
+	readonly maxAttempts?: number;
+	/** Time in which the route's answers are worth most to callers, in milliseconds. */
+	readonly objectiveMs?: number;
+	/** Service that runs on the host where the request began. */
+	readonly callerService?: string;
+	/** Longest wait for a slot that the sender takes before it would rather go elsewhere, in milliseconds. */
+	readonly patienceMs?: number;
+	/** True when every other backend server has refused: only lack of time or room is a reason to refuse it here. */
+	readonly isLastResort?: boolean;
 };
 
 /** Load of a backend server as its egress last saw it, carried on answers. */
@@ -107,6 +121,12 @@
 	readonly serverId: string;
 	readonly freeSlots: number;
 	readonly queued: number;
+	/** Time until a request that came now would get a slot, in milliseconds. */
+	readonly waitMs?: number;
+	/** Time that a request takes here, in milliseconds. */
+	readonly workMs?: number;
+	/** True while the egress sends only trials to the backend server. */
+	readonly isUnwell?: boolean;
 };
 
 /** The head of an answer as it travels between nodes. */
--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -14,3 +14,4 @@
 export * from './baseline-source.js';
 export * from './server-judge.js';
 export * from './poison.js';
+export * from './sickness-filter.js';
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -40,7 +40,14 @@
 }
 
 const identityGuards: Guards<NodeIdentity> = {id: isText, incarnation: isCount};
-const loadGuards: Guards<LoadHint> = {serverId: isText, freeSlots: Number.isSafeInteger, queued: isCount};
+const loadGuards: Guards<LoadHint> = {
+	serverId: isText,
+	freeSlots: Number.isSafeInteger,
+	queued: isCount,
+	waitMs: isOptional(isDuration),
+	workMs: isOptional(isDuration),
+	isUnwell: isOptional(isFlag),
+};
 const isSequencer = hasFields({kind: (kind: unknown) => kind === 'sequencer'});
 const isEgress = hasFields({kind: (kind: unknown) => kind === 'egress', serverId: isText});
 const isTarget: Guard = value => isEgress(value) || isSequencer(value);
@@ -58,6 +65,13 @@
 	organisation: isText,
 	idempotencyKey: isOptional(isText),
 	fingerprint: isOptional(isText),
+	route: isOptional(isText),
+	priority: isOptional(isCount),
+	maxAttempts: isOptional(isCount),
+	objectiveMs: isOptional(isDuration),
+	callerService: isOptional(isText),
+	patienceMs: isOptional(isDuration),
+	isLastResort: isOptional(isFlag),
 };
 
 /** Every field of an answer's head; the order is that of the wire. */
--- a/packages/members/src/announcements.ts
+++ b/packages/members/src/announcements.ts
@@ -2,7 +2,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
 import {
-	createFailure, parseAddress, Store, type Failure, type Logger,
+	createFailure, formatAddress, parseAddress, Store, type Failure, type Logger,
 } from '@limpetbarrow/core';
 import {
 	announcementLeaseMs, announcementSweepMs, maxAnnouncedServers, maxYieldedServers, pauseBoundMs,
@@ -17,6 +17,7 @@
 	generation: z.int().min(0),
 	isLeaving: z.boolean().default(false),
 	maxConnections: z.int().min(1).default(400),
+	coldMs: z.number().min(0).optional(),
 });
 
 /** Snapshot of the announced servers by id. */
@@ -33,19 +34,24 @@
 		: Left(createFailure('announcementInvalid', result.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; ')));
 }
 
-function createServer(announcement: Announcement, now: number): AnnouncedServer {
+function createServer({coldMs, ...announcement}: Announcement, expiresAt: number): AnnouncedServer {
 	const address = parseAddress(announcement.address)!;
-	return {...announcement, address, expiresAt: now + announcementLeaseMs};
+	return {
+		...announcement, address, expiresAt, ...(coldMs !== undefined && {coldMs}),
+	};
 }
 
 /** Takes announcements and drops those that lapse. */
 export class Announcements {
 	readonly store = new Store<AnnouncementSnapshot>({servers: new Map(), yielded: new Map()});
 	readonly #logger: Logger;
+	readonly #leaseMs: number;
 	#sweptAt = performance.now();
 
-	constructor(logger: Logger) {
+	/** `leaseMs` is the time an announcement holds, in milliseconds. */
+	constructor(logger: Logger, leaseMs = announcementLeaseMs) {
 		this.#logger = logger;
+		this.#leaseMs = leaseMs;
 	}
 
 	/** Takes an announcement from `remoteHost`; only the node's own host may announce. */
@@ -53,7 +59,21 @@
 		return parseAnnouncement(input)
 			.chain(announcement => this.#checkOrigin(announcement, remoteHost))
 			.chain(announcement => this.#checkGeneration(announcement))
-			.map(announcement => this.#record(createServer(announcement, performance.now())));
+			.chain(announcement => this.#checkAddress(announcement))
+			.map(announcement => this.#record(createServer(announcement, performance.now() + this.#leaseMs)));
+	}
+
+	/** Takes that a backend server of this host leaves, whether it announced so before or not. */
+	leave(id: string): void {
+		const server = this.store.getState().servers.get(id);
+		if (server && !server.isLeaving) {
+			this.#record({...server, isLeaving: true});
+		}
+	}
+
+	/** Drops a backend server whose address has been found to be another's. */
+	removeServer(id: string): void {
+		this.#remove('removeServer', new Set(this.store.getState().servers.has(id) ? [id] : []));
 	}
 
 	/** Drops the servers whose announcement has lapsed; after a pause of this node each gets a whole lease first. */
@@ -62,7 +82,7 @@
 		const delayMs = now - this.#sweptAt - announcementSweepMs;
 		this.#sweptAt = now;
 		if (delayMs > pauseBoundMs) {
-			this.#renewLeases(now + announcementLeaseMs);
+			this.#renewLeases(now + this.#leaseMs);
 			return;
 		}
 
@@ -122,6 +142,19 @@
 			: this.#checkRoom(announcement);
 	}
 
+	/** Of two backend servers at one address the later started is there; what was delayed of the other is late. */
+	#checkAddress(announcement: Announcement): Either<Failure, Announcement> {
+		const later = this.#listNeighbours({id: announcement.id, address: parseAddress(announcement.address)!}).find(({generation}) => generation > announcement.generation);
+		return later
+			? Left(createFailure('announcementStale', `server ${later.id} started later at ${announcement.address}`))
+			: Right(announcement);
+	}
+
+	#listNeighbours({id, address}: Pick<AnnouncedServer, 'id' | 'address'>): readonly AnnouncedServer[] {
+		const text = formatAddress(address);
+		return [...this.store.getState().servers.values()].filter(other => other.id !== id && formatAddress(other.address) === text);
+	}
+
 	#checkRoom(announcement: Announcement): Either<Failure, Announcement> {
 		const {servers} = this.store.getState();
 		return servers.size < maxAnnouncedServers || servers.has(announcement.id)
@@ -135,7 +168,10 @@
 			this.#logger.log(server.isLeaving ? 'serverLeft' : 'serverAnnounced', {server: server.id, service: server.service});
 		}
 
-		this.store.update('record', snapshot => ({...snapshot, servers: new Map(snapshot.servers).set(server.id, server)}));
+		const replaced = new Set(this.#listNeighbours(server).filter(({generation}) => generation < server.generation).map(({id}) => id));
+		this.store.update('record', snapshot => ({
+			...snapshot, servers: new Map([...snapshot.servers].filter(([id]) => !replaced.has(id))).set(server.id, server),
+		}));
 		return server;
 	}
 }
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -44,6 +44,11 @@
 		return bound;
 	}
 
+	/** Takes addresses of other nodes that became known after the start. */
+	addSeeds(addresses: readonly Address[]): void {
+		this.#membership.addSeeds(addresses);
+	}
+
 	/** Resolves once the records of the other members are here, at the latest after `boundMs`; at once without seeds. */
 	async waitUntilJoined(boundMs: number): Promise<void> {
 		if (!this.#hasSeeds || !this.#membership.isCatchingUp() || boundMs <= 0) {
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -47,7 +47,7 @@
 /** Learns of other nodes and tells them of this one; `runStep` is called once a gossip period. */
 export class Membership {
 	readonly #context: MembershipContext;
-	readonly #seeds: readonly Address[];
+	#seeds: readonly Address[];
 	readonly #logger: Logger;
 	readonly #metrics: MetricRegistry | undefined;
 	readonly #health = new LocalHealth();
@@ -120,6 +120,12 @@
 		});
 	}
 
+	/** Takes addresses of more nodes to write to; this node writes to some of them at once. */
+	addSeeds(addresses: readonly Address[]): void {
+		this.#seeds = [...this.#seeds, ...addresses];
+		this.#nextReunionAt = performance.now();
+	}
+
 	/** True while records of other members are missing here. */
 	isCatchingUp(): boolean {
 		return this.#repair.isCatchingUp();
--- a/packages/members/src/types.ts
+++ b/packages/members/src/types.ts
@@ -61,6 +61,8 @@
 	readonly isLeaving: boolean;
 	/** Most connections the backend server takes. */
 	readonly maxConnections: number;
+	/** Time for which it stays slow after its start, in milliseconds. */
+	readonly coldMs?: number;
 };
 
 /** A backend server that announced itself to this node. */
@@ -72,6 +74,8 @@
 	readonly generation: number;
 	readonly isLeaving: boolean;
 	readonly maxConnections: number;
+	/** Time for which it stays slow, as last announced, in milliseconds. */
+	readonly coldMs?: number;
 	/** Monotonic time after which the announcement has lapsed, in milliseconds. */
 	readonly expiresAt: number;
 };
--- a/packages/node/src/__tests__/unit/terms-service.test.ts
+++ b/packages/node/src/__tests__/unit/terms-service.test.ts
@@ -7,7 +7,7 @@
 } from '@limpetbarrow/core';
 import {
 	ObjectStore, type ObjectList, type StoredObject, type WatchResult,
-} from '@limpetbarrow/platform';
+} from '@limpetbarrow/object-store';
 import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
 import {SheddingMonitor} from '../../shedding-monitor.js';
 import {TermsKeys} from '../../terms-keys.js';
--- a/packages/node/src/admin-releases.ts
+++ b/packages/node/src/admin-releases.ts
@@ -1,7 +1,7 @@
 /** The part of the admin API that serves releases, to operators and to other nodes. */
 import {type EitherAsync, Left, Right} from 'purify-ts';
 import {createFailure, type Failure, type Logger} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {
 	encodeConfiguration, ReleaseAcceptor, ReleaseLog, ReleaseReader, SnapshotStore, type ItemKind, type Release, type ReleaseNote, type ReleaseState,
 } from '@limpetbarrow/releases';
--- a/packages/node/src/admin.ts
+++ b/packages/node/src/admin.ts
@@ -8,7 +8,7 @@
 } from '@limpetbarrow/core';
 import {EitherAsync} from 'purify-ts';
 import {type Announcements, type MemberTable} from '@limpetbarrow/members';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {type ReleaseState} from '@limpetbarrow/releases';
 import {createFleetRoutes} from './admin-fleet.js';
 import {ReleaseRoutes} from './admin-releases.js';
--- a/packages/node/src/answer.ts
+++ b/packages/node/src/answer.ts
@@ -19,15 +19,24 @@
 	});
 }
 
+/** Where the request may be sent again, says when; in whole seconds unless callers read fractions. */
+function formatRetryAfter({resend, retryAfterMs}: Failure, takesFractions: boolean): Readonly<Record<string, string>> {
+	if (takesFractions && retryAfterMs !== undefined) {
+		return {'retry-after': (retryAfterMs / msPerS).toFixed(2)};
+	}
+
+	return resend === 'later' ? {'retry-after': String(Math.ceil((retryAfterMs ?? msPerS) / msPerS))} : {};
+}
+
 /** Answers a request with a failure; the connection closes when the request's body was not read. */
-export function sendFailure(message: IncomingMessage, response: ServerResponse, failure: Failure): void {
+export function sendFailure(message: IncomingMessage, response: ServerResponse, failure: Failure, takesFractions = false): void {
 	const body = createFailureBody(failure);
 	response.writeHead(failure.status, {
 		'content-type': 'application/json',
 		'content-length': Buffer.byteLength(body),
 		[resultHeader]: String(failure.code),
 		[ranHeader]: failure.ran,
-		...(failure.resend === 'later' && {'retry-after': String(Math.ceil((failure.retryAfterMs ?? msPerS) / msPerS))}),
+		...formatRetryAfter(failure, takesFractions),
 		...(!message.complete && {connection: 'close'}),
 	});
 	response.end(body);
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -2,11 +2,12 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	createFailure, exchangeWindowBytes, Exchange, timeoutHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead,
+	createFailure, exchangeWindowBytes, Exchange, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
-import {selectRequestHeaders, selectResponseHeaders} from './headers.js';
+import {selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
+import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
 
 /** What a run needs of its backend server. */
 export type RunOwner = {
@@ -35,6 +36,7 @@
 	readonly #head: RequestHead;
 	readonly #handler: ExchangeHandler;
 	readonly #owner: RunOwner;
+	readonly #protocol: ServerProtocol;
 	readonly #openedAt = performance.now();
 	readonly #body: RequestBody;
 	readonly #bodyForm: BodyForm;
@@ -48,11 +50,12 @@
 	#bodyEndedAt: number | undefined;
 	#headAt: number | undefined;
 
-	constructor(head: RequestHead, handler: ExchangeHandler, owner: RunOwner) {
+	constructor(head: RequestHead, handler: ExchangeHandler, owner: RunOwner, protocol: ServerProtocol = new PlainServerProtocol()) {
 		super();
 		this.#head = head;
 		this.#handler = handler;
 		this.#owner = owner;
+		this.#protocol = protocol;
 		this.#bodyForm = getBodyForm(head.headers);
 		this.#body = new RequestBody(bytes => {
 			if (this.#state === 'running') {
@@ -95,7 +98,7 @@
 		pool.dispatch({
 			method: this.#head.method,
 			path: this.#head.path,
-			headers: [...selectRequestHeaders(this.#head.headers), timeoutHeader, String(remainingMs)],
+			headers: [...this.#protocol.createHeaders(this.#head, remainingMs, this.#owner.getLoad().serverId)],
 			body: this.#bodyForm === 'none' ? null : this.#body.open(),
 			headersTimeout: 0,
 			bodyTimeout: 0,
@@ -152,9 +155,7 @@
 			},
 			onResponseStart: (controller, status) => {
 				if (this.#state === 'running' && status >= 200) {
-					this.#status = status;
-					this.#headAt = performance.now();
-					this.#handler.handleHead({status, headers: selectResponseHeaders(decodeHeaders(controller.rawHeaders)), load: this.#owner.getLoad()});
+					this.#handleHead({status, headers: selectResponseHeaders(decodeHeaders(controller.rawHeaders))});
 				}
 			},
 			onResponseData: (controller, chunk) => {
@@ -182,6 +183,20 @@
 		};
 	}
 
+	#handleHead(answer: ResponseHead): void {
+		const failure = this.#protocol.judgeAnswer(this.#head, answer);
+		if (failure?.ran === 'not-run') {
+			this.#finish(this.#createOutcome('failed'), failure);
+			this.#handler.handleFailure(failure);
+		} else if (failure) {
+			this.#fail(failure, 'failed');
+		} else {
+			this.#status = answer.status;
+			this.#headAt = performance.now();
+			this.#handler.handleHead({...answer, load: this.#owner.getLoad()});
+		}
+	}
+
 	#handleEnd(): void {
 		if (this.#state === 'running') {
 			this.#finish(this.#createOutcome(this.#status >= firstServerError ? 'failed' : 'answered'), undefined);
--- a/packages/node/src/caller-services.ts
+++ b/packages/node/src/caller-services.ts
@@ -7,7 +7,7 @@
 import {type LinkPool} from '@limpetbarrow/link';
 import {SharedRateLimiter, type Terms} from '@limpetbarrow/limits';
 import {type MemberTable} from '@limpetbarrow/members';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {type ReleaseState} from '@limpetbarrow/releases';
 import {
 	maxKeptBytes, maxKeptBytesPerTerms, maxKeys, maxKeysPerTerms, PauseDetector, Sequencer, SteadyClock,
--- /dev/null
+++ b/packages/node/src/gated-server.ts
@@ -0,0 +1,283 @@
+/** One backend server behind this node's gate: its slots, its queue by priority, and the connections to it. */
+import {Pool, type Dispatcher} from 'undici';
+import {
+	createFailure, formatAddress, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
+} from '@limpetbarrow/core';
+import {
+	minOverdueMs, overdueFactor, ServerGate, WaitQueue, type GateLoad, type GateRequest, type Running, type Waiting,
+} from '@limpetbarrow/admission';
+import {type AnnouncedServer} from '@limpetbarrow/members';
+import {type WorkOutcome} from '@limpetbarrow/detect';
+import {BackendRun} from './backend-run.js';
+import {type ServerProtocol} from './server-protocol.js';
+
+/** What a gated server works with. */
+export type GatedServerOptions = {
+	readonly protocol: ServerProtocol;
+	/** Called when another backend server is found at the address. */
+	readonly handleReplaced: () => void;
+	/** Called when the gate's belief about the backend server has changed. */
+	readonly reportHealth: (isUnwell: boolean, sickness: number) => void;
+	/** Called with each request that was refused or failed here. */
+	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
+};
+
+type Started = Running & {
+	readonly run: BackendRun;
+	readonly head: RequestHead;
+	readonly overdueTimer: NodeJS.Timeout;
+};
+
+type Pending = Waiting & {
+	readonly run: BackendRun;
+	readonly head: RequestHead;
+	readonly timer: NodeJS.Timeout;
+};
+
+/** Time for which an unused connection is kept for requests that may be sent again, in milliseconds. */
+const repeatableKeepAliveMs = 4000;
+/** The same for the others: a request on a connection that has gone meanwhile is lost, so these are kept for a moment only. */
+const unrepeatableKeepAliveMs = 400;
+/** Backend servers are on this node's own host. */
+const connectTimeoutMs = 1000;
+/** Rank of requests that name none. */
+const lastPriority = 1000;
+/** Requests whose body is still arriving. */
+const maxCollecting = 256;
+
+/** Owns the slots of one backend server and alone decides whether a request ran. */
+export class GatedServer {
+	readonly #options: GatedServerOptions;
+	readonly #gate = new ServerGate(performance.now());
+	readonly #queue = new WaitQueue<Pending>();
+	readonly #running = new Map<BackendRun, Started>();
+	readonly #collecting = new Set<BackendRun>();
+	readonly #pools: {readonly repeatable: Pool; readonly unrepeatable: Pool};
+	#server: AnnouncedServer;
+	#wasUnwell = false;
+
+	constructor(server: AnnouncedServer, options: GatedServerOptions) {
+		this.#options = options;
+		this.#server = server;
+		this.#pools = {repeatable: this.#createPool(repeatableKeepAliveMs), unrepeatable: this.#createPool(unrepeatableKeepAliveMs)};
+		this.#gate.setCold(server.coldMs ?? 0, performance.now());
+	}
+
+	/** Runs a request now or when a slot is free, or refuses it with "not run". */
+	openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		const run: BackendRun = new BackendRun(head, handler, {
+			getLoad: () => this.getLoad(head.priority, head.route),
+			handleReady: ready => {
+				this.#collecting.delete(ready);
+				this.#admit(ready, head);
+			},
+			handleForgotten: forgotten => {
+				this.#collecting.delete(forgotten);
+				this.#queue.list().filter(pending => pending.run === forgotten).forEach(pending => {
+					this.#forget(pending);
+				});
+			},
+			handleDone: (outcome, failure) => {
+				this.#handleDone(run, outcome, failure);
+			},
+		}, this.#options.protocol);
+		if (run.isReady()) {
+			this.#admit(run, head);
+		} else if (this.#collecting.size < maxCollecting) {
+			this.#collecting.add(run);
+		} else {
+			this.#refuse(run, head, createFailure('queueFull', `${maxCollecting} bodies are arriving`));
+		}
+
+		return run;
+	}
+
+	/** Load as a request of that rank and route would find it. */
+	getLoad(priority = lastPriority, route = ''): LoadHint {
+		const now = performance.now();
+		return {
+			serverId: this.#server.id,
+			freeSlots: Math.max(0, this.#countSlots() - this.#running.size),
+			queued: this.#queue.count(),
+			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad(priority), now)),
+			workMs: Math.round(this.#gate.estimateWork(route, now)),
+			isUnwell: this.#gate.isUnwell(now),
+		};
+	}
+
+	/** Requests running, waiting, or whose body is arriving. */
+	countRequests(): number {
+		return this.#running.size + this.#queue.count() + this.#collecting.size;
+	}
+
+	/** Takes a newer announcement from the same address; what waits at one that leaves is refused. */
+	applyAnnouncement(server: AnnouncedServer): void {
+		this.#server = server;
+		this.#gate.setCold(server.coldMs ?? 0, performance.now());
+		if (server.isLeaving) {
+			this.#refuseWaiting(createFailure('serverLeaving', `server ${server.id}`));
+		} else {
+			this.#startNext();
+		}
+	}
+
+	/** Refuses what waits, and closes once what runs is over. */
+	async drain(): Promise<void> {
+		this.#refuseWaiting(createFailure('serverNotHere', `server ${this.#server.id}`));
+		await Promise.all(this.#listPools().map(async pool => pool.close()));
+	}
+
+	/** Closes at once; what runs breaks off. */
+	async close(): Promise<void> {
+		this.#refuseWaiting(createFailure('serverNotHere', `server ${this.#server.id}`));
+		await Promise.all(this.#listPools().map(async pool => pool.destroy()));
+	}
+
+	#listPools(): readonly Dispatcher[] {
+		return Object.values(this.#pools);
+	}
+
+	#createPool(keepAliveMs: number): Pool {
+		return new Pool(`http://${formatAddress(this.#server.address)}`, {
+			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connectTimeout: connectTimeoutMs,
+		});
+	}
+
+	#countSlots(): number {
+		return Math.max(1, Math.min(this.#server.slots, this.#server.maxConnections));
+	}
+
+	#createLoad(priority: number): GateLoad {
+		return {
+			slots: this.#countSlots(), running: [...this.#running.values()], ahead: this.#queue.selectAhead(priority), waitingCount: this.#queue.count(),
+		};
+	}
+
+	#admit(run: BackendRun, head: RequestHead): void {
+		const priority = head.priority ?? lastPriority;
+		const remainingMs = run.getRemainingMs();
+		const request: GateRequest = {
+			route: head.route ?? '',
+			priority,
+			isRepeatable: head.isRepeatable,
+			remainingMs,
+			objectiveMs: head.objectiveMs ?? remainingMs,
+			patienceMs: head.patienceMs ?? remainingMs,
+			isLastResort: head.isLastResort ?? false,
+		};
+		const refusal = this.#server.isLeaving
+			? createFailure('serverLeaving', `server ${this.#server.id}`)
+			: this.#gate.findRefusal(request, this.#createLoad(priority), performance.now());
+		if (refusal) {
+			this.#refuse(run, head, refusal);
+		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
+			this.#start(run, head);
+		} else {
+			this.#enqueue(run, head, priority, remainingMs);
+		}
+	}
+
+	#enqueue(run: BackendRun, head: RequestHead, priority: number, remainingMs: number): void {
+		const now = performance.now();
+		const workMs = this.#gate.estimateWork(head.route ?? '', now);
+		const latestMs = Math.max(0, remainingMs - (workMs / 2));
+		const pending: Pending = {
+			run,
+			head,
+			priority,
+			workMs,
+			latestStartAt: now + latestMs,
+			timer: setTimeout(() => {
+				this.#forget(pending);
+				this.#refuse(run, head, createFailure('queueDeadline', `waited ${Math.round(latestMs)} ms`));
+			}, latestMs),
+		};
+		this.#queue.add(pending);
+	}
+
+	#refuse(run: BackendRun, head: RequestHead, failure: Failure): void {
+		this.#options.reportFailure(head, failure);
+		run.refuse(failure);
+	}
+
+	#refuseWaiting(failure: Failure): void {
+		this.#queue.list().forEach(pending => {
+			this.#forget(pending);
+			this.#refuse(pending.run, pending.head, failure);
+		});
+		[...this.#collecting].forEach(run => {
+			this.#collecting.delete(run);
+			run.refuse(failure);
+		});
+	}
+
+	#forget(pending: Pending): void {
+		clearTimeout(pending.timer);
+		this.#queue.remove(pending);
+	}
+
+	#start(run: BackendRun, head: RequestHead): void {
+		const now = performance.now();
+		const workMs = this.#gate.estimateWork(head.route ?? '', now);
+		const overdueTimer = setTimeout(() => {
+			this.#recordHealth('failed');
+		}, Math.max(minOverdueMs, workMs * overdueFactor));
+		this.#running.set(run, {
+			run, head, startedAt: now, workMs, overdueTimer,
+		});
+		run.start(head.isRepeatable ? this.#pools.repeatable : this.#pools.unrepeatable);
+	}
+
+	#handleDone(run: BackendRun, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
+		const started = this.#running.get(run);
+		this.#running.delete(run);
+		clearTimeout(started?.overdueTimer);
+		if (started && failure) {
+			this.#options.reportFailure(started.head, failure);
+		}
+
+		if (failure?.name === 'serverReplaced') {
+			this.#options.handleReplaced();
+		} else if (started && outcome) {
+			this.#recordOutcome(started, outcome, failure);
+		}
+
+		this.#startNext();
+	}
+
+	/** A request that was given up, or whose time was short, says nothing about the backend server. */
+	#recordOutcome({head}: Started, {kind, durationMs}: WorkOutcome, failure: Failure | undefined): void {
+		if (kind === 'answered') {
+			this.#gate.recordWork(head.route ?? '', durationMs);
+			this.#recordHealth('well');
+		} else if (kind === 'failed') {
+			this.#recordHealth(failure?.name === 'serverRefused' ? 'unreachable' : 'failed');
+		}
+	}
+
+	#recordHealth(outcome: 'well' | 'failed' | 'unreachable'): void {
+		const now = performance.now();
+		this.#gate.recordOutcome(outcome, now);
+		const isUnwell = this.#gate.isUnwell(now);
+		if (isUnwell !== this.#wasUnwell) {
+			this.#wasUnwell = isUnwell;
+			this.#options.reportHealth(isUnwell, this.#gate.estimateSickness(now));
+		}
+	}
+
+	#startNext(): void {
+		const now = performance.now();
+		this.#queue.removeHopeless(now).forEach(pending => {
+			this.#forget(pending);
+			this.#refuse(pending.run, pending.head, createFailure('queueDeadline', 'no time is left for the work'));
+		});
+		if (this.#queue.count() === 0 || this.#running.size >= this.#countSlots()) {
+			return;
+		}
+
+		const next = this.#queue.takeNext()!;
+		this.#forget(next);
+		this.#start(next.run, next.head);
+		this.#startNext();
+	}
+}
--- /dev/null
+++ b/packages/node/src/host-announcement.ts
@@ -0,0 +1,30 @@
+/** Takes announcements of the one backend server of a host. */
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	createFailure, formatAddress, type Address, type Failure,
+} from '@limpetbarrow/core';
+import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
+
+/** What a host's announcement must fit. */
+export type HostBounds = {
+	readonly serverAddress: Address;
+	readonly remoteHost: string;
+	/** Configured services; empty while no configuration is known. */
+	readonly services: ReadonlyMap<string, unknown>;
+};
+
+function checkHost(input: unknown, {serverAddress, services}: HostBounds): Either<Failure, unknown> {
+	const {address, service} = (input ?? {}) as {readonly address?: unknown; readonly service?: unknown};
+	if (address !== formatAddress(serverAddress)) {
+		return Left(createFailure('announcementForeign', `${String(address)} is not the address of this host's backend server`));
+	}
+
+	return services.size > 0 && !services.has(String(service))
+		? Left(createFailure('announcementInvalid', `service ${String(service)} is not configured`))
+		: Right(input);
+}
+
+/** Accepts an announcement, or says why not. */
+export function acceptHostAnnouncement(announcements: Announcements, input: unknown, bounds: HostBounds): Either<Failure, AnnouncedServer> {
+	return checkHost(input, bounds).chain(announcement => announcements.accept(announcement, bounds.remoteHost));
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -11,3 +11,15 @@
 export type {FleetStatus, NodeStatus} from './admin-fleet.js';
 export * from './admin.js';
 export * from './http-release-peers.js';
+export * from './server-protocol.js';
+export type {CallerProtocol} from './ingress-request.js';
+export * from './control-server.js';
+export * from './sidecar-settings.js';
+export * from './sidecar-node.js';
+export * from './request-router.js';
+export * from './host-egress.js';
+export * from './gated-server.js';
+export * from './store-discovery.js';
+export * from './host-announcement.js';
+export * from './run-daemon.js';
+export * from './run-sidecar.js';
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -12,6 +12,8 @@
 export type IngressExchangeOptions = {
 	readonly maxBodyBytes: number;
 	readonly recordFailure: (failure: Failure) => void;
+	/** True when callers read fractions of a second in `retry-after`. */
+	readonly takesFractions?: boolean;
 };
 
 /** Moves bodies both ways, each side no faster than the other takes them. */
@@ -149,7 +151,7 @@
 		if (this.#response.headersSent) {
 			this.#response.socket?.resetAndDestroy();
 		} else {
-			sendFailure(this.#message, this.#response, failure);
+			sendFailure(this.#message, this.#response, failure, this.#options.takesFractions);
 		}
 	}
 
--- a/packages/node/src/ingress-request.ts
+++ b/packages/node/src/ingress-request.ts
@@ -5,8 +5,23 @@
 	createFailure, findHeader, idempotencyHeader, selectHeaders, termsHeader, timeoutHeader, type Failure,
 } from '@limpetbarrow/core';
 
+/** Which headers of callers the ingress reads, and how it answers. */
+export type CallerProtocol = {
+	/** Header with the milliseconds for which the caller waits. */
+	readonly timeoutHeader: string;
+	/** Header with an id that the caller gave the request; undefined where the ingress gives ids itself. */
+	readonly requestIdHeader: string | undefined;
+	/** True when callers read fractions of a second in `retry-after`. */
+	readonly takesFractions: boolean;
+};
+
+/** The project's own protocol. */
+export const ownCallerProtocol: CallerProtocol = {timeoutHeader, requestIdHeader: undefined, takesFractions: false};
+
 /** A caller's request as the ingress reads it. */
 export type IngressRequest = {
+	/** Id that the caller gave the request. */
+	readonly requestId?: string | undefined;
 	/** Host without port, in lower case. */
 	readonly host: string;
 	readonly method: string;
@@ -19,7 +34,7 @@
 	readonly contentLength: number | undefined;
 };
 
-function parseTimeout(text: string | undefined): Either<Failure, number | undefined> {
+function parseTimeout(text: string | undefined, header: string): Either<Failure, number | undefined> {
 	if (text === undefined) {
 		return Right(undefined);
 	}
@@ -27,7 +42,7 @@
 	const timeoutMs = Number(text);
 	return /^\d{1,9}$/v.test(text) && timeoutMs > 0
 		? Right(timeoutMs)
-		: Left(createFailure('invalidTimeout', `${timeoutHeader} is ${text.slice(0, 40)}`));
+		: Left(createFailure('invalidTimeout', `${header} is ${text.slice(0, 40)}`));
 }
 
 type Target = {
@@ -65,12 +80,13 @@
 }
 
 /** Reads the head of a request. */
-export function parseIngressRequest(message: IncomingMessage): Either<Failure, IngressRequest> {
+export function parseIngressRequest(message: IncomingMessage, protocol = ownCallerProtocol): Either<Failure, IngressRequest> {
 	const headers = message.rawHeaders;
 	const url = message.url ?? '';
 	const contentLength = message.headers['content-length'];
 	return parseTarget(url, listHeaders(headers, 'host'), message.httpVersion)
-		.chain(target => parseTimeout(findHeader(headers, timeoutHeader)).map(timeoutMs => ({
+		.chain(target => parseTimeout(findHeader(headers, protocol.timeoutHeader), protocol.timeoutHeader).map(timeoutMs => ({
+			requestId: protocol.requestIdHeader === undefined ? undefined : findHeader(headers, protocol.requestIdHeader),
 			host: target.host.replace(/:\d+$/v, '').toLowerCase(),
 			method: message.method ?? 'GET',
 			path: target.path,
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -3,18 +3,21 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {Left, Right, type Either} from 'purify-ts';
 import {
 	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
-import {isRepeatable, RouteTable} from '@limpetbarrow/choose';
+import {isRepeatable, pickService, RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
 import {formatRawFailure, sendFailure} from './answer.js';
 import {IngressExchange} from './ingress-exchange.js';
-import {parseIngressRequest, type IngressRequest} from './ingress-request.js';
+import {
+	ownCallerProtocol, parseIngressRequest, type CallerProtocol, type IngressRequest,
+} from './ingress-request.js';
 import {replaceUnproven} from './keyed-request.js';
+import {listenServer} from './listen-server.js';
 
 /** Checks a request against the caller's terms; undefined terms where the caller holds none. */
 export type AdmitRequest = (request: IngressRequest) => Either<Failure, Terms | undefined>;
@@ -33,6 +36,9 @@
 	readonly handleReserved: HandleReserved;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
+	readonly protocol?: CallerProtocol;
+	/** Service of this host, which backend servers are told as the caller's. */
+	readonly getCallerService?: () => string;
 };
 
 type Located = {
@@ -42,10 +48,13 @@
 };
 
 const usPerMs = 1000;
+/** Time between the end of the idle time that callers are told and the closing of the connection, in milliseconds. */
+const idleSlackMs = 1000;
 
 /** Serves callers. */
 export class Ingress {
 	readonly #options: IngressOptions;
+	readonly #protocol: CallerProtocol;
 	readonly #server: Server;
 	#routes = new RouteTable({
 		release: 0, services: new Map(), routes: new Map(), terms: new Map(), organisations: new Map(),
@@ -59,6 +68,7 @@
 
 	constructor(options: IngressOptions) {
 		this.#options = options;
+		this.#protocol = options.protocol ?? ownCallerProtocol;
 		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false}, (message, response) => {
 			this.#handle(message, response);
 		});
@@ -82,12 +92,8 @@
 		});
 	}
 
-	async listen({host, port}: Address): Promise<Address> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, resolve);
-		});
-		return {host, port: (this.#server.address() as AddressInfo).port};
+	async listen(address: Address): Promise<Address> {
+		return listenServer(this.#server, address);
 	}
 
 	/** From now on every answer closes its connection, so that callers go to other nodes. */
@@ -130,7 +136,7 @@
 		}
 
 		this.#options.metrics.addCount('ingress_requests_total');
-		parseIngressRequest(message)
+		parseIngressRequest(message, this.#protocol)
 			.chain(request => this.#locate(request))
 			.chain(located => this.#open(located, message, response))
 			.ifLeft(failure => {
@@ -147,6 +153,7 @@
 		if (configuration !== this.#configuration) {
 			this.#configuration = configuration;
 			this.#routes = new RouteTable(configuration);
+			this.#applyLimits(configuration);
 		}
 
 		return this.#routes.findRoute(request)
@@ -154,11 +161,20 @@
 			.chain(route => this.#options.admitRequest(request).map(terms => ({request, route, terms})));
 	}
 
+	/** Idle connections are kept a little longer than callers may use them, so that none is closed under a request. */
+	#applyLimits({callerLimits}: Configuration): void {
+		if (callerLimits) {
+			this.#server.headersTimeout = callerLimits.headerTimeoutMs;
+			this.#server.keepAliveTimeout = callerLimits.idleTimeoutMs + idleSlackMs;
+		}
+	}
+
 	#open(located: Located, message: IncomingMessage, response: ServerResponse): Either<Failure, Carrier> {
 		const {request, route, terms} = located;
 		return this.#options.selectNext(request, terms).ifRight(carrier => {
 			const exchange = new IngressExchange(message, response, {
 				maxBodyBytes: route.maxBodyBytes,
+				takesFractions: this.#protocol.takesFractions,
 				recordFailure: failure => {
 					this.#recordFailure(failure);
 				},
@@ -167,7 +183,7 @@
 			response.once('close', () => {
 				this.#exchanges.delete(exchange);
 			});
-			exchange.open(carrier, createHead(located));
+			exchange.open(carrier, createHead(located, this.#options.getCallerService?.()));
 			if (message.headers.expect !== undefined) {
 				response.writeContinue();
 			}
@@ -176,7 +192,7 @@
 
 	#refuse(message: IncomingMessage, response: ServerResponse, failure: Failure): void {
 		this.#recordFailure(failure);
-		sendFailure(message, response, failure);
+		sendFailure(message, response, failure, this.#protocol.takesFractions);
 	}
 
 	#recordFailure(failure: Failure): void {
@@ -214,18 +230,23 @@
 		: Right(route);
 }
 
-function createHead({request, route, terms}: Located): RequestHead {
+function createHead({request, route, terms}: Located, callerService: string | undefined): RequestHead {
 	const bounds = [request.timeoutMs, terms?.timeoutMs, route.timeoutMs].filter(bound => bound !== undefined);
 	return {
-		requestId: createRandomId(),
+		requestId: request.requestId ?? createRandomId(),
 		target: request.idempotencyKey === undefined ? {kind: 'egress', serverId: ''} : {kind: 'sequencer'},
-		service: route.service,
+		service: pickService(route, Math.random()),
 		method: request.method,
 		path: request.path,
 		headers: request.headers,
 		remainingMs: Math.min(...bounds),
 		isRepeatable: isRepeatable(route, request.method),
 		organisation: terms?.organisation ?? '',
+		route: route.name,
+		...(route.priority !== undefined && {priority: route.priority}),
+		...(route.maxAttempts !== undefined && {maxAttempts: route.maxAttempts}),
+		...(route.objectiveMs !== undefined && {objectiveMs: route.objectiveMs}),
+		...(callerService !== undefined && {callerService}),
 		...(request.idempotencyKey !== undefined && {idempotencyKey: request.idempotencyKey}),
 	};
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,7 +8,7 @@
 import {
 	announcementSweepMs, Announcements, Gossip, MemberTable,
 } from '@limpetbarrow/members';
-import {HttpObjectStore} from '@limpetbarrow/platform';
+import {HttpObjectStore} from '@limpetbarrow/object-store';
 import {ReleaseFollower, ReleaseState} from '@limpetbarrow/releases';
 import {Admin} from './admin.js';
 import {CallerServices} from './caller-services.js';
--- a/packages/node/src/peer-baseline-source.ts
+++ b/packages/node/src/peer-baseline-source.ts
@@ -1,11 +1,10 @@
 /** Asks other nodes' egresses for summaries, over the links that carry requests. */
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import {
-	createRandomId, type Carrier, type ExchangeHandler, type RequestHead,
-} from '@limpetbarrow/core';
+import {type Carrier} from '@limpetbarrow/core';
 import {BaselineSource, confirmTimeoutMs, type ServerSummary} from '@limpetbarrow/detect';
 import {type FindEgress} from './forwarder.js';
+import {fetchInternal} from './internal-fetch.js';
 import {type ServerDirectory} from './server-directory.js';
 
 /** Path under which an egress answers with its summaries. Callers can't reach it: an ingress keeps such paths to itself. */
@@ -23,66 +22,21 @@
 	})).max(maxBuckets),
 })).max(maxSummaries);
 
-function parseSummaries(chunks: readonly Uint8Array[]): readonly ServerSummary[] {
+function parseSummaries(body: Uint8Array): readonly ServerSummary[] {
 	try {
-		const result = summariesSchema.safeParse(JSON.parse(Buffer.concat(chunks).toString()));
+		const result = summariesSchema.safeParse(JSON.parse(Buffer.from(body).toString()));
 		return result.success ? result.data : [];
 	} catch {
 		return [];
 	}
 }
 
-function createHead(service: string): RequestHead {
-	return {
-		requestId: createRandomId(),
-		target: {kind: 'egress', serverId: ''},
-		service,
-		method: 'GET',
-		path: summariesPath,
-		headers: [],
-		remainingMs: confirmTimeoutMs,
-		isRepeatable: true,
-		organisation: '',
-	};
-}
-
 /** Reads one egress's summaries; nothing when it fails or is late. */
 async function fetchFrom(carrier: Carrier, service: string): Promise<readonly ServerSummary[]> {
-	return new Promise(resolve => {
-		const received: Uint8Array[] = [];
-		let bytes = 0;
-		const finish = (summaries: readonly ServerSummary[]): void => {
-			clearTimeout(timer);
-			resolve(summaries);
-		};
-
-		const handler: ExchangeHandler = {
-			handleHead() {
-				// Only the body matters.
-			},
-			handleData(chunk) {
-				bytes += chunk.length;
-				if (bytes <= maxSummariesBytes) {
-					received.push(chunk);
-				}
-			},
-			handleCredit() {
-				// No body is sent.
-			},
-			handleEnd() {
-				finish(parseSummaries(received));
-			},
-			handleFailure() {
-				finish([]);
-			},
-		};
-		const exchange = carrier.openExchange(createHead(service), handler);
-		const timer = setTimeout(() => {
-			exchange.cancel();
-			finish([]);
-		}, confirmTimeoutMs);
-		exchange.endBody();
+	const answer = await fetchInternal(carrier, {
+		service, path: summariesPath, timeoutMs: confirmTimeoutMs, maxBytes: maxSummariesBytes,
 	});
+	return answer.map(body => parseSummaries(body)).orDefault([]);
 }
 
 function pickRandom<Item>(items: readonly Item[], count: number): readonly Item[] {
--- /dev/null
+++ b/packages/node/src/peer-configurations.ts
@@ -0,0 +1,112 @@
+/** Learns configurations from other nodes when this node's own way to them is slower or cut off. */
+import {Buffer} from 'node:buffer';
+import {Left} from 'purify-ts';
+import {
+	Carrier, createFailure, reservedPathPrefix, type Exchange, type ExchangeHandler, type Failure, type Logger, type RequestHead,
+} from '@limpetbarrow/core';
+import {type Member, type MemberTable} from '@limpetbarrow/members';
+import {encodeConfiguration, parseConfiguration, type ReleaseState} from '@limpetbarrow/releases';
+import {answerExchange} from './closed-exchange.js';
+import {type FindEgress} from './forwarder.js';
+import {fetchInternal} from './internal-fetch.js';
+
+/** Path under which a node answers with its configuration. */
+export const configurationPath = `${reservedPathPrefix}configuration`;
+
+/** What learning from peers needs. */
+export type PeerConfigurationsOptions = {
+	readonly table: MemberTable;
+	readonly state: ReleaseState;
+	readonly findEgress: FindEgress;
+	readonly logger: Logger;
+};
+
+/** Time between two looks at what others have in force, in milliseconds. */
+const checkPeriodMs = 400;
+/** Time another node's lead must last before it is asked, in milliseconds; mostly the node's own watch comes first. */
+const leadMs = 400;
+const fetchTimeoutMs = 1500;
+const maxConfigurationBytes = 16_777_216;
+
+/** Serves the configuration to other nodes. */
+export class ConfigurationCarrier extends Carrier {
+	readonly #state: ReleaseState;
+
+	constructor(state: ReleaseState) {
+		super();
+		this.#state = state;
+	}
+
+	override openExchange(_head: RequestHead, handler: ExchangeHandler): Exchange {
+		return answerExchange(handler, encodeConfiguration(this.#state.getConfiguration()));
+	}
+}
+
+/** Asks a node that has a newer configuration in force, one in this failure domain first. */
+export class PeerConfigurations {
+	readonly #options: PeerConfigurationsOptions;
+	#timer: NodeJS.Timeout | undefined;
+	#behindSince: number | undefined;
+	#isFetching = false;
+
+	constructor(options: PeerConfigurationsOptions) {
+		this.#options = options;
+	}
+
+	start(): void {
+		this.#timer = setInterval(() => {
+			void this.#check(performance.now());
+		}, checkPeriodMs);
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	async #check(now: number): Promise<void> {
+		const ahead = this.#listAhead();
+		this.#behindSince = ahead.length === 0 ? undefined : this.#behindSince ?? now;
+		const isKnown = this.#options.state.getNumber() > 0;
+		if (this.#behindSince === undefined || this.#isFetching || (isKnown && now - this.#behindSince < leadMs)) {
+			return;
+		}
+
+		this.#isFetching = true;
+		await this.#fetchFrom(ahead[Math.floor(Math.random() * ahead.length)]!);
+		this.#isFetching = false;
+	}
+
+	/** Members with the newest configuration; those of this failure domain only, where there are any. */
+	#listAhead(): readonly Member[] {
+		const {table, state} = this.#options;
+		const ahead = table.listLive().filter(({record, status}) => status === 'alive' && record.release > state.getNumber());
+		const newest = Math.max(...ahead.map(({record}) => record.release));
+		const holders = ahead.filter(({record}) => record.release === newest);
+		const {failureDomain} = table.getSelf().placement;
+		const near = holders.filter(({record}) => record.placement.failureDomain === failureDomain);
+		return near.length > 0 ? near : holders;
+	}
+
+	async #fetchFrom({record}: Member): Promise<void> {
+		const {findEgress, logger, state} = this.#options;
+		const carrier = findEgress(record.id);
+		const answer = carrier
+			? await fetchInternal(carrier, {
+				service: '', path: configurationPath, timeoutMs: fetchTimeoutMs, maxBytes: maxConfigurationBytes,
+			})
+			: Left<Failure, Uint8Array>(createFailure('linkUnreachable', `node ${record.id} is not known`));
+		answer.chain(body => parseConfiguration(parseJson(body))).ifRight(configuration => {
+			state.applyConfiguration(configuration);
+		}).ifLeft(({code, detail}) => {
+			logger.log('releaseFetchFailed', {node: record.id, code, detail});
+		});
+	}
+}
+
+function parseJson(body: Uint8Array): unknown {
+	try {
+		return JSON.parse(Buffer.from(body).toString('utf8'));
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/node/src/request-router.ts
@@ -0,0 +1,104 @@
+/** Carries requests to backend servers anywhere in the fleet, near ones first. */
+import {
+	Carrier, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type Placement, type RequestHead,
+} from '@limpetbarrow/core';
+import {
+	chooseSpillStep, findTier, PathHealth, type Candidate, type RetryPolicy, type SpillStep, type SpillView,
+} from '@limpetbarrow/choose';
+import {type FindEgress} from './forwarder.js';
+import {LoadTracker} from './load-tracker.js';
+import {RoutedExchange} from './routed-exchange.js';
+import {type RoutedRequest} from './routed-request.js';
+import {type ServerDirectory} from './server-directory.js';
+
+/** What a router works with. */
+export type RequestRouterOptions = {
+	readonly self: {readonly id: string; readonly placement: Placement};
+	readonly directory: Pick<ServerDirectory, 'listCandidates'>;
+	readonly findEgress: FindEgress;
+	/** Load of a backend server of this host, as a request of that rank and route would find it. */
+	readonly findLocalLoad: (serverId: string, priority: number | undefined, route: string | undefined) => LoadHint | undefined;
+	readonly createRetries: () => RetryPolicy;
+	readonly metrics: MetricRegistry;
+	readonly logger: Logger;
+	/** Random numbers from 0 to below 1. */
+	readonly pickRandom?: () => number;
+};
+
+const maxBudgets = 1024;
+
+/** Chooses and watches; each request is an exchange of its own. */
+export class RequestRouter extends Carrier {
+	readonly #options: RequestRouterOptions;
+	readonly #loads = new LoadTracker();
+	readonly #paths = new PathHealth();
+	readonly #budgets = new Map<string, RetryPolicy>();
+	readonly #pickRandom: () => number;
+
+	constructor(options: RequestRouterOptions) {
+		super();
+		this.#options = options;
+		this.#pickRandom = options.pickRandom ?? Math.random;
+	}
+
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		const retries = this.#getBudget(head.service);
+		retries.recordRequest();
+		return new RoutedExchange(head, handler, {
+			chooseStep: request => this.#chooseStep(request),
+			findEgress: this.#options.findEgress,
+			loads: this.#loads,
+			paths: this.#paths,
+			retries,
+			metrics: this.#options.metrics,
+			logger: this.#options.logger,
+			pickRandom: this.#pickRandom,
+		});
+	}
+
+	#chooseStep(request: RoutedRequest): SpillStep | undefined {
+		const {directory} = this.#options;
+		const {head} = request;
+		const now = performance.now();
+		const candidates = directory.listCandidates(head.service)
+			.filter(({server}) => server.state !== 'leaving' && !request.hasHanded(server.id));
+		const reachable = candidates.filter(({nodeId}) => !this.#paths.isAvoided(nodeId, now));
+		const views = (reachable.length > 0 ? reachable : candidates).map(candidate => this.#createView(candidate, request));
+		const remainingMs = request.getRemainingMs(now);
+		return chooseSpillStep(views, {isRepeatable: head.isRepeatable, objectiveMs: head.objectiveMs ?? head.remainingMs, remainingMs}, this.#pickRandom);
+	}
+
+	#createView(candidate: Candidate, request: RoutedRequest): SpillView {
+		const {server} = candidate;
+		const {priority, route} = request.head;
+		const tier = findTier(this.#options.self, candidate);
+		const hint = tier === 'host' ? this.#options.findLocalLoad(server.id, priority, route) : this.#loads.getHint(server.id);
+		const inFlight = this.#loads.countInFlight(server.id);
+		const workMs = hint?.workMs;
+		const crowdedMs = Math.max(0, inFlight + 1 - server.slots) * (workMs ?? 0) / server.slots;
+		return {
+			candidate,
+			tier,
+			waitMs: Math.max(hint?.waitMs ?? 0, crowdedMs),
+			workMs,
+			isUnwell: hint?.isUnwell ?? false,
+			refusals: request.countRefusals(server.id),
+		};
+	}
+
+	#getBudget(service: string): RetryPolicy {
+		const known = this.#budgets.get(service);
+		if (known) {
+			return known;
+		}
+
+		const budget = this.#options.createRetries();
+		this.#budgets.set(service, budget);
+		const [oldest] = this.#budgets.keys();
+		if (this.#budgets.size > maxBudgets && oldest !== undefined) {
+			this.#budgets.delete(oldest);
+		}
+
+		return budget;
+	}
+}
--- /dev/null
+++ b/packages/node/src/routed-request.ts
@@ -0,0 +1,115 @@
+/** What one routed request has tried so far, and what that leaves it to do. */
+import {
+	createFailure, type Failure, type RequestHead, type ResultName,
+} from '@limpetbarrow/core';
+
+/** Refusals by a node, before any backend server had the request. */
+const gateRefusals: ReadonlySet<ResultName> = new Set(['serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed']);
+const defaultMaxAttempts = 2;
+/** Steps after which a request stops looking for a place. */
+const maxSteps = 12;
+const maxLastResorts = 2;
+/** Bounds of the delay after which a refused caller is asked to come back, in milliseconds. */
+const minRetryAfterMs = 150;
+const maxRetryAfterMs = 1500;
+const defaultRetryAfterMs = 400;
+
+/** True when no backend server had the request. */
+export function isGateRefusal({name}: Failure): boolean {
+	return gateRefusals.has(name);
+}
+
+/** Counts the hand-overs and refusals of one request. */
+export class RoutedRequest {
+	readonly head: RequestHead;
+	readonly #openedAt: number;
+	/** Backend servers that were handed the request, or may have been. */
+	#handed: ReadonlySet<string> = new Set();
+	readonly #refusals = new Map<string, number>();
+	#steps = 0;
+	#lastResorts = 0;
+	#shortestWaitMs = Number.POSITIVE_INFINITY;
+	#unknown: Failure | undefined;
+	#last: Failure | undefined;
+	#trace: readonly string[] = [];
+
+	constructor(head: RequestHead, now: number) {
+		this.head = head;
+		this.#openedAt = now;
+	}
+
+	getRemainingMs(now: number): number {
+		return this.head.remainingMs - (now - this.#openedAt);
+	}
+
+	getElapsedMs(now: number): number {
+		return now - this.#openedAt;
+	}
+
+	/** The steps so far, for the log. */
+	formatTrace(): string {
+		return this.#trace.join(' ');
+	}
+
+	hasHanded(serverId: string): boolean {
+		return this.#handed.has(serverId);
+	}
+
+	countHanded(): number {
+		return this.#handed.size;
+	}
+
+	countRefusals(serverId: string): number {
+		return this.#refusals.get(serverId) ?? 0;
+	}
+
+	/** True when one more backend server may be handed the request. */
+	hasAttempt(): boolean {
+		return this.#handed.size < (this.head.maxAttempts ?? defaultMaxAttempts);
+	}
+
+	/** True when the request may look for another place. */
+	hasStep(isLastResort: boolean): boolean {
+		return this.#steps < maxSteps && !(isLastResort && this.#lastResorts >= maxLastResorts);
+	}
+
+	recordStep(serverId: string, isLastResort: boolean): void {
+		this.#steps++;
+		this.#lastResorts += Number(isLastResort);
+		this.#handed = new Set([...this.#handed, serverId]);
+	}
+
+	/** Takes the end of a step. */
+	recordFailure(serverId: string, failure: Failure, now: number): void {
+		this.#trace = [...this.#trace, `${serverId}:${failure.code}@${Math.round(this.getElapsedMs(now))}`];
+		this.#last = failure;
+		if (failure.ran !== 'not-run') {
+			this.#unknown ??= failure;
+		}
+
+		if (isGateRefusal(failure)) {
+			this.#handed = new Set([...this.#handed].filter(id => id !== serverId));
+			this.#refusals.set(serverId, this.countRefusals(serverId) + 1);
+			this.#shortestWaitMs = Math.min(this.#shortestWaitMs, failure.retryAfterMs ?? Number.POSITIVE_INFINITY);
+		}
+	}
+
+	recordAnswer(serverId: string, status: number, now: number): void {
+		this.#trace = [...this.#trace, `${serverId}:${status}@${Math.round(this.getElapsedMs(now))}`];
+	}
+
+	/**
+	 * What the caller is told: that it has not run only when no hand-over may have. A caller that may come back is told
+	 * when a slot is likely to be free, a little spread so that not all come at once.
+	 */
+	createFailure(random: number): Failure {
+		const failure = this.#unknown ?? this.#last ?? createFailure('noServer', `service ${this.head.service}`);
+		if (failure.ran !== 'not-run') {
+			return failure;
+		}
+
+		const waitMs = Number.isFinite(this.#shortestWaitMs) ? this.#shortestWaitMs : defaultRetryAfterMs;
+		const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) * (1 + (random / 2));
+		return {...failure, retryAfterMs: Math.round(retryAfterMs)};
+	}
+}
--- /dev/null
+++ b/packages/node/src/run-sidecar.ts
@@ -0,0 +1,125 @@
+/** Runs a sidecar node as a process: settings file, signals, logs. */
+import {readFile, stat} from 'node:fs/promises';
+import process from 'node:process';
+import {Left, type Either} from 'purify-ts';
+import {
+	createDescriptorWriter, createFailure, foldResult, formatFailure, LineLogger, type Failure,
+} from '@limpetbarrow/core';
+import {runDaemon} from './run-daemon.js';
+import {SidecarNode, type SidecarPlatform} from './sidecar-node.js';
+import {changeableSettings, listChangedSettings, type SidecarSettings} from './sidecar-settings.js';
+
+/** What a platform's adapter supplies. */
+export type RunSidecarOptions = {
+	readonly settingsPath: string;
+	readonly parseSettings: (text: string) => Either<Failure, SidecarSettings>;
+	/** How the platform whose object API has this base URL speaks. */
+	readonly createPlatform: (storeUrl: string) => SidecarPlatform;
+};
+
+const standardOutput = 1;
+const failedExitCode = 1;
+/** Time between two looks whether the settings file has changed without a signal, in milliseconds. */
+const settingsPollMs = 2000;
+const logFlushBoundMs = 200;
+const listenErrors: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EACCES', 'EADDRNOTAVAIL', 'ENOTFOUND']);
+
+async function readSettings({settingsPath, parseSettings}: RunSidecarOptions): Promise<Either<Failure, SidecarSettings>> {
+	try {
+		return parseSettings(await readFile(settingsPath, 'utf8'));
+	} catch (error) {
+		return Left(createFailure('settingsInvalid', `${settingsPath}: ${String(error)}`));
+	}
+}
+
+/** Settings in force, read again when the file changes. */
+class SettingsFile {
+	readonly #options: RunSidecarOptions;
+	readonly #logger: LineLogger;
+	#settings: SidecarSettings;
+	#modifiedAt = 0;
+
+	constructor(options: RunSidecarOptions, settings: SidecarSettings, logger: LineLogger) {
+		this.#options = options;
+		this.#settings = settings;
+		this.#logger = logger;
+	}
+
+	getSettings(): SidecarSettings {
+		return this.#settings;
+	}
+
+	/** Reads the file again if it has changed since the last look. */
+	async check(): Promise<void> {
+		try {
+			const {mtimeMs} = await stat(this.#options.settingsPath);
+			const isChanged = this.#modifiedAt !== 0 && mtimeMs !== this.#modifiedAt;
+			this.#modifiedAt = mtimeMs;
+			if (isChanged) {
+				await this.apply('changed');
+			}
+		} catch (error) {
+			this.#logger.log('settingsNotApplied', {detail: String(error)});
+		}
+	}
+
+	/** Reads the file and puts in force what a running node can change. */
+	async apply(reason: string): Promise<void> {
+		const read = await readSettings(this.#options);
+		read.ifRight(next => {
+			const changed = listChangedSettings(this.#settings, next);
+			const applied = changeableSettings.filter(name => changed.includes(name));
+			this.#settings = {...this.#settings, ...Object.fromEntries(applied.map(name => [name, next[name]]))};
+			this.#logger.setLevel(this.#settings.logLevel);
+			this.#logger.log('settingsApplied', {
+				reason, applied: applied.join(','), needsRestart: changed.filter(name => !(applied as readonly string[]).includes(name)).join(','),
+			});
+		}).ifLeft(({code, detail}) => {
+			this.#logger.log('settingsNotApplied', {reason, code, detail});
+		});
+	}
+}
+
+async function runNode(options: RunSidecarOptions, settings: SidecarSettings): Promise<number> {
+	const logger = new LineLogger(createDescriptorWriter(standardOutput), settings.logLevel, {node: settings.id});
+	const file = new SettingsFile(options, settings, logger);
+	const handleUnexpectedError = (error: unknown): void => {
+		logger.log('unexpectedError', {detail: error instanceof Error ? error.stack ?? error.message : String(error)});
+	};
+
+	process.on('unhandledRejection', handleUnexpectedError);
+	process.on('SIGHUP', () => {
+		void file.apply('signal');
+	});
+	const poll = setInterval(() => {
+		void file.check();
+	}, settingsPollMs);
+	try {
+		const node = await SidecarNode.start({getSettings: () => file.getSettings(), platform: options.createPlatform(settings.platform), logger});
+		await runDaemon({
+			stop: async () => node.stop(),
+			handleUnexpectedError,
+			handleForcedStop() {
+				logger.log('nodeStopForced');
+			},
+		});
+		return 0;
+	} catch (error) {
+		const isListenError = listenErrors.has((error as {readonly code?: unknown}).code);
+		return reportFailure(createFailure(isListenError ? 'addressInUse' : 'internalError', String(error)));
+	} finally {
+		clearInterval(poll);
+		await logger.flush(logFlushBoundMs);
+	}
+}
+
+function reportFailure(failure: Failure): number {
+	process.stderr.write(`${formatFailure(failure)}\n`);
+	return failedExitCode;
+}
+
+/** Runs until a signal ends it; resolves to the exit code. */
+export async function runSidecar(options: RunSidecarOptions): Promise<number> {
+	const settings = await readSettings(options);
+	return foldResult(settings, async failure => reportFailure(failure), async checked => runNode(options, checked));
+}
--- /dev/null
+++ b/packages/node/src/server-protocol.ts
@@ -0,0 +1,90 @@
+/** What a request and an answer look like to backend servers of one kind of platform. */
+import {
+	createFailure, findHeader, selectHeaders, timeoutHeader, type Failure, type RawHeaders, type RequestHead, type ResponseHead,
+} from '@limpetbarrow/core';
+import {selectRequestHeaders} from './headers.js';
+
+/** Writes the head of a request and judges the head of an answer. */
+export abstract class ServerProtocol {
+	/** The headers that a backend server gets. */
+	abstract createHeaders(head: RequestHead, remainingMs: number, serverId: string): RawHeaders;
+	/** Why the answer is not this request's answer by this backend server; undefined when it is. */
+	abstract judgeAnswer(head: RequestHead, answer: ResponseHead): Failure | undefined;
+}
+
+/** The project's own headers; every answer counts. */
+export class PlainServerProtocol extends ServerProtocol {
+	override createHeaders({headers}: RequestHead, remainingMs: number): RawHeaders {
+		return [...selectRequestHeaders(headers), timeoutHeader, String(remainingMs)];
+	}
+
+	override judgeAnswer(): undefined {
+		return undefined;
+	}
+}
+
+/** Names of the headers by which backend servers prove their answers. */
+export type ServerHeaderNames = {
+	readonly requestId: string;
+	/** Milliseconds after which the backend server stops its work. */
+	readonly deadline: string;
+	/** Service of the host on which the request began. */
+	readonly callerService: string;
+	/** Id of the backend server that is meant; any other refuses the request. */
+	readonly expectedServer: string;
+	/** Present on every answer that a backend server made. */
+	readonly signature: string;
+	/** Present when the backend server did not run the request. */
+	readonly notRun: string;
+};
+
+const misdirectedStatus = 421;
+const firstRedirect = 300;
+
+/** Names the backend server that is meant, and takes only answers that prove that they belong to the request. */
+export class ProvenServerProtocol extends ServerProtocol {
+	readonly #names: ServerHeaderNames;
+	readonly #ownNames: ReadonlySet<string>;
+
+	constructor(names: ServerHeaderNames) {
+		super();
+		this.#names = names;
+		this.#ownNames = new Set([names.requestId, names.deadline, names.callerService, names.expectedServer].map(name => name.toLowerCase()));
+	}
+
+	override createHeaders({headers, requestId, callerService = ''}: RequestHead, remainingMs: number, serverId: string): RawHeaders {
+		const names = this.#names;
+		return [
+			...selectHeaders(selectRequestHeaders(headers), name => !this.#ownNames.has(name)),
+			names.requestId,
+			requestId,
+			names.deadline,
+			String(remainingMs),
+			names.expectedServer,
+			serverId,
+			names.callerService,
+			callerService,
+		];
+	}
+
+	override judgeAnswer({requestId}: RequestHead, {status, headers}: ResponseHead): Failure | undefined {
+		const names = this.#names;
+		if (status === misdirectedStatus) {
+			return createFailure('serverReplaced', 'another backend server answered');
+		}
+
+		if (findHeader(headers, names.notRun) !== undefined) {
+			return createFailure('serverShed', `status ${status}`);
+		}
+
+		const answeredId = findHeader(headers, names.requestId);
+		if (answeredId !== requestId) {
+			return createFailure('serverBroke', `the answer belongs to request ${answeredId ?? 'without an id'}`);
+		}
+
+		const isUnproven = findHeader(headers, names.signature) === undefined || findHeader(headers, 'content-encoding') !== undefined;
+		return isUnproven && status < firstRedirect
+			? createFailure('serverBroke', 'the answer is not signed or not the plain body')
+			: undefined;
+	}
+}
--- a/packages/node/src/terms-keys.ts
+++ b/packages/node/src/terms-keys.ts
@@ -9,7 +9,7 @@
 	createFailure, createRandomId, foldResult, type Failure, type Logger,
 } from '@limpetbarrow/core';
 import {type SigningKey} from '@limpetbarrow/limits';
-import {type ObjectStore, type StoredObject} from '@limpetbarrow/platform';
+import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 
 const keysObject = 'keys/terms';
 const secretBytes = 32;
--- a/packages/platform/src/http-object-store.ts
+++ b/packages/object-store/src/http-object-store.ts
@@ -1,7 +1,7 @@
 /** The object API over HTTP. */
 import {Buffer} from 'node:buffer';
-import {EitherAsync, Left} from 'purify-ts';
-import {Agent, request, type Dispatcher} from 'undici';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import {Agent, request} from 'undici';
 import {
 	createFailure, FailureError, type Failure, type ResultName,
 } from '@limpetbarrow/core';
@@ -9,17 +9,14 @@
 	callTimeoutMs, maxAnswerBytes, maxValueBytes, watchWaitMs,
 } from './constants.js';
 import {ObjectStore} from './object-store.js';
-import {parseList, parseObject, parseWatch} from './parse-answers.js';
+import {PlainDialect} from './plain-dialect.js';
+import {type StoreCall, type StoreDialect} from './store-dialect.js';
 import {
 	type CallKind, type ObjectList, type StoredObject, type WatchResult,
 } from './types.js';
 
-type CallOptions = {
+type CallOptions = StoreCall & {
 	readonly kind: CallKind;
-	readonly method: Dispatcher.HttpMethod;
-	readonly path: string;
-	readonly headers?: Readonly<Record<string, string>>;
-	readonly body?: string;
 	readonly timeoutMs?: number;
 	readonly signal?: AbortSignal;
 };
@@ -27,14 +24,11 @@
 const failureOfStatus: ReadonlyMap<number, ResultName> = new Map([
 	[404, 'platformNotFound'],
 	[409, 'platformConflict'],
+	[410, 'platformHistoryGone'],
 	[412, 'platformConflict'],
 	[413, 'platformTooLarge'],
 ]);
 
-function getObjectPath(key: string): string {
-	return `/objects/${encodeURIComponent(key)}`;
-}
-
 function createStatusFailure(status: number, text: string): Failure {
 	const name = failureOfStatus.get(status) ?? 'platformUnavailable';
 	return createFailure(name, `status ${status}: ${text.slice(0, 200)}`);
@@ -63,53 +57,59 @@
 	return Buffer.concat(chunks).toString('utf8');
 }
 
+/** Bounds and dialect of a client; each has a default. */
+export type HttpStoreOptions = {
+	/** Time a call may take, in milliseconds. */
+	readonly timeoutMs?: number;
+	/** Time a watch waits for a change, in milliseconds. */
+	readonly watchMs?: number;
+	readonly dialect?: StoreDialect;
+};
+
 /** Speaks to the object API at one base URL, such as `http://127.0.0.1:7000`. */
 export class HttpObjectStore extends ObjectStore {
 	readonly #origin: string;
 	readonly #timeoutMs: number;
+	readonly #watchMs: number;
+	readonly #dialect: StoreDialect;
 	readonly #agent = new Agent({pipelining: 1});
 
 	/** `timeoutMs` bounds each call; a watch waits longer by `watchWaitMs`. */
-	constructor(origin: string, timeoutMs = callTimeoutMs) {
+	constructor(origin: string, {timeoutMs = callTimeoutMs, watchMs = watchWaitMs, dialect = new PlainDialect()}: HttpStoreOptions = {}) {
 		super();
 		this.#origin = origin;
 		this.#timeoutMs = timeoutMs;
+		this.#watchMs = watchMs;
+		this.#dialect = dialect;
 	}
 
 	override get(key: string): EitherAsync<Failure, StoredObject> {
-		return this.#send({kind: 'get', method: 'GET', path: getObjectPath(key)}, parseObject);
+		return this.#send({kind: 'get', ...this.#dialect.formatGet(key)}, answer => this.#dialect.parseObject(answer, key));
 	}
 
 	override list(prefix: string): EitherAsync<Failure, ObjectList> {
-		return this.#send({kind: 'list', method: 'GET', path: `/objects?prefix=${encodeURIComponent(prefix)}`}, parseList);
+		return this.#listFrom(prefix, undefined);
 	}
 
 	override create(key: string, value: string): EitherAsync<Failure, StoredObject> {
-		return this.#write({
-			kind: 'create', method: 'PUT', path: getObjectPath(key), headers: {'if-none-match': '*'}, body: value,
-		});
+		return this.#write(key, value, {kind: 'create', ...this.#dialect.formatCreate(key, value)});
 	}
 
 	override update(key: string, value: string, version: number): EitherAsync<Failure, StoredObject> {
-		return this.#write({
-			kind: 'update', method: 'PUT', path: getObjectPath(key), headers: {'if-match': String(version)}, body: value,
-		});
+		return this.#write(key, value, {kind: 'update', ...this.#dialect.formatUpdate(key, value, version)});
 	}
 
 	override remove(key: string, version: number): EitherAsync<Failure, void> {
-		return this.#send({
-			kind: 'delete', method: 'DELETE', path: getObjectPath(key), headers: {'if-match': String(version)},
-		}, () => undefined);
+		return this.#send({kind: 'delete', ...this.#dialect.formatRemove(key, version)}, () => undefined);
 	}
 
 	override watch(prefix: string, fromVersion: number, signal?: AbortSignal): EitherAsync<Failure, WatchResult> {
 		return this.#send({
 			kind: 'watch',
-			method: 'GET',
-			path: `/watch?prefix=${encodeURIComponent(prefix)}&from=${fromVersion}&wait=${watchWaitMs}`,
-			timeoutMs: watchWaitMs + this.#timeoutMs,
+			...this.#dialect.formatWatch(prefix, fromVersion, this.#watchMs),
+			timeoutMs: this.#watchMs + this.#timeoutMs,
 			...(signal && {signal}),
-		}, parseWatch);
+		}, answer => this.#dialect.parseWatch(answer, prefix));
 	}
 
 	/** Closes the connections; calls in progress fail. */
@@ -117,11 +117,19 @@
 		await this.#agent.destroy();
 	}
 
-	#write(options: CallOptions): EitherAsync<Failure, StoredObject> {
-		const size = Buffer.byteLength(options.body ?? '');
+	/** The first page's version stands for the whole list: later changes come by the watch. */
+	#listFrom(prefix: string, after: string | undefined): EitherAsync<Failure, ObjectList> {
+		return this.#send({kind: 'list', ...this.#dialect.formatList(prefix, after)}, answer => this.#dialect.parsePage(answer, prefix))
+			.chain(({objects, version, next}) => next === undefined
+				? EitherAsync.liftEither(Right({objects, version}))
+				: this.#listFrom(prefix, next).map(rest => ({objects: [...objects, ...rest.objects], version})));
+	}
+
+	#write(key: string, value: string, options: CallOptions): EitherAsync<Failure, StoredObject> {
+		const size = Buffer.byteLength(value);
 		return size > maxValueBytes
 			? EitherAsync.liftEither(Left(createFailure('platformTooLarge', `the value has ${size} bytes, the bound is ${maxValueBytes}`)))
-			: this.#send(options, parseObject);
+			: this.#send(options, answer => this.#dialect.parseObject(answer, key));
 	}
 
 	#send<T>(options: CallOptions, parse: (value: unknown) => T): EitherAsync<Failure, T> {
--- a/packages/releases/src/__tests__/unit/notes.ts
+++ b/packages/releases/src/__tests__/unit/notes.ts
@@ -1,5 +1,5 @@
 /** Release notes and stores that the tests share. */
-import {type CallKind} from '@limpetbarrow/platform';
+import {type CallKind} from '@limpetbarrow/object-store';
 import {MemoryObjectStore, type MemoryFault, type MemoryPlatform} from '@limpetbarrow/stand-ins';
 import {
 	ReleaseAcceptor, ReleaseLog, ReleaseReader, releaseNoteSchema, ReleaseState, SnapshotStore, type Release, type ReleaseNote,
--- a/packages/releases/src/__tests__/unit/release-acceptor.test.ts
+++ b/packages/releases/src/__tests__/unit/release-acceptor.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {foldResult} from '@limpetbarrow/core';
-import {type CallKind} from '@limpetbarrow/platform';
+import {type CallKind} from '@limpetbarrow/object-store';
 import {MemoryPlatform, type MemoryFault} from '@limpetbarrow/stand-ins';
 import {getReleaseKey, type ReleaseAcceptor} from '../../index.js';
 import {createNote, createOperator} from './notes.js';
--- a/packages/releases/src/__tests__/unit/release-follower.test.ts
+++ b/packages/releases/src/__tests__/unit/release-follower.test.ts
@@ -3,7 +3,7 @@
 import {install} from '@sinonjs/fake-timers';
 import {EitherAsync, Left} from 'purify-ts';
 import {createFailure, SilentLogger, type Failure} from '@limpetbarrow/core';
-import {type CallKind} from '@limpetbarrow/platform';
+import {type CallKind} from '@limpetbarrow/object-store';
 import {MemoryObjectStore, MemoryPlatform, type MemoryFault} from '@limpetbarrow/stand-ins';
 import {
 	fleetPollMs, MemoryFleet, ReleaseFollower, ReleasePeers, ReleaseState, selectWatchers, StoreWatcher, watchersPerDomain, type Configuration, type Release, type ReleasePeer,
--- /dev/null
+++ b/packages/releases/src/configuration-source.ts
@@ -0,0 +1,53 @@
+/** Where a whole configuration is read from and watched. */
+import {EitherAsync, Right, type Either} from 'purify-ts';
+import {createFailure, type Failure} from '@limpetbarrow/core';
+import {type ObjectStore} from '@limpetbarrow/object-store';
+import {type Configuration} from './types.js';
+
+/** What a source has read: the configuration, if there is a new one, and the version to watch from. */
+export type SourceReading = {
+	readonly configuration: Configuration | undefined;
+	readonly version: number;
+};
+
+/** Reads a configuration that others write. */
+export abstract class ConfigurationSource {
+	abstract read(): EitherAsync<Failure, SourceReading>;
+	/** Waits for a change after `fromVersion`; resolves without a configuration when none came in time. */
+	abstract watch(fromVersion: number, signal: AbortSignal): EitherAsync<Failure, SourceReading>;
+}
+
+/** Reads text as a configuration. */
+export type ParseConfigurationText = (text: string) => Either<Failure, Configuration>;
+
+/** A source in one object of the object API that always holds the whole configuration. */
+export class ObjectConfigurationSource extends ConfigurationSource {
+	readonly #store: ObjectStore;
+	readonly #key: string;
+	readonly #prefix: string;
+	readonly #parse: ParseConfigurationText;
+
+	/** `prefix` is what is listed and watched; the object's key begins with it. */
+	constructor(store: ObjectStore, {key, prefix}: {readonly key: string; readonly prefix: string}, parse: ParseConfigurationText) {
+		super();
+		this.#store = store;
+		this.#key = key;
+		this.#prefix = prefix;
+		this.#parse = parse;
+	}
+
+	override read(): EitherAsync<Failure, SourceReading> {
+		return this.#store.list(this.#prefix).chain(({objects, version}) => this.#createReading(objects, version));
+	}
+
+	override watch(fromVersion: number, signal: AbortSignal): EitherAsync<Failure, SourceReading> {
+		return this.#store.watch(this.#prefix, fromVersion, signal).chain(({events, version}) => this.#createReading(events, version));
+	}
+
+	#createReading(objects: ReadonlyArray<{readonly key: string; readonly value?: string}>, version: number): EitherAsync<Failure, SourceReading> {
+		const text = objects.findLast(({key, value}) => key === this.#key && value !== undefined)?.value;
+		return EitherAsync.liftEither(text === undefined
+			? Right<SourceReading, Failure>({configuration: undefined, version})
+			: this.#parse(text).map<SourceReading>(configuration => ({configuration, version})).mapLeft(({detail}) => createFailure('releaseUnreadable', detail)));
+	}
+}
--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -16,3 +16,5 @@
 export * from './store-watcher.js';
 export * from './release-follower.js';
 export * from './memory-fleet.js';
+export * from './configuration-source.js';
+export * from './configuration-watcher.js';
--- a/packages/releases/src/memory-fleet.ts
+++ b/packages/releases/src/memory-fleet.ts
@@ -1,7 +1,7 @@
 /** Many followers in one process, for tests and benchmarks that need no sockets. */
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {createFailure, SilentLogger, type Failure} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {ReleaseFollower} from './release-follower.js';
 import {ReleasePeers, type ReleasePeer} from './release-peers.js';
 import {ReleaseState} from './release-state.js';
--- a/packages/releases/src/note-attempts.ts
+++ b/packages/releases/src/note-attempts.ts
@@ -7,7 +7,7 @@
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {z} from 'zod';
 import {createFailure, type Failure} from '@limpetbarrow/core';
-import {type ObjectStore, type StoredObject} from '@limpetbarrow/platform';
+import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 import {getAttemptsKey} from './release-keys.js';
 
 const maxNumbers = 1000;
--- a/packages/releases/src/release-acceptor.ts
+++ b/packages/releases/src/release-acceptor.ts
@@ -1,7 +1,7 @@
 /** Accepts release notes: the one way a release comes into being. */
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {createFailure, type Failure, type ResultName} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {NoteAttempts} from './note-attempts.js';
 import {createNoteFailure} from './note-fault.js';
 import {flattenToParts, hashText} from './part-text.js';
--- a/packages/releases/src/release-codec.ts
+++ b/packages/releases/src/release-codec.ts
@@ -3,10 +3,10 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
 import {createFailure, type Failure} from '@limpetbarrow/core';
-import {maxValueBytes} from '@limpetbarrow/platform';
+import {maxValueBytes} from '@limpetbarrow/object-store';
 import {hashText} from './part-text.js';
 import {
-	organisationSchema, releaseNoteSchema, routeSchema, serviceSchema, termsSchema,
+	callerLimitsSchema, organisationSchema, releaseNoteSchema, routeSchema, serviceSchema, termsSchema,
 } from './release-note.js';
 import {type Configuration, type Release, type ReleaseNote} from './types.js';
 
@@ -33,6 +33,7 @@
 	routes: z.array(routeSchema),
 	terms: z.array(termsSchema),
 	organisations: z.array(organisationSchema),
+	callerLimits: callerLimitsSchema.optional(),
 });
 
 /** A release whose note is held in parts. */
@@ -86,13 +87,14 @@
 }
 
 /** A configuration as a JSON value. */
-export function encodeConfiguration({release, services, routes, terms, organisations}: Configuration): unknown {
+export function encodeConfiguration({release, services, routes, terms, organisations, callerLimits}: Configuration): unknown {
 	return {
 		release,
 		services: [...services.values()],
 		routes: [...routes.values()],
 		terms: [...terms.values()],
 		organisations: [...organisations.values()],
+		...(callerLimits && {callerLimits}),
 	};
 }
 
@@ -102,8 +104,13 @@
 
 /** Checks a configuration that another node sent or that a snapshot holds. */
 export function parseConfiguration(input: unknown): Either<Failure, Configuration> {
-	return parseBy(snapshotSchema, input, 'configuration').map(({release, services, routes, terms, organisations}) => ({
-		release, services: groupByName(services), routes: groupByName(routes), terms: groupByName(terms), organisations: groupByName(organisations),
+	return parseBy(snapshotSchema, input, 'configuration').map(({release, services, routes, terms, organisations, callerLimits}) => ({
+		release,
+		services: groupByName(services),
+		routes: groupByName(routes),
+		terms: groupByName(terms),
+		organisations: groupByName(organisations),
+		...(callerLimits && {callerLimits}),
 	}));
 }
 
--- a/packages/releases/src/release-follower.ts
+++ b/packages/releases/src/release-follower.ts
@@ -6,7 +6,7 @@
  * over the fleet, does not depend on its size; so a release is found also when every watcher is cut off.
  */
 import {type Logger} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {PeerFollower} from './peer-follower.js';
 import {ReleaseLog} from './release-log.js';
 import {type ReleasePeer, type ReleasePeers} from './release-peers.js';
--- a/packages/releases/src/release-log.ts
+++ b/packages/releases/src/release-log.ts
@@ -1,7 +1,7 @@
 /** Reads the numbered log of releases in the platform's object API. */
 import {EitherAsync, Right} from 'purify-ts';
 import {type Failure} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {selectSuccessors} from './configuration.js';
 import {
 	isDivided, parseDividedNote, parseStoredRelease, type DividedRelease,
--- a/packages/releases/src/release-note.ts
+++ b/packages/releases/src/release-note.ts
@@ -7,6 +7,9 @@
 const maxBodyBytes = 1_073_741_824;
 const defaultBodyBytes = 10_485_760;
 const defaultQueueLimit = 12;
+const maxWeight = 1_000_000;
+const maxPriority = 1000;
+const maxAttempts = 100;
 
 const nameSchema = z.string().regex(/^[a-z\d][a-z\d.\-]*$/v, 'use lower-case letters, digits, dots and hyphens').max(maxNameLength);
 
@@ -21,6 +24,13 @@
 	queueLimit: z.int().min(0).max(1000).default(defaultQueueLimit),
 }).readonly();
 
+/** A service's share of a route's requests. */
+const shareSchema = z.strictObject({
+	service: nameSchema,
+	/** In proportion to the sum of all weights of the route. */
+	weight: z.number().min(0).max(maxWeight),
+}).readonly();
+
 /** A route. */
 export const routeSchema = z.strictObject({
 	name: nameSchema,
@@ -33,6 +43,16 @@
 	isRepeatable: z.boolean().default(false),
 	timeoutMs: z.int().min(1).max(maxTimeoutMs).default(10_000),
 	maxBodyBytes: z.int().min(0).max(maxBodyBytes).default(defaultBodyBytes),
+	/** Services that share the route's requests in place of `service`. */
+	shares: z.array(shareSchema).readonly().optional(),
+	/** True when `isRepeatable` alone decides, whatever the method. */
+	ignoresMethod: z.boolean().optional(),
+	/** Rank of the route's requests, 0 the most urgent. */
+	priority: z.int().min(0).max(maxPriority).optional(),
+	/** Backend servers that one request may be handed to, at most. */
+	maxAttempts: z.int().min(1).max(maxAttempts).optional(),
+	/** Time within which an answer is worth most, in milliseconds. */
+	objectiveMs: z.int().min(1).max(maxTimeoutMs).optional(),
 }).readonly();
 
 /** Terms offered to one kind of caller. */
@@ -58,6 +78,18 @@
 	secretHash: z.string().regex(/^[\da-f]{64}$/v, 'use 64 hexadecimal digits').optional(),
 }).readonly();
 
+/** What all callers together must keep to; a node without one keeps to its own bounds. */
+export const callerLimitsSchema = z.strictObject({
+	/** Largest head of a request, in bytes. */
+	maxHeaderBytes: z.int().min(1),
+	/** Largest body of a request, in bytes. */
+	maxBodyBytes: z.int().min(0),
+	/** Time a caller may take for a request's head, in milliseconds. */
+	headerTimeoutMs: z.int().min(1),
+	/** Time for which a caller's connection may be idle, in milliseconds. */
+	idleTimeoutMs: z.int().min(1),
+}).readonly();
+
 const itemsSchema = z.strictObject({
 	services: z.array(serviceSchema).readonly().default([]),
 	routes: z.array(routeSchema).readonly().default([]),
--- a/packages/releases/src/snapshot-store.ts
+++ b/packages/releases/src/snapshot-store.ts
@@ -8,7 +8,7 @@
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {z} from 'zod';
 import {createFailure, createRandomId, type Failure} from '@limpetbarrow/core';
-import {type ObjectStore, type StoredObject} from '@limpetbarrow/platform';
+import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 import {flattenToParts, hashText} from './part-text.js';
 import {encodeConfiguration, parseConfigurationText} from './release-codec.js';
 import {getSnapshotPartKey, snapshotPointerKey} from './release-keys.js';
--- a/packages/releases/src/store-watcher.ts
+++ b/packages/releases/src/store-watcher.ts
@@ -1,7 +1,7 @@
 /** Watches the log in the platform while it is switched on. */
 import {EitherAsync, Right, type Either} from 'purify-ts';
 import {type Failure, type Logger} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/platform';
+import {type ObjectStore} from '@limpetbarrow/object-store';
 import {computeBackOff} from './back-off.js';
 import {releasePrefix} from './release-keys.js';
 import {type ReleaseLog} from './release-log.js';
--- a/packages/releases/src/types.ts
+++ b/packages/releases/src/types.ts
@@ -1,7 +1,7 @@
 /** What operators configure, and the release notes that change it. */
 import {type z} from 'zod';
 import {
-	type organisationSchema, type releaseNoteSchema, type routeSchema, type serviceSchema, type termsSchema,
+	type callerLimitsSchema, type organisationSchema, type releaseNoteSchema, type routeSchema, type serviceSchema, type termsSchema,
 } from './release-note.js';
 
 /** A service, its floor and how its backend servers are judged. */
@@ -16,6 +16,9 @@
 /** An organisation whose callers hold terms. */
 export type Organisation = z.output<typeof organisationSchema>;
 
+/** Bounds that all callers must keep to. */
+export type CallerLimits = z.output<typeof callerLimitsSchema>;
+
 /** A release note as an operator writes it. */
 export type ReleaseNote = z.output<typeof releaseNoteSchema>;
 
@@ -35,4 +38,5 @@
 	readonly routes: ReadonlyMap<string, Route>;
 	readonly terms: ReadonlyMap<string, TermsOffer>;
 	readonly organisations: ReadonlyMap<string, Organisation>;
+	readonly callerLimits?: CallerLimits;
 };
--- a/packages/stand-ins/src/__tests__/unit/object-store.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/object-store.test.ts
@@ -2,7 +2,7 @@
 import {foldResult, formatAddress, type Failure} from '@limpetbarrow/core';
 import {
 	HttpObjectStore, maxValueBytes, type CallKind, type ObjectStore,
-} from '@limpetbarrow/platform';
+} from '@limpetbarrow/object-store';
 import {type Either} from 'purify-ts';
 import {
 	MemoryObjectStore, MemoryPlatform, PlatformStandIn, type PlatformFaults,
@@ -169,7 +169,7 @@
 		});
 
 		it('a call that is slower than its bound fails, and may take effect later', async () => {
-			const impatient = new HttpObjectStore(origin, 50);
+			const impatient = new HttpObjectStore(origin, {timeoutMs: 50});
 			platform.setFaults({delayMs: 100_000});
 			expect(toName(await impatient.get('known').run())).to.equal('platformUnavailable');
 			await impatient.close();
--- a/packages/stand-ins/src/memory-object-store.ts
+++ b/packages/stand-ins/src/memory-object-store.ts
@@ -6,7 +6,7 @@
 import {createFailure, Subject, type Failure} from '@limpetbarrow/core';
 import {
 	maxValueBytes, ObjectStore, watchWaitMs, type CallKind, type ObjectEvent, type ObjectList, type StoredObject, type WatchResult,
-} from '@limpetbarrow/platform';
+} from '@limpetbarrow/object-store';
 import {ObjectHistory} from './object-history.js';
 
 /**
--- a/packages/stand-ins/src/object-history.ts
+++ b/packages/stand-ins/src/object-history.ts
@@ -1,5 +1,5 @@
 /** Objects with their whole history, as the stand-ins of the platform keep them. */
-import {type ObjectEvent, type ObjectList, type StoredObject} from '@limpetbarrow/platform';
+import {type ObjectEvent, type ObjectList, type StoredObject} from '@limpetbarrow/object-store';
 
 function toObject({key, version, value}: ObjectEvent): StoredObject | undefined {
 	return value === undefined ? undefined : {key, version, value};
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Address, Subject} from '@limpetbarrow/core';
-import {type ObjectEvent, type StoredObject} from '@limpetbarrow/platform';
+import {type ObjectEvent, type StoredObject} from '@limpetbarrow/object-store';
 import {ObjectHistory} from './object-history.js';
 
 /** Faults of the platform. All are off at first. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** Formatter and linter settings; docs/DESIGN.md names the house rules that go before XO's. */
 const config = [
 	{
-		ignores: ['packages/*/dist/**', 'coverage/**'],
+		ignores: ['packages/*/dist/**', 'platform/dist/**', 'target/**', 'coverage/**', 'journal/**'],
 	},
 	{
 		rules: {
@@ -17,11 +17,11 @@
 	},
 	{
 		// Tests are arranged by nested `describe`.
-		files: ['packages/*/src/__tests__/**'],
+		files: ['packages/*/src/__tests__/**', 'platform/src/__tests__/**'],
 		rules: {'max-nested-callbacks': 'off'},
 	},
 	{
-		files: ['packages/cli/src/run-daemon.ts', 'packages/checks/src/run-tests.ts'],
+		files: ['packages/node/src/run-daemon.ts', 'packages/checks/src/run-tests.ts'],
 		rules: {'unicorn/no-process-exit': 'off'},
 	},
 ];
