--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -18,8 +18,9 @@
 /** Probability of sickness above which repeatable requests are trials only: losing one costs a retry. */
 export const repeatableSickness = 0.4;
 
-/** Least time between two trials of a sick backend server, in milliseconds. */
-export const trialPauseMs = 250;
+/** Shortest and longest time between two trials of a sick backend server, in milliseconds; it doubles with each failure. */
+export const minTrialPauseMs = 250;
+export const maxTrialPauseMs = 1500;
 
 /** A running request this many times over its expected duration says that the backend server stalls. */
 export const overdueFactor = 4;
--- a/packages/admission/src/server-gate.ts
+++ b/packages/admission/src/server-gate.ts
@@ -8,7 +8,7 @@
 import {createFailure, type Failure} from '@limpetbarrow/core';
 import {SicknessFilter} from '@limpetbarrow/detect';
 import {
-	coldFactor, maxWaiting, objectiveShare, repeatableSickness, trialPauseMs, unrepeatableSickness,
+	coldFactor, maxTrialPauseMs, maxWaiting, minTrialPauseMs, objectiveShare, repeatableSickness, unrepeatableSickness,
 } from './constants.js';
 import {estimateWait, type Running} from './slot-forecast.js';
 import {type Waiting} from './wait-queue.js';
@@ -18,7 +18,8 @@
 export type GateRequest = {
 	readonly route: string;
 	readonly priority: number;
-	readonly isRepeatable: boolean;
+	/** True when a failure here would be followed by another attempt. */
+	readonly isRetryable: boolean;
 	/** Time left until the deadline, in milliseconds. */
 	readonly remainingMs: number;
 	/** Time in which the route's answers are worth most, in milliseconds. */
@@ -45,7 +46,8 @@
 	readonly #times = new WorkTimes();
 	readonly #sickness: SicknessFilter;
 	#coldUntil = 0;
-	#trialAt = Number.NEGATIVE_INFINITY;
+	#trialPauseMs = minTrialPauseMs;
+	#nextTrialAt = 0;
 	#isUnreachable = false;
 
 	constructor(now: number) {
@@ -60,6 +62,8 @@
 	recordOutcome(outcome: GateOutcome, now: number): void {
 		this.#isUnreachable = outcome === 'unreachable';
 		this.#sickness.recordOutcome(outcome !== 'well', now);
+		this.#trialPauseMs = outcome === 'well' ? minTrialPauseMs : this.#trialPauseMs;
+		this.#nextTrialAt = outcome === 'well' ? now : this.#nextTrialAt;
 	}
 
 	/** Takes the duration of an answer, from the hand-over on. */
@@ -108,15 +112,16 @@
 	}
 
 	/** A backend server that fails, or whose work alone takes the whole objective, gets one trial at a time. */
-	#findSickRefusal({isRepeatable, objectiveMs}: GateRequest, workMs: number, {running}: GateLoad, now: number): Failure | undefined {
+	#findSickRefusal({isRetryable, objectiveMs}: GateRequest, workMs: number, {running}: GateLoad, now: number): Failure | undefined {
 		const sickness = this.estimateSickness(now);
 		const isSlow = workMs > objectiveMs * objectiveShare;
-		if (!isSlow && !this.#isUnreachable && sickness <= (isRepeatable ? repeatableSickness : unrepeatableSickness)) {
+		if (!isSlow && !this.#isUnreachable && sickness <= (isRetryable ? repeatableSickness : unrepeatableSickness)) {
 			return undefined;
 		}
 
-		if (isRepeatable && running.length === 0 && now - this.#trialAt >= trialPauseMs) {
-			this.#trialAt = now;
+		if (isRetryable && running.length === 0 && now >= this.#nextTrialAt) {
+			this.#trialPauseMs = Math.min(maxTrialPauseMs, this.#trialPauseMs * 2);
+			this.#nextTrialAt = now + this.#trialPauseMs;
 			return undefined;
 		}
 
--- a/packages/choose/src/spill-plan.ts
+++ b/packages/choose/src/spill-plan.ts
@@ -25,6 +25,7 @@
 /** The next step of a request. */
 export type SpillStep = {
 	readonly candidate: Candidate;
+	readonly tier: Tier;
 	/** Longest wait it takes there before it would rather go elsewhere, in milliseconds. */
 	readonly patienceMs: number;
 	readonly isLastResort: boolean;
@@ -81,9 +82,13 @@
 	if (first) {
 		const elsewhere = second ? second.cost - first.cost + first.view.waitMs : request.remainingMs;
 		const patienceMs = Math.max(elsewhere, first.view.waitMs, request.objectiveMs * leastPatienceShare);
-		return {candidate: first.view.candidate, patienceMs, isLastResort: false};
+		return {
+			candidate: first.view.candidate, tier: first.view.tier, patienceMs, isLastResort: false,
+		};
 	}
 
 	const last = ranked.find(({view}) => view.refusals <= maxRefusalsEach);
-	return last && {candidate: last.view.candidate, patienceMs: request.remainingMs, isLastResort: true};
+	return last && {
+		candidate: last.view.candidate, tier: last.view.tier, patienceMs: request.remainingMs, isLastResort: true,
+	};
 }
--- a/packages/choose/src/windowed-retries.ts
+++ b/packages/choose/src/windowed-retries.ts
@@ -1,9 +1,9 @@
 /**
- * Bounds retries over a sliding window so that the parts of all nodes add up to the fleet's budget.
+ * Bounds the retries that one backend server is sent, so that the parts of a service's backend servers add up to its
+ * budget.
  *
- * It answers retry storms: of the requests that a node took in the window, a share may be sent once more, and each node
- * may add its part of the fleet's fixed allowance. Summed over the nodes that is the budget itself, however uneven
- * their load.
+ * It answers retry storms: for a share of the first tries that a backend server took in the window it may take retries,
+ * and besides its part of the service's fixed allowance. Summed up that is the budget itself, however uneven the load.
  */
 import {RetryPolicy} from './retry-budget.js';
 
@@ -12,7 +12,7 @@
 	readonly windowMs: number;
 	/** Retries for each request of the window. */
 	readonly ratio: number;
-	/** Retries in each window beside those, for the whole fleet. */
+	/** Retries in each window beside those, for the whole service. */
 	readonly allowance: number;
 };
 
@@ -22,17 +22,17 @@
 	readonly isRetry: boolean;
 };
 
-/** One node's part of a service's budget. */
+/** One backend server's part of a service's budget. */
 export class WindowedRetries extends RetryPolicy {
 	readonly #window: RetryWindow;
-	readonly #countNodes: () => number;
+	readonly #countParts: () => number;
 	#samples: readonly Sample[] = [];
 
-	/** `countNodes` tells how many nodes share the allowance. */
-	constructor(window: RetryWindow, countNodes: () => number) {
+	/** `countParts` tells how many share the allowance. */
+	constructor(window: RetryWindow, countParts: () => number) {
 		super();
 		this.#window = window;
-		this.#countNodes = countNodes;
+		this.#countParts = countParts;
 	}
 
 	override recordRequest(): void {
@@ -44,7 +44,7 @@
 		this.#samples = this.#samples.filter(({at}) => at > now - windowMs);
 		const retries = this.#samples.filter(({isRetry}) => isRetry).length;
 		const requests = this.#samples.length - retries;
-		if (retries + 1 > (ratio * requests) + (allowance / Math.max(1, this.#countNodes()))) {
+		if (retries + 1 > (ratio * requests) + (allowance / Math.max(1, this.#countParts()))) {
 			return false;
 		}
 
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -121,6 +121,9 @@
 	serverReplaced: {
 		code: 3011, status: 503, ran: 'not-run', resend: 'anywhere', meaning: 'Another backend server has the address.',
 	},
+	retriesSpent: {
+		code: 3012, status: 503, ran: 'not-run', resend: 'anywhere', meaning: 'The backend server has had its share of retries for the time being.',
+	},
 
 	// Sequencer
 	keyMalformed: {
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -108,6 +108,8 @@
 	readonly maxAttempts?: number;
 	/** Time in which the route's answers are worth most to callers, in milliseconds. */
 	readonly objectiveMs?: number;
+	/** Backend servers that were, or may have been, handed the request before. */
+	readonly earlierAttempts?: number;
 	/** Service that runs on the host where the request began. */
 	readonly callerService?: string;
 	/** Longest wait for a slot that the sender takes before it would rather go elsewhere, in milliseconds. */
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -69,6 +69,7 @@
 	priority: isOptional(isCount),
 	maxAttempts: isOptional(isCount),
 	objectiveMs: isOptional(isDuration),
+	earlierAttempts: isOptional(isCount),
 	callerService: isOptional(isText),
 	patienceMs: isOptional(isDuration),
 	isLastResort: isOptional(isFlag),
--- a/packages/members/src/constants.ts
+++ b/packages/members/src/constants.ts
@@ -16,7 +16,7 @@
 export const suspicionPeriods = 4;
 
 /** Members that get each batch of changes in one step. */
-export const gossipFanout = 3;
+export const gossipFanout = 2;
 
 /** Largest datagram, in bytes. */
 export const maxDatagramBytes = 1200;
--- a/packages/members/src/dissemination.ts
+++ b/packages/members/src/dissemination.ts
@@ -7,7 +7,7 @@
 import {type Sender} from './message.js';
 import {computeUpdateBytes} from './message-codec.js';
 import {type MessageTransport} from './message-transport.js';
-import {pickSome} from './probe-schedule.js';
+import {pickPeers} from './peer-choice.js';
 import {
 	firstServerSlot, poisonSlot, profileSlot, releaseSlot, type Profile,
 } from './record-parts.js';
@@ -76,7 +76,7 @@
 		}
 
 		const {table, transport, pickNext} = this.#context;
-		const receivers = pickSome(listPeers(table), gossipFanout, pickNext);
+		const receivers = pickPeers(table, gossipFanout, pickNext);
 		if (receivers.length === 0) {
 			return;
 		}
--- a/packages/members/src/message-codec.ts
+++ b/packages/members/src/message-codec.ts
@@ -2,17 +2,20 @@
 import {Encoder} from 'cbor-x';
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
-import {createFailure, type Failure} from '@limpetbarrow/core';
+import {
+	createFailure, formatAddress, parseAddress, type Failure,
+} from '@limpetbarrow/core';
 import {digestBuckets, maxParts} from './constants.js';
 import {type MemberMessage} from './message.js';
 import {
-	firstServerSlot, poisonSlot, profileSlot, releaseSlot, type PartValue,
+	firstServerSlot, poisonSlot, profileSlot, releaseSlot, type PartValue, type Profile,
 } from './record-parts.js';
 import {type MemberUpdate} from './types.js';
 
 const codec = new Encoder({useRecords: false, mapsAsObjects: true});
 const messageKinds = ['ping', 'ack', 'indirect', 'rumor', 'digest', 'summary', 'pull', 'parts'] as const;
 const statuses = ['alive', 'suspect', 'dead'] as const;
+const profileStates = ['serving', 'stopping'] as const;
 const maxListItems = 1024;
 
 const shortKeys: ReadonlyMap<string, string> = new Map([
@@ -116,18 +119,58 @@
 		: value;
 }
 
+/** A profile as an array; an address on the host of the first one is just its port. */
+function flattenProfile({placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state}: Profile): readonly unknown[] {
+	const {host} = linkAddress;
+	const others = [gossipAddress, ingressAddress, adminAddress].map(address => address.host === host ? address.port : formatAddress(address));
+	return [placement.region, placement.failureDomain, formatAddress(linkAddress), ...others, profileStates.indexOf(state)];
+}
+
+function toAddress(value: unknown, host: string): unknown {
+	return typeof value === 'number' ? {host, port: value} : parseAddress(String(value));
+}
+
+function toProfile(value: unknown): unknown {
+	if (!Array.isArray(value)) {
+		return undefined;
+	}
+
+	const [region, failureDomain, link, gossip, ingress, admin, state] = value as readonly unknown[];
+	const linkAddress = parseAddress(String(link));
+	const host = linkAddress?.host ?? '';
+	return {
+		placement: {region, failureDomain},
+		linkAddress,
+		gossipAddress: toAddress(gossip, host),
+		ingressAddress: toAddress(ingress, host),
+		adminAddress: toAddress(admin, host),
+		state: profileStates[state as number],
+	};
+}
+
 function toLongKeys(slot: number, value: unknown): unknown {
+	if (slot === profileSlot) {
+		return toProfile(value);
+	}
+
 	return slot >= firstServerSlot ? replaceKeys(value, longKeys) ?? undefined : value;
 }
 
+function flattenValue(slot: number, value: PartValue): unknown {
+	if (slot === profileSlot) {
+		return flattenProfile(value as Profile);
+	}
+
+	return slot >= firstServerSlot ? replaceKeys(value, shortKeys) ?? null : value;
+}
+
 function flattenUpdate(update: MemberUpdate): readonly unknown[] {
 	if (update.kind === 'status') {
 		return [update.id, update.incarnation, update.refutation, statuses.indexOf(update.status)];
 	}
 
 	const {slot, version, value} = update.part;
-
-	return [update.id, update.incarnation, slot, version, slot >= firstServerSlot ? replaceKeys(value, shortKeys) ?? null : value];
+	return [update.id, update.incarnation, slot, version, flattenValue(slot, value)];
 }
 
 function flattenBody(message: MemberMessage): readonly unknown[] {
--- a/packages/members/src/probe-schedule.ts
+++ b/packages/members/src/probe-schedule.ts
@@ -33,10 +33,10 @@
 		this.#pickNext = pickNext;
 	}
 
-	/** The next of `ids` to be probed; undefined when there is none. */
-	pick(ids: ReadonlySet<string>): string | undefined {
+	/** The next of `ids` to be probed; undefined when there is none. `selectCycle` says which of them a new cycle takes in. */
+	pick(ids: ReadonlySet<string>, selectCycle = (candidates: readonly string[]): readonly string[] => candidates): string | undefined {
 		const left = this.#left.filter(id => ids.has(id));
-		const [next, ...rest] = left.length > 0 ? left : pickShuffled([...ids], this.#pickNext);
+		const [next, ...rest] = left.length > 0 ? left : pickShuffled(selectCycle(pickShuffled([...ids], this.#pickNext)), this.#pickNext);
 		this.#left = rest;
 		return next;
 	}
--- a/packages/members/src/prober.ts
+++ b/packages/members/src/prober.ts
@@ -8,6 +8,7 @@
 } from './dissemination.js';
 import {type LocalHealth} from './local-health.js';
 import {type AckMessage, type IndirectMessage, type PingMessage} from './message.js';
+import {selectProbed} from './peer-choice.js';
 import {pickSome, ProbeSchedule} from './probe-schedule.js';
 import {type MemberStatus} from './types.js';
 
@@ -136,7 +137,7 @@
 	#startProbe(now: number): void {
 		const {table} = this.#context;
 		const ids = new Set(table.listLive().map(({record}) => record.id).filter(id => id !== table.self.id));
-		const id = this.#schedule.pick(ids);
+		const id = this.#schedule.pick(ids, candidates => selectProbed(table, candidates, this.#context.pickNext));
 		const member = id === undefined ? undefined : table.findMember(id);
 		this.#nextProbeAt = now + (probePeriodMs * this.#health.getFactor());
 		if (!member) {
--- a/packages/members/src/repair.ts
+++ b/packages/members/src/repair.ts
@@ -3,13 +3,14 @@
 import {
 	catchUpPeriodMs, digestBuckets, maxDatagramBytes, maxWantsPerSummary, repairBurstBytes, repairBytesPerSecond, repairPeriodMs,
 } from './constants.js';
-import {createSender, listPeers, type MembershipContext} from './dissemination.js';
+import {createSender, type MembershipContext} from './dissemination.js';
 import {hashEntry, isNewerStatus} from './merge-updates.js';
 import {
 	type DigestMessage, type EntrySummary, type PullMessage, type RecordWant, type SummaryMessage,
 } from './message.js';
 import {computeUpdateBytes} from './message-codec.js';
-import {pickShuffled, pickSome} from './probe-schedule.js';
+import {pickPeers} from './peer-choice.js';
+import {pickShuffled} from './probe-schedule.js';
 import {hashText} from './record-parts.js';
 import {TokenBucket} from './token-bucket.js';
 import {type MemberEntry, type MemberUpdate} from './types.js';
@@ -110,7 +111,7 @@
 
 		const {table, transport, pickNext} = this.#context;
 		this.#nextAt = now + (this.#isCatchingUp ? catchUpPeriodMs : repairPeriodMs * (0.5 + pickNext()));
-		pickSome(listPeers(table), 1, pickNext).forEach(address => {
+		pickPeers(table, 1, pickNext).forEach(address => {
 			transport.send(address, {kind: 'digest', sender: createSender(table), buckets: computeDigest(table.store.getState().entries.values())});
 		});
 	}
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -7,6 +7,7 @@
 	minOverdueMs, overdueFactor, ServerGate, WaitQueue, type GateLoad, type GateRequest, type Running, type Waiting,
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
+import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {BackendRun} from './backend-run.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -14,14 +15,26 @@
 /** What a gated server works with. */
 export type GatedServerOptions = {
 	readonly protocol: ServerProtocol;
+	/** Budget of the retries that this backend server is sent. */
+	readonly retries: RetryPolicy;
 	/** Called when another backend server is found at the address. */
 	readonly handleReplaced: () => void;
 	/** Called when the gate's belief about the backend server has changed. */
 	readonly reportHealth: (isUnwell: boolean, sickness: number) => void;
+	/** Called with each request that the backend server ran. */
+	readonly reportRun: (head: RequestHead, run: RunReport) => void;
 	/** Called with each request that was refused or failed here. */
 	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
 };
 
+/** How one run ended, for the log. */
+export type RunReport = {
+	readonly outcome: string;
+	readonly ms: number;
+	/** Probability that the backend server is sick, after this run. */
+	readonly sickness: number;
+};
+
 type Started = Running & {
 	readonly run: BackendRun;
 	readonly head: RequestHead;
@@ -154,20 +167,18 @@
 	}
 
 	#admit(run: BackendRun, head: RequestHead): void {
-		const priority = head.priority ?? lastPriority;
+		const {priority = lastPriority, earlierAttempts = 0} = head;
 		const remainingMs = run.getRemainingMs();
 		const request: GateRequest = {
 			route: head.route ?? '',
 			priority,
-			isRepeatable: head.isRepeatable,
+			isRetryable: head.isRepeatable && earlierAttempts + 1 < (head.maxAttempts ?? 1),
 			remainingMs,
 			objectiveMs: head.objectiveMs ?? remainingMs,
 			patienceMs: head.patienceMs ?? remainingMs,
 			isLastResort: head.isLastResort ?? false,
 		};
-		const refusal = this.#server.isLeaving
-			? createFailure('serverLeaving', `server ${this.#server.id}`)
-			: this.#gate.findRefusal(request, this.#createLoad(priority), performance.now());
+		const refusal = this.#findRefusal(request, earlierAttempts);
 		if (refusal) {
 			this.#refuse(run, head, refusal);
 		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
@@ -177,6 +188,26 @@
 		}
 	}
 
+	/** A retry counts against the budget only when it is taken. */
+	#findRefusal(request: GateRequest, earlierAttempts: number): Failure | undefined {
+		if (this.#server.isLeaving) {
+			return createFailure('serverLeaving', `server ${this.#server.id}`);
+		}
+
+		const now = performance.now();
+		const refusal = this.#gate.findRefusal(request, this.#createLoad(request.priority), now);
+		if (refusal) {
+			return refusal;
+		}
+
+		if (earlierAttempts === 0) {
+			this.#options.retries.recordRequest();
+			return undefined;
+		}
+
+		return this.#options.retries.takeRetry(false, now) ? undefined : createFailure('retriesSpent', `attempt ${earlierAttempts + 1}`);
+	}
+
 	#enqueue(run: BackendRun, head: RequestHead, priority: number, remainingMs: number): void {
 		const now = performance.now();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
@@ -240,6 +271,7 @@
 			this.#options.handleReplaced();
 		} else if (started && outcome) {
 			this.#recordOutcome(started, outcome, failure);
+			this.#options.reportRun(started.head, {outcome: outcome.kind, ms: Math.round(outcome.durationMs), sickness: this.#gate.estimateSickness(performance.now())});
 		}
 
 		this.#startNext();
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -2,6 +2,7 @@
 import {
 	Carrier, createFailure, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type PoisonMark, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
+import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {refuseExchange} from './closed-exchange.js';
 import {GatedServer} from './gated-server.js';
@@ -12,6 +13,8 @@
 export type HostEgressOptions = {
 	readonly announcements: Announcements;
 	readonly protocol: ServerProtocol;
+	/** Budget of the retries that one backend server of a service is sent. */
+	readonly createRetries: (service: string) => RetryPolicy;
 	/** Marks that all nodes publish. */
 	readonly listFleetMarks: () => readonly PoisonMark[];
 	readonly isStopping: () => boolean;
@@ -123,9 +126,10 @@
 	}
 
 	#createServer({id, ...announced}: AnnouncedServer): GatedServer {
-		const {logger, metrics, protocol, announcements} = this.#options;
+		const {logger, metrics, protocol, announcements, createRetries} = this.#options;
 		return new GatedServer({id, ...announced}, {
 			protocol,
+			retries: createRetries(announced.service),
 			handleReplaced: () => {
 				logger.log('serverReplaced', {server: id});
 				announcements.removeServer(id);
@@ -134,6 +138,11 @@
 				metrics.addCount(isUnwell ? 'egress_ejections_total' : 'egress_returns_total');
 				logger.log(isUnwell ? 'serverEjected' : 'serverReturned', {server: id, sickness: sickness.toFixed(3)});
 			},
+			reportRun({requestId, route, isRepeatable}, {outcome, ms, sickness}) {
+				logger.log('serverRan', {
+					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
+				});
+			},
 			reportFailure(head, failure) {
 				metrics.addCount('egress_failures_total', 1, {code: String(failure.code)});
 				logger.log('egressFailed', {
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -3,7 +3,7 @@
 	Carrier, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type Placement, type RequestHead,
 } from '@limpetbarrow/core';
 import {
-	chooseSpillStep, findTier, PathHealth, type Candidate, type RetryPolicy, type SpillStep, type SpillView,
+	chooseSpillStep, findTier, PathHealth, type Candidate, type SpillStep, type SpillView,
 } from '@limpetbarrow/choose';
 import {type FindEgress} from './forwarder.js';
 import {LoadTracker} from './load-tracker.js';
@@ -18,21 +18,17 @@
 	readonly findEgress: FindEgress;
 	/** Load of a backend server of this host, as a request of that rank and route would find it. */
 	readonly findLocalLoad: (serverId: string, priority: number | undefined, route: string | undefined) => LoadHint | undefined;
-	readonly createRetries: () => RetryPolicy;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	/** Random numbers from 0 to below 1. */
 	readonly pickRandom?: () => number;
 };
 
-const maxBudgets = 1024;
-
 /** Chooses and watches; each request is an exchange of its own. */
 export class RequestRouter extends Carrier {
 	readonly #options: RequestRouterOptions;
 	readonly #loads = new LoadTracker();
 	readonly #paths = new PathHealth();
-	readonly #budgets = new Map<string, RetryPolicy>();
 	readonly #pickRandom: () => number;
 
 	constructor(options: RequestRouterOptions) {
@@ -42,14 +38,11 @@
 	}
 
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
-		const retries = this.#getBudget(head.service);
-		retries.recordRequest();
 		return new RoutedExchange(head, handler, {
 			chooseStep: request => this.#chooseStep(request),
 			findEgress: this.#options.findEgress,
 			loads: this.#loads,
 			paths: this.#paths,
-			retries,
 			metrics: this.#options.metrics,
 			logger: this.#options.logger,
 			pickRandom: this.#pickRandom,
@@ -85,20 +78,4 @@
 			refusals: request.countRefusals(server.id),
 		};
 	}
-
-	#getBudget(service: string): RetryPolicy {
-		const known = this.#budgets.get(service);
-		if (known) {
-			return known;
-		}
-
-		const budget = this.#options.createRetries();
-		this.#budgets.set(service, budget);
-		const [oldest] = this.#budgets.keys();
-		if (this.#budgets.size > maxBudgets && oldest !== undefined) {
-			this.#budgets.delete(oldest);
-		}
-
-		return budget;
-	}
 }
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -3,7 +3,7 @@
 	createFailure, Exchange, exchangeWindowBytes, findHeader, selectHeaders, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
 import {
-	type Candidate, type PathHealth, type RetryPolicy, type SpillStep,
+	type Candidate, type PathHealth, type SpillStep,
 } from '@limpetbarrow/choose';
 import {BufferedAnswer} from './buffered-answer.js';
 import {type FindEgress} from './forwarder.js';
@@ -16,7 +16,6 @@
 	readonly findEgress: FindEgress;
 	readonly loads: LoadTracker;
 	readonly paths: PathHealth;
-	readonly retries: RetryPolicy;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	readonly pickRandom: () => number;
@@ -55,8 +54,6 @@
 	#isBodyEnded = false;
 	#isBegun = false;
 	#isOver = false;
-	/** A retry that the budget has granted and that no backend server has got yet. */
-	#hasPermit = false;
 	/** The try whose answer is on its way to the caller. */
 	#chosen: Try | undefined;
 	/** A server error that is delivered if nothing better comes. */
@@ -136,9 +133,10 @@
 		this.#open(step, remainingMs);
 	}
 
-	#open({candidate, patienceMs, isLastResort}: SpillStep, remainingMs: number): void {
+	#open({candidate, tier, patienceMs, isLastResort}: SpillStep, remainingMs: number): void {
 		const {nodeId, server} = candidate;
-		this.#request.recordStep(server.id, isLastResort);
+		const earlierAttempts = this.#request.countHanded();
+		this.#request.recordStep(server.id, tier, isLastResort);
 		const egress = this.#options.findEgress(nodeId);
 		if (!egress) {
 			this.#request.recordFailure(server.id, createFailure('linkUnreachable', `node ${nodeId} is not known`), performance.now());
@@ -149,7 +147,7 @@
 		this.#options.loads.add(server.id, 1);
 		const answer = new BufferedAnswer();
 		const head: RequestHead = {
-			...this.#head, target: {kind: 'egress', serverId: server.id}, remainingMs, patienceMs: Math.round(patienceMs), isLastResort,
+			...this.#head, target: {kind: 'egress', serverId: server.id}, remainingMs, patienceMs: Math.round(patienceMs), isLastResort, earlierAttempts,
 		};
 		const exchange = egress.openExchange(head, this.#createHandler(candidate, answer));
 		this.#tries = [...this.#tries, {
@@ -173,28 +171,17 @@
 	}
 
 	#hedge(): void {
-		if (!this.#isOver && !this.#chosen && this.#tries.length === 1 && this.#takeRetry(false)) {
+		if (!this.#isOver && !this.#chosen && this.#tries.length === 1 && this.#request.hasAttempt()) {
 			this.#options.metrics.addCount('ingress_hedges_total');
 			this.#continue();
 		}
 	}
 
-	/** True when one more backend server may be handed the request now. */
-	#takeRetry(isNotRun: boolean): boolean {
-		if (!this.#request.hasAttempt()) {
-			return false;
-		}
-
-		this.#hasPermit ||= this.#options.retries.takeRetry(isNotRun, performance.now());
-		return this.#hasPermit;
-	}
-
 	#createHandler(candidate: Candidate, answer: BufferedAnswer): ExchangeHandler {
 		const {loads, paths} = this.#options;
 		const {nodeId, server} = candidate;
 		return {
 			handleHead: head => {
-				this.#hasPermit = false;
 				paths.recordSuccess(nodeId, performance.now());
 				if (head.load) {
 					loads.recordHint(head.load);
@@ -233,7 +220,7 @@
 		const isRetryable = answer.getStatus() >= firstServerError && this.#head.isRepeatable && !this.#chosen;
 		if (isRetryable && this.#tries.length > 0) {
 			this.#fallback ??= answer;
-		} else if (isRetryable && this.#isReplayable() && this.#takeRetry(false)) {
+		} else if (isRetryable && this.#isReplayable() && this.#request.hasAttempt()) {
 			this.#fallback ??= answer;
 			this.#options.metrics.addCount('ingress_retries_total');
 			this.#continue();
@@ -284,12 +271,12 @@
 		}
 
 		const isSafe = failure.ran === 'not-run' || this.#head.isRepeatable;
-		const isGranted = isSafe && this.#takeRetry(failure.ran === 'not-run');
-		if (isGranted) {
+		const isContinued = isSafe && this.#request.hasAttempt();
+		if (isContinued) {
 			this.#options.metrics.addCount('ingress_retries_total');
 		}
 
-		return isGranted;
+		return isContinued;
 	}
 
 	/** Streams an answer that is larger than the buffer. */
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -2,9 +2,10 @@
 import {
 	createFailure, type Failure, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
+import {type Tier} from '@limpetbarrow/choose';
 
 /** Refusals by a node, before any backend server had the request. */
-const gateRefusals: ReadonlySet<ResultName> = new Set(['serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed']);
+const gateRefusals: ReadonlySet<ResultName> = new Set(['serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed', 'retriesSpent']);
 const defaultMaxAttempts = 2;
 /** Steps after which a request stops looking for a place. */
 const maxSteps = 12;
@@ -26,6 +27,7 @@
 	/** Backend servers that were handed the request, or may have been. */
 	#handed: ReadonlySet<string> = new Set();
 	readonly #refusals = new Map<string, number>();
+	readonly #tiers = new Map<string, string>();
 	#steps = 0;
 	#lastResorts = 0;
 	#shortestWaitMs = Number.POSITIVE_INFINITY;
@@ -73,15 +75,16 @@
 		return this.#steps < maxSteps && !(isLastResort && this.#lastResorts >= maxLastResorts);
 	}
 
-	recordStep(serverId: string, isLastResort: boolean): void {
+	recordStep(serverId: string, tier: Tier, isLastResort: boolean): void {
 		this.#steps++;
+		this.#tiers.set(serverId, isLastResort ? `${tier}!` : tier);
 		this.#lastResorts += Number(isLastResort);
 		this.#handed = new Set([...this.#handed, serverId]);
 	}
 
 	/** Takes the end of a step. */
 	recordFailure(serverId: string, failure: Failure, now: number): void {
-		this.#trace = [...this.#trace, `${serverId}:${failure.code}@${Math.round(this.getElapsedMs(now))}`];
+		this.#trace = [...this.#trace, `${serverId}/${this.#tiers.get(serverId) ?? ''}:${failure.code}@${Math.round(this.getElapsedMs(now))}`];
 		this.#last = failure;
 		if (failure.ran !== 'not-run') {
 			this.#unknown ??= failure;
@@ -95,7 +98,7 @@
 	}
 
 	recordAnswer(serverId: string, status: number, now: number): void {
-		this.#trace = [...this.#trace, `${serverId}:${status}@${Math.round(this.getElapsedMs(now))}`];
+		this.#trace = [...this.#trace, `${serverId}/${this.#tiers.get(serverId) ?? ''}:${status}@${Math.round(this.getElapsedMs(now))}`];
 	}
 
 	/**
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -50,7 +50,7 @@
 /** Announcements that may be missing in a row before a backend server counts as gone. */
 const announcementsPerLease = 6;
 /** Part of the fleet's retry ratio that is used; the rest is room for requests that are counted late. */
-const usedRetryShare = 0.75;
+const usedRetryShare = 0.85;
 
 function createRecord(settings: SidecarSettings, incarnation: number): NodeRecord {
 	return {
@@ -206,14 +206,22 @@
 			announcements: this.#announcements,
 			protocol: this.#options.platform.servers,
 			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
+			createRetries: service => this.#createRetries(service),
 			isStopping: () => this.#isStopping,
 			metrics: this.#metrics,
 			logger: this.#options.logger,
 		});
 	}
 
+	/** Every retry is sent to some backend server, so the parts of a service's backend servers make up its budget. */
+	#createRetries(service: string): WindowedRetries {
+		const {retryWindowMs, retryRatio, retryAllowance} = this.#options.getSettings();
+		const window = {windowMs: retryWindowMs, ratio: retryRatio * usedRetryShare, allowance: retryAllowance * usedRetryShare};
+		return new WindowedRetries(window, () => this.#directory.listCandidates(service).length);
+	}
+
 	#createRouter(): RequestRouter {
-		const {getSettings, logger} = this.#options;
+		const {logger} = this.#options;
 		const table = this.#table;
 		const self = {id: table.self.id, placement: table.getSelf().placement};
 		return new RequestRouter({
@@ -221,10 +229,6 @@
 			directory: this.#directory,
 			findEgress: nodeId => nodeId === self.id ? this.#egress : this.#findLink(nodeId),
 			findLocalLoad: (serverId, priority, route) => this.#egress.findLoad(serverId, priority, route),
-			createRetries() {
-				const {retryWindowMs, retryRatio, retryAllowance} = getSettings();
-				return new WindowedRetries({windowMs: retryWindowMs, ratio: retryRatio * usedRetryShare, allowance: retryAllowance * usedRetryShare}, () => table.listLive().length);
-			},
 			metrics: this.#metrics,
 			logger,
 		});
