Take no reset for the end of an answer; test the host's egress against raw answers

Ruled out: the framing towards the caller, which ended with the exchange. Change: the reset reaches the client's parser as an error. Test: 'have no length and are reset', red before.

--- a/packages/core/src/line-logger.ts
+++ b/packages/core/src/line-logger.ts
@@ -91,8 +91,8 @@
 	}
 
 	/** Writes what waits; resolves once it is written or after `boundMs`. */
-	async flush(boundMs: number): Promise<void> {
-		this.#flush();
+	async drain(boundMs: number): Promise<void> {
+		this.#writeLines();
 		await new Promise<void>(resolve => {
 			const startedAt = performance.now();
 			const check = (): void => {
@@ -120,7 +120,7 @@
 		this.#lines.push(line);
 		this.#bytes += line.length;
 		this.#timer ??= setTimeout(() => {
-			this.#flush();
+			this.#writeLines();
 		}, this.#bounds.flushMs);
 		this.#timer.unref();
 	}
@@ -138,7 +138,7 @@
 		return true;
 	}
 
-	#flush(): void {
+	#writeLines(): void {
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
 		if (this.#isWriting || this.#lines.length === 0) {
@@ -152,7 +152,7 @@
 			this.#isWriting = false;
 			this.#bytes -= bytes.length;
 			if (this.#lines.length > 0) {
-				this.#flush();
+				this.#writeLines();
 			}
 		});
 	}
--- /dev/null
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -0,0 +1,260 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+	MetricRegistry, SilentLogger, type RequestHead,
+} from '@limpetbarrow/core';
+import {UnlimitedRetries, WindowedRetries, type RetryPolicy} from '@limpetbarrow/choose';
+import {Announcements} from '@limpetbarrow/members';
+import {HostEgress, ProvenServerProtocol} from '../../index.js';
+import {
+	findRawHeader, formatRawAnswer, RawBackend, testServerHeaders, type RawScript,
+} from '../raw-backend.js';
+
+type Answer = {
+	readonly outcome: string;
+	readonly body: string;
+};
+
+type Rig = {
+	readonly backend: RawBackend;
+	readonly announcements: Announcements;
+	readonly egress: HostEgress;
+	readonly send: (head?: Partial<RequestHead>) => Promise<Answer>;
+	readonly announce: (fields?: Readonly<Record<string, unknown>>) => void;
+};
+
+let close: () => Promise<void> = async () => undefined;
+
+async function sendRequest(egress: HostEgress, head: Partial<RequestHead>): Promise<Answer> {
+	return new Promise(resolve => {
+		let status = 0;
+		let body = '';
+		const exchange = egress.openExchange({
+			requestId: 'r-1',
+			target: {kind: 'egress', serverId: 'server-1'},
+			service: 'catalogue',
+			method: 'GET',
+			path: '/sizes?x=1',
+			headers: ['host', 'shop.example', 'x-extra', 'kept', 'x-caller', 'forged', 'connection', 'x-hop', 'x-hop', 'dropped'],
+			remainingMs: 2000,
+			isRepeatable: true,
+			organisation: '',
+			callerService: 'desk',
+			...head,
+		}, {
+			handleHead(answer) {
+				status = answer.status;
+			},
+			handleData(chunk) {
+				body += new TextDecoder().decode(chunk);
+			},
+			handleCredit() {
+				// Requests have no body.
+			},
+			handleEnd() {
+				resolve({outcome: String(status), body});
+			},
+			handleFailure({name}) {
+				resolve({outcome: name, body});
+			},
+		});
+		exchange.endBody();
+	});
+}
+
+async function startRig(script: RawScript, createRetries: () => RetryPolicy = () => new UnlimitedRetries()): Promise<Rig> {
+	const backend = new RawBackend(script);
+	const {host, port} = await backend.listen();
+	const announcements = new Announcements(new SilentLogger());
+	const egress = new HostEgress({
+		announcements,
+		protocol: new ProvenServerProtocol(testServerHeaders),
+		createRetries,
+		listFleetMarks: () => [],
+		isStopping: () => false,
+		metrics: new MetricRegistry(),
+		logger: new SilentLogger(),
+	});
+	const announce = (fields: Readonly<Record<string, unknown>> = {}): void => {
+		announcements.accept({
+			id: 'server-1', service: 'catalogue', address: `${host}:${port}`, slots: 3, generation: 1, ...fields,
+		}, host);
+	};
+
+	close = async () => {
+		await egress.close();
+		backend.close();
+	};
+
+	announce();
+	return {
+		backend, announcements, egress, announce, send: async (head = {}) => sendRequest(egress, head),
+	};
+}
+
+describe('host egress', () => {
+	afterEach(async () => {
+		await close();
+	});
+
+	describe('requests', () => {
+		it('name the backend server, the caller and the time left, and keep the rest', async () => {
+			const {send, backend} = await startRig((socket, text) => socket.write(formatRawAnswer(text)));
+			expect(await send()).to.deep.equal({outcome: '200', body: 'whole'});
+			const [text = ''] = backend.requests;
+			expect(text.startsWith('GET /sizes?x=1 HTTP/1.1\r\n')).to.equal(true);
+			expect(findRawHeader(text, 'x-expected')).to.equal('server-1');
+			expect(findRawHeader(text, 'x-caller')).to.equal('desk');
+			expect(findRawHeader(text, 'x-id')).to.equal('r-1');
+			expect(findRawHeader(text, 'x-extra')).to.equal('kept');
+			expect(findRawHeader(text, 'x-hop')).to.equal('');
+			expect(Number(findRawHeader(text, 'x-deadline'))).to.be.within(1900, 2000);
+		});
+	});
+
+	describe('answers that are not this request\'s whole answer', () => {
+		const cases: ReadonlyArray<{readonly what: string; readonly outcome: string; readonly answer: RawScript}> = [
+			{
+				what: 'have no length and are reset',
+				outcome: 'serverBroke',
+				answer(socket, text) {
+					socket.write(`HTTP/1.1 200 OK\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\nconnection: close\r\n\r\nhalf`);
+					setTimeout(() => socket.resetAndDestroy(), 20);
+				},
+			},
+			{
+				what: 'are shorter than their length',
+				outcome: 'serverBroke',
+				answer(socket, text) {
+					socket.end(formatRawAnswer(text).slice(0, -2));
+				},
+			},
+			{
+				what: 'belong to another request',
+				outcome: 'serverBroke',
+				answer(socket, text) {
+					socket.write(formatRawAnswer(text, {id: 'r-0'}));
+				},
+			},
+			{
+				what: 'are not HTTP',
+				outcome: 'serverBroke',
+				answer(socket) {
+					socket.write('spoilt bytes\r\n\r\n');
+				},
+			},
+			{
+				what: 'have an encoding',
+				outcome: 'serverBroke',
+				answer(socket, text) {
+					socket.write(formatRawAnswer(text, {headers: ['content-encoding: gzip']}));
+				},
+			},
+			{
+				what: 'say that the request did not run',
+				outcome: 'serverShed',
+				answer(socket, text) {
+					socket.write(formatRawAnswer(text, {status: 503, headers: ['x-not-run: 1']}));
+				},
+			},
+			{
+				what: 'come from another backend server',
+				outcome: 'serverReplaced',
+				answer(socket, text) {
+					socket.write(formatRawAnswer(text, {status: 421}));
+				},
+			},
+		];
+		cases.forEach(({what, outcome, answer}) => {
+			it(`that ${what} fail as ${outcome}`, async () => {
+				const {send} = await startRig(answer);
+				expect((await send()).outcome).to.equal(outcome);
+			});
+		});
+
+		it('without a length, ended in order, are whole', async () => {
+			const {send} = await startRig((socket, text) => {
+				socket.end(`HTTP/1.1 200 OK\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\nconnection: close\r\n\r\nall of it`);
+			});
+			expect(await send()).to.deep.equal({outcome: '200', body: 'all of it'});
+		});
+
+		it('that follow a whole answer harm no later request', async () => {
+			const {send} = await startRig((socket, text) => socket.write(formatRawAnswer(text) + formatRawAnswer(text, {id: 'r-0', body: 'extra'})));
+			expect(await send()).to.deep.equal({outcome: '200', body: 'whole'});
+			await wait(20);
+			expect(await send({requestId: 'r-2'})).to.deep.equal({outcome: '200', body: 'whole'});
+		});
+	});
+
+	describe('a backend server at whose address another is found', () => {
+		it('gets no more requests', async () => {
+			const {send, backend, egress} = await startRig((socket, text) => socket.write(formatRawAnswer(text, {status: 421})));
+			await send();
+			expect(egress.listServers()).to.deep.equal([]);
+			expect((await send()).outcome).to.equal('serverNotHere');
+			expect(backend.requests.length).to.equal(1);
+		});
+	});
+
+	describe('a backend server that leaves', () => {
+		it('gets nothing new from the acknowledgement on, also what waits', async () => {
+			const answers: Array<() => void> = [];
+			const {send, backend, announce} = await startRig((socket, text) => {
+				answers.push(() => socket.write(formatRawAnswer(text)));
+			});
+			const running = [send(), send(), send()];
+			const waiting = send();
+			await wait(30);
+			announce({isLeaving: true});
+			expect((await waiting).outcome).to.equal('serverLeaving');
+			expect((await send()).outcome).to.equal('serverLeaving');
+			answers.forEach(answer => {
+				answer();
+			});
+			expect((await Promise.all(running)).map(({outcome}) => outcome)).to.deep.equal(['200', '200', '200']);
+			expect(backend.requests.length).to.equal(3);
+		});
+
+		it('may say so without having announced it before', async () => {
+			const {send, announcements} = await startRig((socket, text) => socket.write(formatRawAnswer(text)));
+			announcements.leave('server-1');
+			expect((await send()).outcome).to.equal('serverLeaving');
+		});
+	});
+
+	describe('slots', () => {
+		it('bound the requests at the backend server, the most urgent first', async () => {
+			const answers: Array<() => void> = [];
+			const {send, backend} = await startRig((socket, text) => {
+				answers.push(() => socket.write(formatRawAnswer(text)));
+			});
+			const all = [send(), send(), send(), send({requestId: 'late', priority: 2}), send({requestId: 'urgent', priority: 0})];
+			await wait(30);
+			expect(backend.requests.length).to.equal(3);
+			answers[0]!();
+			await wait(30);
+			expect(findRawHeader(backend.requests[3]!, 'x-id')).to.equal('urgent');
+			answers.slice(1).forEach(answer => {
+				answer();
+			});
+			await wait(30);
+			answers.at(-1)!();
+			expect((await Promise.all(all)).map(({outcome}) => outcome)).to.deep.equal(['200', '200', '200', '200', '200']);
+		});
+	});
+
+	describe('retries', () => {
+		it('are refused beyond the budget, and the refusal is no arrival', async () => {
+			const {send, backend} = await startRig((socket, text) => socket.write(formatRawAnswer(text)), () => new WindowedRetries({windowMs: 10_000, ratio: 0.2, allowance: 1}, () => 1));
+			expect((await send({earlierAttempts: 1, maxAttempts: 2})).outcome).to.equal('200');
+			expect((await send({earlierAttempts: 1, maxAttempts: 2})).outcome).to.equal('retriesSpent');
+			expect(backend.requests.length).to.equal(1);
+		});
+	});
+
+	it('answers heads that carry its load', async () => {
+		const {egress} = await startRig((socket, text) => socket.write(formatRawAnswer(text)));
+		expect(egress.findLoad('server-1', 0, 'sizes')).to.include({freeSlots: 3, queued: 0, isUnwell: false});
+	});
+});
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -5,6 +5,7 @@
 } from '@limpetbarrow/core';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
+import {createBackendConnector} from './backend-connector.js';
 import {BackendRun} from './backend-run.js';
 import {ServiceTime} from './service-time.js';
 
@@ -105,7 +106,7 @@
 
 	#createPool(): Pool {
 		return new Pool(`http://${formatAddress(this.#server.address)}`, {
-			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMaxMs, connectTimeout: connectTimeoutMs,
+			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMaxMs, connect: createBackendConnector(connectTimeoutMs),
 		});
 	}
 
--- a/packages/node/src/buffered-answer.ts
+++ b/packages/node/src/buffered-answer.ts
@@ -31,7 +31,7 @@
 
 	/** Passes on what is here, and from now on what comes. */
 	release(target: ExchangeHandler): void {
-		if (this.#target || !this.#head) {
+		if (this.#target !== undefined || this.#head === undefined) {
 			return;
 		}
 
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -9,6 +9,7 @@
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type WorkOutcome} from '@limpetbarrow/detect';
+import {createBackendConnector} from './backend-connector.js';
 import {BackendRun} from './backend-run.js';
 import {type ServerProtocol} from './server-protocol.js';
 
@@ -152,7 +153,7 @@
 
 	#createPool(keepAliveMs: number): Pool {
 		return new Pool(`http://${formatAddress(this.#server.address)}`, {
-			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connectTimeout: connectTimeoutMs,
+			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connect: createBackendConnector(connectTimeoutMs),
 		});
 	}
 
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -130,7 +130,7 @@
 		return new GatedServer({id, ...announced}, {
 			protocol,
 			retries: createRetries(announced.service),
-			handleReplaced: () => {
+			handleReplaced() {
 				logger.log('serverReplaced', {server: id});
 				announcements.removeServer(id);
 			},
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -78,7 +78,7 @@
 			return;
 		}
 
-		this.#begin();
+		this.#startTries();
 		this.#tries.forEach(({exchange}) => {
 			exchange.writeBody(chunk);
 		});
@@ -94,7 +94,7 @@
 		}
 
 		this.#head = replaceLength(this.#head, this.#sentBytes);
-		this.#begin();
+		this.#startTries();
 	}
 
 	override grantCredit(bytes: number): void {
@@ -108,7 +108,7 @@
 		}
 	}
 
-	#begin(): void {
+	#startTries(): void {
 		if (!this.#isBegun) {
 			this.#isBegun = true;
 			this.#continue();
@@ -165,12 +165,12 @@
 		const {isRepeatable, objectiveMs, remainingMs} = this.#head;
 		return isRepeatable && this.#isReplayable()
 			? setTimeout(() => {
-				this.#hedge();
+				this.#openHedge();
 			}, (objectiveMs ?? remainingMs) * hedgeShare)
 			: undefined;
 	}
 
-	#hedge(): void {
+	#openHedge(): void {
 		if (!this.#isOver && !this.#chosen && this.#tries.length === 1 && this.#request.hasAttempt()) {
 			this.#options.metrics.addCount('ingress_hedges_total');
 			this.#continue();
@@ -181,7 +181,7 @@
 		const {loads, paths} = this.#options;
 		const {nodeId, server} = candidate;
 		return {
-			handleHead: head => {
+			handleHead(head) {
 				paths.recordSuccess(nodeId, performance.now());
 				if (head.load) {
 					loads.recordHint(head.load);
@@ -190,11 +190,14 @@
 				answer.setHead(head);
 			},
 			handleData: chunk => {
-				if (!answer.addChunk(chunk)) {
+				const isFull = !answer.addChunk(chunk);
+				if (isFull) {
 					this.#choose(answer);
 				}
 			},
-			handleCredit: this.#handler.handleCredit,
+			handleCredit: bytes => {
+				this.#handler.handleCredit(bytes);
+			},
 			handleEnd: () => {
 				this.#removeTry(answer);
 				this.#request.recordAnswer(server.id, answer.getStatus(), performance.now());
@@ -225,7 +228,7 @@
 			this.#options.metrics.addCount('ingress_retries_total');
 			this.#continue();
 		} else {
-			this.#deliver(answer);
+			this.#answer(answer);
 		}
 	}
 
@@ -291,7 +294,7 @@
 		}
 	}
 
-	#deliver(answer: BufferedAnswer): void {
+	#answer(answer: BufferedAnswer): void {
 		this.#finish();
 		this.#log('requestAnswered', answer.getStatus());
 		answer.release(this.#handler);
@@ -305,7 +308,7 @@
 		}
 
 		if (this.#fallback) {
-			this.#deliver(this.#fallback);
+			this.#answer(this.#fallback);
 		} else {
 			this.#fail(this.#request.createFailure(this.#options.pickRandom()));
 		}
--- a/packages/node/src/run-sidecar.ts
+++ b/packages/node/src/run-sidecar.ts
@@ -109,7 +109,7 @@
 		return reportFailure(createFailure(isListenError ? 'addressInUse' : 'internalError', String(error)));
 	} finally {
 		clearInterval(poll);
-		await logger.flush(logFlushBoundMs);
+		await logger.drain(logFlushBoundMs);
 	}
 }
 
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -71,6 +71,25 @@
 
 /** Runs one sidecar. */
 export class SidecarNode {
+	/** Takes the number of this run, listens on all addresses and begins to learn of the fleet and its configuration. */
+	static async start(options: SidecarOptions): Promise<SidecarNode> {
+		const {id, gossip} = options.getSettings();
+		const started: {node?: SidecarNode} = {};
+		const discovery = new StoreDiscovery({
+			store: options.platform.store,
+			self: {id, gossipAddress: gossip},
+			logger: options.logger,
+			handlePeers(peers) {
+				started.node?.addPeers(peers);
+			},
+			listLiveIds: () => started.node?.listLiveIds() ?? [],
+		});
+		const node = new SidecarNode(options, discovery, await discovery.takeIncarnation());
+		started.node = node;
+		await node.#start();
+		return node;
+	}
+
 	readonly #options: SidecarOptions;
 	readonly #metrics = new MetricRegistry();
 	readonly #releases = new ReleaseState();
@@ -111,25 +130,6 @@
 		});
 	}
 
-	/** Takes the number of this run, listens on all addresses and begins to learn of the fleet and its configuration. */
-	static async start(options: SidecarOptions): Promise<SidecarNode> {
-		const {id, gossip} = options.getSettings();
-		const started: {node?: SidecarNode} = {};
-		const discovery = new StoreDiscovery({
-			store: options.platform.store,
-			self: {id, gossipAddress: gossip},
-			logger: options.logger,
-			handlePeers(peers) {
-				started.node?.addPeers(peers);
-			},
-			listLiveIds: () => started.node?.listLiveIds() ?? [],
-		});
-		const node = new SidecarNode(options, discovery, await discovery.claimIncarnation());
-		started.node = node;
-		await node.#start();
-		return node;
-	}
-
 	/** Takes gossip addresses of other nodes. */
 	addPeers(addresses: readonly Address[]): void {
 		this.#gossip.addSeeds(addresses);
--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/store-discovery.ts
@@ -1,5 +1,5 @@
 /** Finds other nodes by a list in the object API: each node writes one object of its own and reads the list. */
-import {EitherAsync, Left, Right} from 'purify-ts';
+import {EitherAsync, Left} from 'purify-ts';
 import {z} from 'zod';
 import {
 	formatAddress, parseAddress, type Address, type Failure, type Logger,
@@ -21,7 +21,7 @@
 export const nodePrefix = 'limpetbarrow-nodes/';
 
 /** Time a starting node waits for its number before it takes one from the clock, in milliseconds. */
-const claimBoundMs = 800;
+const incarnationBoundMs = 800;
 const firstRetryMs = 500;
 const maxRetryMs = 4000;
 /** Time between two looks for objects of nodes that are gone, in milliseconds. */
@@ -67,9 +67,9 @@
 	}
 
 	/** Takes the number of this run and writes this node's object; from the clock alone when the store does not answer. */
-	async claimIncarnation(): Promise<number> {
+	async takeIncarnation(): Promise<number> {
 		const bound = new Promise<void>(resolve => {
-			setTimeout(resolve, claimBoundMs).unref();
+			setTimeout(resolve, incarnationBoundMs).unref();
 		});
 		await Promise.race([this.#writeEntry().run(), bound]);
 		this.#incarnation = this.#isWritten ? this.#incarnation : computeIncarnation(undefined);
@@ -97,8 +97,8 @@
 
 	async #runStep(): Promise<void> {
 		const {logger, listLiveIds, store} = this.#options;
-		const written = this.#isWritten ? EitherAsync.liftEither(Right<void, Failure>(undefined)) : this.#writeEntry();
-		const result = await written.chain(() => store.list(nodePrefix)).run();
+		const list = store.list(nodePrefix);
+		const result = await (this.#isWritten ? list : this.#writeEntry().chain(() => list)).run();
 		result.ifRight(({objects}) => {
 			this.#retryMs = firstRetryMs;
 			this.#handleList(objects);
@@ -113,13 +113,13 @@
 		}
 	}
 
-	#writeEntry(): EitherAsync<Failure, void> {
+	#writeEntry(): EitherAsync<Failure, StoredObject> {
 		const {store} = this.#options;
 		return store.create(this.#key, this.#formatEntry(computeIncarnation(undefined)))
 			.chainLeft(failure => failure.name === 'platformConflict'
 				? store.get(this.#key).chain(known => store.update(this.#key, this.#formatEntry(computeIncarnation(known)), known.version))
 				: EitherAsync.liftEither(Left(failure)))
-			.map(({value}) => {
+			.ifRight(({value}) => {
 				this.#isWritten = true;
 				this.#incarnation = parseEntry(value)?.incarnation ?? this.#incarnation;
 			});
--- a/xo.config.js
+++ b/xo.config.js
@@ -21,9 +21,14 @@
 		rules: {'max-nested-callbacks': 'off'},
 	},
 	{
-		files: ['packages/node/src/run-daemon.ts', 'packages/checks/src/run-tests.ts'],
+		files: ['packages/node/src/run-daemon.ts', 'packages/checks/src/run-tests.ts', 'platform/src/main.ts'],
 		rules: {'unicorn/no-process-exit': 'off'},
 	},
+	{
+		// The names on the platform's wire are the platform's.
+		files: ['platform/src/**'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
 ];
 
 export default config;
