Hold a place before a request is sent: a cut path costs a moment, not the request

Change: the egress says that it holds a place, and runs a request only after the end of its body, which the ingress sends then; without a word in 150 ms (300 ms between regions) it goes elsewhere, which is safe as nothing can have run. A refusal costs a head now, no body. Unknown waits are assumed from the known ones. Ruled out: sending unrepeatable requests twice under any time bound.

--- a/packages/choose/src/path-health.ts
+++ b/packages/choose/src/path-health.ts
@@ -12,10 +12,16 @@
 
 /** Paths that failed lately. */
 export class PathHealth {
+	readonly #maxBackOffMs: number;
 	readonly #paths = new Map<string, PathState>();
 	#version = 0;
 	#validUntil = Number.POSITIVE_INFINITY;
 
+	/** `maxBackOff` is the longest time a path is avoided, in milliseconds. */
+	constructor(maxBackOff = maxBackOffMs) {
+		this.#maxBackOffMs = maxBackOff;
+	}
+
 	/** Takes a connection that failed or was lost. Several failures at once count as one. */
 	recordFailure(nodeId: string, now: number): void {
 		const known = this.#paths.get(nodeId);
@@ -24,7 +30,7 @@
 		}
 
 		const failures = (known?.failures ?? 0) + 1;
-		const backOffMs = Math.min(maxBackOffMs, firstBackOffMs * (2 ** (failures - 1)));
+		const backOffMs = Math.min(this.#maxBackOffMs, firstBackOffMs * (2 ** (failures - 1)));
 		this.#paths.delete(nodeId);
 		this.#paths.set(nodeId, {failures, avoidedUntil: now + backOffMs});
 		this.#sweep(now);
--- a/packages/choose/src/spill-plan.ts
+++ b/packages/choose/src/spill-plan.ts
@@ -12,8 +12,8 @@
 export type SpillView = {
 	readonly candidate: Candidate;
 	readonly tier: Tier;
-	/** Time until the request would get a slot, in milliseconds; an estimate. */
-	readonly waitMs: number;
+	/** Time until the request would get a slot, in milliseconds; undefined when nothing is known. */
+	readonly waitMs: number | undefined;
 	/** Expected duration of the request's work there, in milliseconds; undefined when nothing is known. */
 	readonly workMs: number | undefined;
 	/** True when the backend server is known to take trials only. */
@@ -33,7 +33,8 @@
 
 /** What of a request decides. */
 export type SpillRequest = {
-	readonly isRepeatable: boolean;
+	/** True when a failure would be followed by another attempt. */
+	readonly isRetryable: boolean;
 	readonly objectiveMs: number;
 	readonly remainingMs: number;
 };
@@ -43,10 +44,13 @@
 	host: {share: 0, delayMs: 0},
 	failureDomain: {share: 0.01, delayMs: 0},
 	region: {share: 0.3, delayMs: 3},
-	remote: {share: 0.45, delayMs: 65},
+	remote: {share: 0.6, delayMs: 65},
 };
-/** Cost of a backend server known to be unwell, as a share of the objective. */
+/** Cost of a backend server known to be unwell, as a share of the objective; a request that can't be tried again is lost there. */
 const unwellShare = 1.5;
+const unwellLossShare = 4;
+/** Part of the mean wait elsewhere that is assumed where no wait is known. */
+const assumedWaitShare = 0.5;
 /** Cost of a backend server that warms, as a share of the objective. */
 const warmingShare = 0.1;
 /** Wait that is always worth taking at the nearest place, as a share of the objective. */
@@ -57,31 +61,41 @@
 /** Spread of the costs of equal candidates, so that nodes don't all choose the same, as a share of the objective. */
 const jitterShare = 0.02;
 
-function computeCost(view: SpillView, {objectiveMs}: SpillRequest, typicalMs: number, jitter: number): number {
+type Typical = {
+	/** Shortest known work of the route; 0 when none is known. */
+	readonly typicalMs: number;
+	/** Wait that is assumed where none is known. */
+	readonly assumedWaitMs: number;
+};
+
+function computeTypical(views: readonly SpillView[]): Typical {
+	const works = views.map(({workMs}) => workMs).filter(workMs => workMs !== undefined);
+	const waits = views.map(({waitMs}) => waitMs).filter(waitMs => waitMs !== undefined);
+	const meanWaitMs = waits.reduce((sum, waitMs) => sum + waitMs, 0) / Math.max(1, waits.length);
+	return {typicalMs: works.length === 0 ? 0 : Math.min(...works), assumedWaitMs: meanWaitMs * assumedWaitShare};
+}
+
+function computeCost(view: SpillView, {objectiveMs, isRetryable}: SpillRequest, {typicalMs, assumedWaitMs}: Typical, jitter: number): number {
 	const {share, delayMs} = distances[view.tier];
 	const extraWorkMs = Math.max(0, (view.workMs ?? typicalMs) - typicalMs);
-	const healthShare = (view.isUnwell ? unwellShare : 0) + (view.candidate.server.state === 'warming' ? warmingShare : 0);
-	return view.waitMs + extraWorkMs + delayMs + (objectiveMs * (share + healthShare + (view.tier === 'host' ? 0 : jitter * jitterShare)));
+	const healthShare = (view.isUnwell ? (isRetryable ? unwellShare : unwellLossShare) : 0) + (view.candidate.server.state === 'warming' ? warmingShare : 0);
+	return (view.waitMs ?? assumedWaitMs) + extraWorkMs + delayMs + (objectiveMs * (share + healthShare + (view.tier === 'host' ? 0 : jitter * jitterShare)));
 }
 
-/** Shortest known work of a route, as what is normal. */
-function findTypicalWork(views: readonly SpillView[]): number {
-	return Math.min(...views.map(({workMs}) => workMs ?? Number.POSITIVE_INFINITY), Number.MAX_SAFE_INTEGER);
-}
 
 /** Chooses the next step; undefined when no candidate is left. */
 export function chooseSpillStep(views: readonly SpillView[], request: SpillRequest, pickRandom: () => number): SpillStep | undefined {
-	const known = findTypicalWork(views);
-	const typicalMs = known === Number.MAX_SAFE_INTEGER ? 0 : known;
+	const typical = computeTypical(views);
 	const ranked = views
-		.map(view => ({view, cost: computeCost(view, request, typicalMs, pickRandom())}))
+		.map(view => ({view, cost: computeCost(view, request, typical, pickRandom())}))
 		.toSorted((a, b) => a.cost - b.cost);
 	const refusals = views.reduce((sum, view) => sum + view.refusals, 0);
 	const open = refusals >= maxRefusals ? [] : ranked.filter(({view}) => view.refusals < maxRefusalsEach && !(view.isUnwell && view.refusals > 0));
 	const [first, second] = open;
 	if (first) {
-		const elsewhere = second ? second.cost - first.cost + first.view.waitMs : request.remainingMs;
-		const patienceMs = Math.max(elsewhere, first.view.waitMs, request.objectiveMs * leastPatienceShare);
+		const waitMs = first.view.waitMs ?? typical.assumedWaitMs;
+		const elsewhere = second ? second.cost - first.cost + waitMs : request.remainingMs;
+		const patienceMs = Math.max(elsewhere, waitMs, request.objectiveMs * leastPatienceShare);
 		return {
 			candidate: first.view.candidate, tier: first.view.tier, patienceMs, isLastResort: false,
 		};
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -146,6 +146,8 @@
 	readonly handleFailure: (failure: Failure) => void;
 	/** The other side has taken that many more bytes of the request's body. */
 	readonly handleCredit: (bytes: number) => void;
+	/** The other side holds a place for the request and runs it once its body has ended. Not every carrier says so. */
+	readonly handleAccepted?: () => void;
 };
 
 /**
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -109,6 +109,7 @@
 	['credit', true, {bytes: isCount}],
 	['cancel', true, {}],
 	['failure', true, failureGuards],
+	['accepted', true, {}],
 ] as const).map(([kind, hasStream, guards]) => ({
 	kind, hasStream, fields: Object.keys(guards), guards: Object.values<Guard>(guards),
 }));
--- a/packages/link/src/link-client.ts
+++ b/packages/link/src/link-client.ts
@@ -131,6 +131,11 @@
 				break;
 			}
 
+			case 'accepted': {
+				exchange.handler.handleAccepted?.();
+				break;
+			}
+
 			case 'end': {
 				this.#forget(exchange);
 				exchange.handler.handleEnd();
--- a/packages/link/src/server-exchange.ts
+++ b/packages/link/src/server-exchange.ts
@@ -77,6 +77,11 @@
 					this.#session.send({kind: 'failure', stream, failure});
 				});
 			},
+			handleAccepted: () => {
+				this.#send(() => {
+					this.#session.send({kind: 'accepted', stream});
+				});
+			},
 			handleCredit: bytes => {
 				this.#credit += bytes;
 				this.#unsentCredit += bytes;
--- a/packages/link/src/server-session.ts
+++ b/packages/link/src/server-session.ts
@@ -231,6 +231,7 @@
 			}
 
 			case 'response':
+			case 'accepted':
 			case 'failure': {
 				this.#refuseFrame(createFailure('malformedFrame', `${frame.kind} from the side that opens exchanges`));
 				break;
--- a/packages/link/src/types.ts
+++ b/packages/link/src/types.ts
@@ -66,6 +66,12 @@
 	readonly bytes: number;
 };
 
+/** The serving side holds a place for the request and waits for the end of its body. */
+export type AcceptedFrame = {
+	readonly kind: 'accepted';
+	readonly stream: number;
+};
+
 /** The side that opened the exchange gives it up. */
 export type CancelFrame = {
 	readonly kind: 'cancel';
@@ -80,7 +86,7 @@
 };
 
 /** A frame that belongs to an exchange; it is numbered, and kept until it is acknowledged. */
-export type ExchangeFrame = RequestFrame | ResponseFrame | DataFrame | EndFrame | CreditFrame | CancelFrame | FailureFrame;
+export type ExchangeFrame = RequestFrame | ResponseFrame | DataFrame | EndFrame | CreditFrame | AcceptedFrame | CancelFrame | FailureFrame;
 
 /** A frame that concerns the connection or the session as a whole. */
 export type ControlFrame = HelloFrame | HeartbeatFrame | CloseFrame;
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -14,6 +14,8 @@
 	readonly getLoad: () => LoadHint;
 	/** Called once the run has all that it needs before it is started. */
 	readonly handleReady: (run: BackendRun) => void;
+	/** Called when the body has ended before the run is started. */
+	readonly handleBodyEnd?: (run: BackendRun) => void;
 	/** Called when the run is given up before it was started. */
 	readonly handleForgotten: (run: BackendRun) => void;
 	/** Called once a started run is over; without an outcome when it says nothing about the backend server. */
@@ -64,6 +66,11 @@
 		});
 	}
 
+	/** True when the run is started before its body has ended. */
+	isStreamed(): boolean {
+		return this.#bodyForm === 'streamed';
+	}
+
 	/** True when the run may be started before its body has arrived. */
 	isReady(): boolean {
 		return this.#bodyForm !== 'whole';
@@ -118,7 +125,12 @@
 
 		this.#bodyEndedAt = performance.now();
 		this.#body.end();
-		if (this.#state === 'waiting' && this.#bodyForm === 'whole') {
+		if (this.#state !== 'waiting') {
+			return;
+		}
+
+		this.#owner.handleBodyEnd?.(this);
+		if (this.#bodyForm === 'whole') {
 			this.#owner.handleReady(this);
 		}
 	}
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -42,6 +42,10 @@
 	readonly overdueTimer: NodeJS.Timeout;
 };
 
+type Reserved = Running & {
+	readonly timer: NodeJS.Timeout;
+};
+
 type Pending = Waiting & {
 	readonly run: BackendRun;
 	readonly head: RequestHead;
@@ -56,8 +60,8 @@
 const connectTimeoutMs = 1000;
 /** Rank of requests that name none. */
 const lastPriority = 1000;
-/** Requests whose body is still arriving. */
-const maxCollecting = 256;
+/** Time for which a place is held for a request whose body does not end, in milliseconds. */
+const reservationMs = 1000;
 
 /** Owns the slots of one backend server and alone decides whether a request ran. */
 export class GatedServer {
@@ -65,7 +69,8 @@
 	readonly #gate = new ServerGate(performance.now());
 	readonly #queue = new WaitQueue<Pending>();
 	readonly #running = new Map<BackendRun, Started>();
-	readonly #collecting = new Set<BackendRun>();
+	/** Requests that hold a place until their body has ended. */
+	readonly #reserved = new Map<BackendRun, Reserved>();
 	readonly #pools: {readonly repeatable: Pool; readonly unrepeatable: Pool};
 	#server: AnnouncedServer;
 	#wasUnwell = false;
@@ -77,32 +82,24 @@
 		this.#gate.setCold(server.coldMs ?? 0, performance.now());
 	}
 
-	/** Runs a request now or when a slot is free, or refuses it with "not run". */
+	/** Holds a place for a request and runs it once its body has ended, or refuses it at once with "not run". */
 	openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
 		const run: BackendRun = new BackendRun(head, handler, {
 			getLoad: () => this.getLoad(head.priority, head.route),
-			handleReady: ready => {
-				this.#collecting.delete(ready);
-				this.#admit(ready, head);
+			handleReady() {
+				// The place is held already.
+			},
+			handleBodyEnd: ended => {
+				this.#handleBodyEnd(ended, head);
 			},
 			handleForgotten: forgotten => {
-				this.#collecting.delete(forgotten);
-				this.#queue.list().filter(pending => pending.run === forgotten).forEach(pending => {
-					this.#forget(pending);
-				});
+				this.#forgetRun(forgotten);
 			},
 			handleDone: (outcome, failure) => {
 				this.#handleDone(run, outcome, failure);
 			},
 		}, this.#options.protocol);
-		if (run.isReady()) {
-			this.#admit(run, head);
-		} else if (this.#collecting.size < maxCollecting) {
-			this.#collecting.add(run);
-		} else {
-			this.#refuse(run, head, createFailure('queueFull', `${maxCollecting} bodies are arriving`));
-		}
-
+		this.#admit(run, head, handler);
 		return run;
 	}
 
@@ -121,7 +118,7 @@
 
 	/** Requests running, waiting, or whose body is arriving. */
 	countRequests(): number {
-		return this.#running.size + this.#queue.count() + this.#collecting.size;
+		return this.#running.size + this.#queue.count() + this.#reserved.size;
 	}
 
 	/** Takes a newer announcement from the same address; what waits at one that leaves is refused. */
@@ -163,11 +160,11 @@
 
 	#createLoad(priority: number): GateLoad {
 		return {
-			slots: this.#countSlots(), running: [...this.#running.values()], ahead: this.#queue.selectAhead(priority), waitingCount: this.#queue.count(),
+			slots: this.#countSlots(), running: [...this.#running.values(), ...this.#reserved.values()], ahead: this.#queue.selectAhead(priority), waitingCount: this.#queue.count(),
 		};
 	}
 
-	#admit(run: BackendRun, head: RequestHead): void {
+	#admit(run: BackendRun, head: RequestHead, handler: ExchangeHandler): void {
 		const {priority = lastPriority, earlierAttempts = 0} = head;
 		const remainingMs = run.getRemainingMs();
 		const request: GateRequest = {
@@ -182,13 +179,53 @@
 		const refusal = this.#findRefusal(request, earlierAttempts);
 		if (refusal) {
 			this.#refuse(run, head, refusal);
-		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
+			return;
+		}
+
+		this.#reserve(run, head);
+		queueMicrotask(() => {
+			handler.handleAccepted?.();
+		});
+		if (run.isStreamed()) {
+			this.#handleBodyEnd(run, head);
+		}
+	}
+
+	#reserve(run: BackendRun, head: RequestHead): void {
+		const startedAt = performance.now();
+		this.#reserved.set(run, {
+			startedAt,
+			workMs: this.#gate.estimateWork(head.route ?? '', startedAt),
+			timer: setTimeout(() => {
+				this.#forgetRun(run);
+				this.#refuse(run, head, createFailure('queueDeadline', `the body has not ended within ${reservationMs} ms`));
+			}, reservationMs),
+		});
+	}
+
+	#handleBodyEnd(run: BackendRun, head: RequestHead): void {
+		const reserved = this.#reserved.get(run);
+		if (!reserved) {
+			return;
+		}
+
+		clearTimeout(reserved.timer);
+		this.#reserved.delete(run);
+		if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
 			this.#start(run, head);
 		} else {
-			this.#enqueue(run, head, priority, remainingMs);
+			this.#enqueue(run, head);
 		}
 	}
 
+	#forgetRun(run: BackendRun): void {
+		clearTimeout(this.#reserved.get(run)?.timer);
+		this.#reserved.delete(run);
+		this.#queue.list().filter(pending => pending.run === run).forEach(pending => {
+			this.#forget(pending);
+		});
+	}
+
 	/** A retry counts against the budget only when it is taken. */
 	#findRefusal(request: GateRequest, earlierAttempts: number): Failure | undefined {
 		if (this.#server.isLeaving) {
@@ -209,7 +246,9 @@
 		return this.#options.retries.takeRetry(false, now) ? undefined : createFailure('retriesSpent', `attempt ${earlierAttempts + 1}`);
 	}
 
-	#enqueue(run: BackendRun, head: RequestHead, priority: number, remainingMs: number): void {
+	#enqueue(run: BackendRun, head: RequestHead): void {
+		const {priority = lastPriority} = head;
+		const remainingMs = run.getRemainingMs();
 		const now = performance.now();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
 		const latestMs = Math.max(0, remainingMs - (workMs / 2));
@@ -237,8 +276,8 @@
 			this.#forget(pending);
 			this.#refuse(pending.run, pending.head, failure);
 		});
-		[...this.#collecting].forEach(run => {
-			this.#collecting.delete(run);
+		[...this.#reserved.keys()].forEach(run => {
+			this.#forgetRun(run);
 			run.refuse(failure);
 		});
 	}
--- a/packages/node/src/quarantine.ts
+++ b/packages/node/src/quarantine.ts
@@ -130,7 +130,11 @@
 	constructor(options: WatchOptions) {
 		super();
 		this.#options = options;
-		if (!options.isHeld) {
+		if (options.isHeld) {
+			queueMicrotask(() => {
+				options.handler.handleAccepted?.();
+			});
+		} else {
 			this.#next = options.openNext(this.#createHandler());
 		}
 	}
@@ -193,6 +197,7 @@
 			},
 			handleData: handler.handleData,
 			handleCredit: handler.handleCredit,
+			...(handler.handleAccepted && {handleAccepted: handler.handleAccepted}),
 			handleEnd: () => {
 				this.#recordAnswer();
 				handler.handleEnd();
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -24,11 +24,14 @@
 	readonly pickRandom?: () => number;
 };
 
+/** Longest time a way is avoided before one request tries it again, in milliseconds: a try costs that request a moment. */
+const maxPathBackOffMs = 2000;
+
 /** Chooses and watches; each request is an exchange of its own. */
 export class RequestRouter extends Carrier {
 	readonly #options: RequestRouterOptions;
 	readonly #loads = new LoadTracker();
-	readonly #paths = new PathHealth();
+	readonly #paths = new PathHealth(maxPathBackOffMs);
 	readonly #pickRandom: () => number;
 
 	constructor(options: RequestRouterOptions) {
@@ -58,7 +61,9 @@
 		const reachable = candidates.filter(({nodeId}) => !this.#paths.isAvoided(nodeId, now));
 		const views = (reachable.length > 0 ? reachable : candidates).map(candidate => this.#createView(candidate, request));
 		const remainingMs = request.getRemainingMs(now);
-		return chooseSpillStep(views, {isRepeatable: head.isRepeatable, objectiveMs: head.objectiveMs ?? head.remainingMs, remainingMs}, this.#pickRandom);
+		return chooseSpillStep(views, {
+			isRetryable: head.isRepeatable && request.hasAttemptAfterNext(), objectiveMs: head.objectiveMs ?? head.remainingMs, remainingMs,
+		}, this.#pickRandom);
 	}
 
 	#createView(candidate: Candidate, request: RoutedRequest): SpillView {
@@ -72,7 +77,7 @@
 		return {
 			candidate,
 			tier,
-			waitMs: Math.max(hint?.waitMs ?? 0, crowdedMs),
+			waitMs: hint?.waitMs === undefined && crowdedMs === 0 ? undefined : Math.max(hint?.waitMs ?? 0, crowdedMs),
 			workMs,
 			isUnwell: hint?.isUnwell ?? false,
 			refusals: request.countRefusals(server.id),
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -3,7 +3,7 @@
 	createFailure, Exchange, exchangeWindowBytes, findHeader, selectHeaders, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
 import {
-	type Candidate, type PathHealth, type SpillStep,
+	type Candidate, type PathHealth, type SpillStep, type Tier,
 } from '@limpetbarrow/choose';
 import {BufferedAnswer} from './buffered-answer.js';
 import {type FindEgress} from './forwarder.js';
@@ -25,6 +25,9 @@
 	readonly candidate: Candidate;
 	readonly exchange: Exchange;
 	readonly answer: BufferedAnswer;
+	/** True once the body may be sent: only then can the request run. */
+	readonly isAccepted: boolean;
+	readonly acceptTimer: NodeJS.Timeout | undefined;
 	readonly hedgeTimer: NodeJS.Timeout | undefined;
 };
 
@@ -33,6 +36,10 @@
 const leastRemainingMs = 10;
 /** Share of the objective after which a request that may be repeated is handed to a second backend server as well. */
 const hedgeShare = 0.6;
+/** Time in which another node says whether it takes a request, by its distance, in milliseconds: some round trips and a busy moment. */
+const acceptTimeouts: Readonly<Record<Tier, number>> = {
+	host: 0, failureDomain: 150, region: 150, remote: 300,
+};
 const pathFailures: ReadonlySet<string> = new Set(['linkUnreachable', 'linkLost']);
 
 /** A small whole body goes with its length, whatever form it came in. */
@@ -79,7 +86,7 @@
 		}
 
 		this.#startTries();
-		this.#tries.forEach(({exchange}) => {
+		this.#listAccepted().forEach(({exchange}) => {
 			exchange.writeBody(chunk);
 		});
 	}
@@ -87,7 +94,7 @@
 	override endBody(): void {
 		this.#isBodyEnded = true;
 		if (this.#isBegun) {
-			this.#tries.forEach(({exchange}) => {
+			this.#listAccepted().forEach(({exchange}) => {
 				exchange.endBody();
 			});
 			return;
@@ -151,16 +158,48 @@
 		};
 		const exchange = egress.openExchange(head, this.#createHandler(candidate, answer));
 		this.#tries = [...this.#tries, {
-			candidate, exchange, answer, hedgeTimer: this.#startHedgeTimer(),
+			candidate, exchange, answer, isAccepted: false, acceptTimer: this.#startAcceptTimer(candidate, answer, tier), hedgeTimer: this.#startHedgeTimer(),
 		}];
+		if (tier === 'host') {
+			this.#sendBody(answer);
+		}
+	}
+
+	#listAccepted(): readonly Try[] {
+		return this.#tries.filter(({isAccepted}) => isAccepted);
+	}
+
+	/** Sends the body, whose end is the other side's word to run the request. */
+	#sendBody(answer: BufferedAnswer): void {
+		const accepted = this.#tries.find(one => one.answer === answer);
+		if (accepted === undefined || accepted.isAccepted) {
+			return;
+		}
+
+		clearTimeout(accepted.acceptTimer);
+		this.#tries = this.#tries.map(one => one === accepted ? {...one, isAccepted: true} : one);
 		this.#sent.forEach(chunk => {
-			exchange.writeBody(chunk);
+			accepted.exchange.writeBody(chunk);
 		});
 		if (this.#isBodyEnded) {
-			exchange.endBody();
+			accepted.exchange.endBody();
 		}
 	}
 
+	/** Without a word in time the way is taken to be cut. Nothing has run, as the body was not sent. */
+	#startAcceptTimer(candidate: Candidate, answer: BufferedAnswer, tier: Tier): NodeJS.Timeout | undefined {
+		const timeoutMs = acceptTimeouts[tier];
+		return timeoutMs === 0
+			? undefined
+			: setTimeout(() => {
+				const late = this.#tries.find(one => one.answer === answer);
+				this.#removeTry(answer);
+				late?.exchange.cancel();
+				this.#options.paths.recordFailure(candidate.nodeId, performance.now());
+				this.#handleFailure(candidate, answer, createFailure('linkUnreachable', `node ${candidate.nodeId} did not answer within ${timeoutMs} ms`));
+			}, timeoutMs);
+	}
+
 	#startHedgeTimer(): NodeJS.Timeout | undefined {
 		const {isRepeatable, objectiveMs, remainingMs} = this.#head;
 		return isRepeatable && this.#isReplayable()
@@ -198,6 +237,10 @@
 			handleCredit: bytes => {
 				this.#handler.handleCredit(bytes);
 			},
+			handleAccepted: () => {
+				paths.recordSuccess(nodeId, performance.now());
+				this.#sendBody(answer);
+			},
 			handleEnd: () => {
 				this.#removeTry(answer);
 				this.#request.recordAnswer(server.id, answer.getStatus(), performance.now());
@@ -338,6 +381,7 @@
 	#removeTry(answer: BufferedAnswer): void {
 		const ended = this.#tries.find(one => one.answer === answer);
 		if (ended) {
+			clearTimeout(ended.acceptTimer);
 			clearTimeout(ended.hedgeTimer);
 			this.#options.loads.add(ended.candidate.server.id, -1);
 			this.#tries = this.#tries.filter(one => one !== ended);
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -70,6 +70,11 @@
 		return this.#handed.size < (this.head.maxAttempts ?? defaultMaxAttempts);
 	}
 
+	/** True when one more could follow the next hand-over. */
+	hasAttemptAfterNext(): boolean {
+		return this.#handed.size + 1 < (this.head.maxAttempts ?? defaultMaxAttempts);
+	}
+
 	/** True when the request may look for another place. */
 	hasStep(isLastResort: boolean): boolean {
 		return this.#steps < maxSteps && !(isLastResort && this.#lastResorts >= maxLastResorts);
