Refuse in the queue what would be late, and count the objective from the start

Change: what may be waited is what is left of the objective after the work, wherever the request is; a last resort keeps to it; waits known to be longer are not tried; among equals the answer due first goes first, so that a call another request waits for does not queue behind long work. A node whose every way fails uses its own host only, for a moment.

Ruled out: late requests behind those in time (tried on paper: they hold slots that the next need).

--- a/packages/admission/src/server-gate.ts
+++ b/packages/admission/src/server-gate.ts
@@ -90,6 +90,14 @@
 		return estimateWait(slots, running, ahead, now);
 	}
 
+	/**
+	 * Longest time a request may wait here, in milliseconds. What can't be answered while it is worth most is refused at
+	 * once: a queue of late requests makes those behind it late as well and serves no more of them.
+	 */
+	computeLongestWait({route, patienceMs, remainingMs}: Pick<GateRequest, 'route' | 'patienceMs' | 'remainingMs'>, now: number): number {
+		return Math.max(0, Math.min(patienceMs, remainingMs - this.estimateWork(route, now)));
+	}
+
 	/** Why the request is not taken; undefined when it is. */
 	findRefusal(request: GateRequest, load: GateLoad, now: number): Failure | undefined {
 		const waitMs = this.estimateWait(load, now);
@@ -98,17 +106,12 @@
 			return createFailure('queueFull', `${load.waitingCount} requests wait`, waitMs);
 		}
 
-		if (waitMs + (workMs / 2) > request.remainingMs) {
-			return createFailure('queueDeadline', `wait ${Math.round(waitMs)} ms and work ${Math.round(workMs)} ms, ${Math.round(request.remainingMs)} ms left`, waitMs);
-		}
-
-		if (request.isLastResort) {
-			return undefined;
+		if (waitMs > this.computeLongestWait(request, now)) {
+			const {patienceMs, remainingMs} = request;
+			return createFailure('queueDeadline', `wait ${Math.round(waitMs)} ms and work ${Math.round(workMs)} ms, patience ${Math.round(patienceMs)} ms, ${Math.round(remainingMs)} ms left`, waitMs);
 		}
 
-		return waitMs > request.patienceMs
-			? createFailure('queueFull', `wait ${Math.round(waitMs)} ms, patience ${Math.round(request.patienceMs)} ms`, waitMs)
-			: this.#findSickRefusal(request, workMs, load, now);
+		return request.isLastResort ? undefined : this.#findSickRefusal(request, workMs, load, now);
 	}
 
 	/** A backend server that fails, or whose work alone takes the whole objective, gets one trial at a time. */
--- a/packages/admission/src/wait-queue.ts
+++ b/packages/admission/src/wait-queue.ts
@@ -1,14 +1,17 @@
 /**
- * Requests that wait for a slot: the most urgent first, and among equals the one that came first.
+ * Requests that wait for a slot: the most urgent first, and among equals the one whose answer is due first.
  *
  * It answers overload in which urgent and less urgent work share the same slots: what is urgent never waits behind what
- * is not, and a request that can't end within its time any more leaves the queue without taking a slot.
+ * is not, a short call that another request waits for goes before long work of its rank, and a request that can't end
+ * within its time any more leaves the queue without taking a slot.
  */
 
 /** What orders a waiting request. */
 export type Waiting = {
 	/** 0 is the most urgent. */
 	readonly priority: number;
+	/** Monotonic time by which the request's answer is due, in milliseconds. */
+	readonly dueAt: number;
 	/** Monotonic time after which starting the request makes no sense, in milliseconds. */
 	readonly latestStartAt: number;
 	/** Expected duration, in milliseconds. */
@@ -34,7 +37,7 @@
 	}
 
 	add(item: Item): void {
-		const position = this.#items.findIndex(({priority}) => priority > item.priority);
+		const position = this.#items.findIndex(other => other.priority > item.priority || (other.priority === item.priority && other.dueAt > item.dueAt));
 		this.#items = position === -1 ? [...this.#items, item] : this.#items.toSpliced(position, 0, item);
 	}
 
--- a/packages/choose/src/path-health.ts
+++ b/packages/choose/src/path-health.ts
@@ -9,11 +9,17 @@
 const firstBackOffMs = 500;
 const maxBackOffMs = 10_000;
 const maxPaths = 4096;
+/** Ways that fail in a row before a node takes itself to be cut off, and the time before it tries again, in milliseconds. */
+const isolatedAfter = 4;
+const isolatedMs = 700;
 
 /** Paths that failed lately. */
 export class PathHealth {
 	readonly #maxBackOffMs: number;
 	readonly #paths = new Map<string, PathState>();
+	/** Ways that failed since one last worked. */
+	readonly #failedInARow = new Set<string>();
+	#isolatedUntil = 0;
 	#version = 0;
 	#validUntil = Number.POSITIVE_INFINITY;
 
@@ -33,16 +39,25 @@
 		const backOffMs = Math.min(this.#maxBackOffMs, firstBackOffMs * (2 ** (failures - 1)));
 		this.#paths.delete(nodeId);
 		this.#paths.set(nodeId, {failures, avoidedUntil: now + backOffMs});
+		this.#failedInARow.add(nodeId);
+		this.#isolatedUntil = this.#failedInARow.size >= isolatedAfter ? now + isolatedMs : 0;
 		this.#sweep(now);
 	}
 
 	/** Takes an answer that came back by the path. */
 	recordSuccess(nodeId: string, now: number): void {
+		this.#failedInARow.clear();
+		this.#isolatedUntil = 0;
 		if (this.#paths.delete(nodeId)) {
 			this.#sweep(now);
 		}
 	}
 
+	/** True while this node seems to be cut off from all others: each new way tried has failed and none has worked. */
+	isIsolated(now: number): boolean {
+		return now < this.#isolatedUntil;
+	}
+
 	isAvoided(nodeId: string, now: number): boolean {
 		return now < (this.#paths.get(nodeId)?.avoidedUntil ?? 0);
 	}
--- a/packages/choose/src/spill-plan.ts
+++ b/packages/choose/src/spill-plan.ts
@@ -36,7 +36,8 @@
 	/** True when a failure would be followed by another attempt. */
 	readonly isRetryable: boolean;
 	readonly objectiveMs: number;
-	readonly remainingMs: number;
+	/** Time left of the objective, in milliseconds; below 0 once an answer is late. */
+	readonly objectiveLeftMs: number;
 };
 
 /** Cost of the way to a candidate, as a share of the objective and as a delay in milliseconds. */
@@ -57,7 +58,9 @@
 const leastPatienceShare = 0.04;
 /** Refusals by one backend server, and in all, after which a request goes nowhere but to its last resort. */
 const maxRefusalsEach = 2;
-const maxRefusals = 6;
+const maxRefusals = 4;
+/** Part of what is left of the objective, after the work, that a request may wait. */
+const waitShare = 0.9;
 /** Spread of the costs of equal candidates, so that nodes don't all choose the same, as a share of the objective. */
 const jitterShare = 0.02;
 
@@ -92,17 +95,18 @@
 	const refusals = views.reduce((sum, view) => sum + view.refusals, 0);
 	const open = refusals >= maxRefusals ? [] : ranked.filter(({view}) => view.refusals < maxRefusalsEach && !(view.isUnwell && view.refusals > 0));
 	const [first, second] = open;
+	const longestMs = Math.max(0, (request.objectiveLeftMs * waitShare) - typical.typicalMs);
 	if (first) {
 		const waitMs = first.view.waitMs ?? typical.assumedWaitMs;
-		const elsewhere = second ? second.cost - first.cost + waitMs : request.remainingMs;
-		const patienceMs = Math.max(elsewhere, waitMs, request.objectiveMs * leastPatienceShare);
+		const elsewhere = second ? second.cost - first.cost + waitMs : longestMs;
+		const patienceMs = Math.min(longestMs, Math.max(elsewhere, waitMs, request.objectiveMs * leastPatienceShare));
 		return {
 			candidate: first.view.candidate, tier: first.view.tier, patienceMs, isLastResort: false,
 		};
 	}
 
-	const last = ranked.find(({view}) => view.refusals <= maxRefusalsEach);
+	const last = ranked.find(({view}) => view.refusals <= maxRefusalsEach && (view.waitMs ?? 0) <= longestMs);
 	return last && {
-		candidate: last.view.candidate, tier: last.view.tier, patienceMs: request.remainingMs, isLastResort: true,
+		candidate: last.view.candidate, tier: last.view.tier, patienceMs: longestMs, isLastResort: true,
 	};
 }
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -251,12 +251,13 @@
 		const remainingMs = run.getRemainingMs();
 		const now = performance.now();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
-		const latestMs = Math.max(0, remainingMs - (workMs / 2));
+		const latestMs = this.#gate.computeLongestWait({route: head.route ?? '', patienceMs: head.patienceMs ?? remainingMs, remainingMs}, now);
 		const pending: Pending = {
 			run,
 			head,
 			priority,
 			workMs,
+			dueAt: now + (head.objectiveMs ?? remainingMs),
 			latestStartAt: now + latestMs,
 			timer: setTimeout(() => {
 				this.#forget(pending);
--- a/packages/node/src/load-tracker.ts
+++ b/packages/node/src/load-tracker.ts
@@ -4,6 +4,7 @@
 
 type TimedHint = {
 	readonly hint: LoadHint;
+	readonly recordedAt: number;
 	readonly expiresAt: number;
 };
 
@@ -11,6 +12,11 @@
 const hintLifetimeMs = 1000;
 const maxHints = 4096;
 
+/** What waited when the hint was given has gone on since. */
+function reduceWait(hint: LoadHint, ageMs: number): LoadHint {
+	return hint.waitMs === undefined ? hint : {...hint, waitMs: Math.max(0, hint.waitMs - ageMs)};
+}
+
 /** Counts requests in progress and keeps the latest hints. */
 export class LoadTracker implements LoadView {
 	readonly #inFlight = new Map<string, number>();
@@ -20,7 +26,8 @@
 
 	readonly getHint = (serverId: string): LoadHint | undefined => {
 		const found = this.#hints.get(serverId);
-		return found && performance.now() < found.expiresAt ? found.hint : undefined;
+		const now = performance.now();
+		return found && now < found.expiresAt ? reduceWait(found.hint, now - found.recordedAt) : undefined;
 	};
 
 	add(serverId: string, amount: 1 | -1): void {
@@ -34,7 +41,8 @@
 
 	recordHint(hint: LoadHint): void {
 		this.#hints.delete(hint.serverId);
-		this.#hints.set(hint.serverId, {hint, expiresAt: performance.now() + hintLifetimeMs});
+		const recordedAt = performance.now();
+		this.#hints.set(hint.serverId, {hint, recordedAt, expiresAt: recordedAt + hintLifetimeMs});
 		const [oldest] = this.#hints.keys();
 		if (this.#hints.size > maxHints && oldest !== undefined) {
 			this.#hints.delete(oldest);
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -58,14 +58,23 @@
 		const now = performance.now();
 		const candidates = directory.listCandidates(head.service)
 			.filter(({server}) => server.state !== 'leaving' && !request.hasHanded(server.id));
-		const reachable = candidates.filter(({nodeId}) => !this.#paths.isAvoided(nodeId, now));
-		const views = (reachable.length > 0 ? reachable : candidates).map(candidate => this.#createView(candidate, request));
-		const remainingMs = request.getRemainingMs(now);
+		const views = this.#selectReachable(candidates, now).map(candidate => this.#createView(candidate, request));
+		const objectiveMs = head.objectiveMs ?? head.remainingMs;
 		return chooseSpillStep(views, {
-			isRetryable: head.isRepeatable && request.hasAttemptAfterNext(), objectiveMs: head.objectiveMs ?? head.remainingMs, remainingMs,
+			isRetryable: head.isRepeatable && request.hasAttemptAfterNext(), objectiveMs, objectiveLeftMs: objectiveMs - request.getElapsedMs(now),
 		}, this.#pickRandom);
 	}
 
+	/** A node that is cut off has its own host only; where every way has failed lately, any is as good as another. */
+	#selectReachable(candidates: readonly Candidate[], now: number): readonly Candidate[] {
+		if (this.#paths.isIsolated(now)) {
+			return candidates.filter(({nodeId}) => nodeId === this.#options.self.id);
+		}
+
+		const reachable = candidates.filter(({nodeId}) => !this.#paths.isAvoided(nodeId, now));
+		return reachable.length > 0 ? reachable : candidates;
+	}
+
 	#createView(candidate: Candidate, request: RoutedRequest): SpillView {
 		const {server} = candidate;
 		const {priority, route} = request.head;
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -8,7 +8,7 @@
 const gateRefusals: ReadonlySet<ResultName> = new Set(['serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed', 'retriesSpent']);
 const defaultMaxAttempts = 2;
 /** Steps after which a request stops looking for a place. */
-const maxSteps = 12;
+const maxSteps = 10;
 const maxLastResorts = 2;
 /** Bounds of the delay after which a refused caller is asked to come back, in milliseconds. */
 const minRetryAfterMs = 150;
