--- /dev/null
+++ b/packages/admission/src/__tests__/unit/wait-queue.test.ts
@@ -0,0 +1,62 @@
+import {expect} from 'chai';
+import {WaitQueue, type Waiting} from '../../index.js';
+
+type Named = Waiting & {readonly name: string};
+
+function createItem(name: string, fields: Partial<Waiting> = {}): Named {
+	return {
+		name, priority: 1, workMs: 100, dueAt: 1000, latestStartAt: 900, ...fields,
+	};
+}
+
+function listNames(queue: WaitQueue<Named>): readonly string[] {
+	return queue.list().map(({name}) => name);
+}
+
+describe('wait queue', () => {
+	describe('under a mix of urgent and less urgent work', () => {
+		it('puts what is urgent before what is not, whenever it comes', () => {
+			const queue = new WaitQueue<Named>();
+			[createItem('a', {priority: 2}), createItem('b', {priority: 0}), createItem('c', {priority: 1})].forEach(item => {
+				queue.add(item);
+			});
+			expect(listNames(queue)).to.deep.equal(['b', 'c', 'a']);
+		});
+
+		it('puts a short call before long work of its rank that came first, and keeps the order of equals', () => {
+			const queue = new WaitQueue<Named>();
+			[createItem('work', {dueAt: 1200}), createItem('next', {dueAt: 1200}), createItem('call', {dueAt: 150})].forEach(item => {
+				queue.add(item);
+			});
+			expect(listNames(queue)).to.deep.equal(['call', 'work', 'next']);
+		});
+
+		it('counts for a newcomer only what would be started before it', () => {
+			const queue = new WaitQueue<Named>();
+			[createItem('a', {priority: 2}), createItem('b', {priority: 0})].forEach(item => {
+				queue.add(item);
+			});
+			expect(queue.selectAhead(1).map(({name}) => name)).to.deep.equal(['b']);
+		});
+	});
+
+	describe('under overload', () => {
+		it('gives up what can no longer end in time, and starts the others', () => {
+			const queue = new WaitQueue<Named>();
+			[createItem('late', {latestStartAt: 10}), createItem('early', {latestStartAt: 500})].forEach(item => {
+				queue.add(item);
+			});
+			expect(queue.removeHopeless(100).map(({name}) => name)).to.deep.equal(['late']);
+			expect(queue.takeNext()?.name).to.equal('early');
+			expect(queue.count()).to.equal(0);
+		});
+
+		it('lets a waiting request go', () => {
+			const queue = new WaitQueue<Named>();
+			const item = createItem('a');
+			queue.add(item);
+			queue.remove(item);
+			expect(queue.takeNext()).to.equal(undefined);
+		});
+	});
+});
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -13,7 +13,7 @@
 export const coldFactor = 2;
 
 /** Probability of sickness above which a request that may not be repeated is refused: losing it costs all of it. */
-export const unrepeatableSickness = 0.3;
+export const unrepeatableSickness = 0.15;
 
 /** Probability of sickness above which repeatable requests are trials only: losing one costs a retry. */
 export const repeatableSickness = 0.4;
--- /dev/null
+++ b/packages/choose/src/__tests__/unit/windowed-retries.test.ts
@@ -0,0 +1,56 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {WindowedRetries} from '../../index.js';
+
+const window = {windowMs: 10_000, ratio: 0.2, allowance: 58};
+
+describe('windowed retries', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	describe('under a retry storm', () => {
+		it('keep each sliding window of a service within its budget, however uneven the load of the parts', () => {
+			const parts = Array.from({length: 12}, () => new WindowedRetries(window, () => 12));
+			const requestsAt: number[] = [];
+			const retriesAt: number[] = [];
+			Array.from({length: 400}).forEach(() => {
+				clock.tick(100);
+				parts.forEach((part, index) => {
+					Array.from({length: index === 0 ? 4 : Number(index % 4 === 0)}).forEach(() => {
+						part.recordRequest();
+						requestsAt.push(clock.now);
+						if (part.takeRetry(false, performance.now())) {
+							retriesAt.push(clock.now);
+						}
+					});
+				});
+			});
+			const ends = [10_000, 15_000, 20_000, 33_300, 40_000];
+			ends.forEach(end => {
+				const count = (times: readonly number[]): number => times.filter(at => at > end - window.windowMs && at <= end).length;
+				expect(count(retriesAt)).to.be.at.most((window.ratio * count(requestsAt)) + window.allowance);
+				expect(count(retriesAt)).to.be.above(0);
+			});
+		});
+	});
+
+	it('share the allowance by the number of parts', () => {
+		const one = new WindowedRetries({...window, allowance: 24}, () => 12);
+		expect([1, 2, 3].map(() => one.takeRetry(true, performance.now()))).to.deep.equal([true, true, false]);
+	});
+
+	it('forget what is older than the window', () => {
+		const one = new WindowedRetries({...window, allowance: 1}, () => 1);
+		expect(one.takeRetry(true, performance.now())).to.equal(true);
+		expect(one.takeRetry(true, performance.now())).to.equal(false);
+		clock.tick(10_001);
+		expect(one.takeRetry(true, performance.now())).to.equal(true);
+	});
+});
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -135,6 +135,8 @@
 export type ResponseHead = {
 	readonly status: number;
 	readonly headers: RawHeaders;
+	/** True when only the end of its connection ended the answer, which proves nothing of its being whole. */
+	readonly isUnframed?: boolean;
 	readonly load?: LoadHint;
 };
 
--- a/packages/detect/src/sickness-filter.ts
+++ b/packages/detect/src/sickness-filter.ts
@@ -22,7 +22,7 @@
 
 /** Spells of a few seconds, some a minute, in which most requests fail, as the users' brief describes gray failures. */
 export const defaultSpells: SpellModel = {
-	wellMs: 30_000, sickMs: 8000, wellFailureShare: 0.015, sickFailureShare: 0.8,
+	wellMs: 60_000, sickMs: 8000, wellFailureShare: 0.015, sickFailureShare: 0.8,
 };
 
 /** One backend server. Times are monotonic milliseconds given by the caller. */
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -80,6 +80,7 @@
 	status: isStatus,
 	headers: isHeaders,
 	load: isOptional(hasFields(loadGuards)),
+	isUnframed: isOptional(isFlag),
 };
 
 const failureGuards = {
--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -23,6 +23,10 @@
 	readonly announce: (fields?: Readonly<Record<string, unknown>>) => void;
 };
 
+const answerWhole: RawScript = (socket, text) => {
+	socket.write(formatRawAnswer(text));
+};
+
 let close: () => Promise<void> = async () => undefined;
 
 async function sendRequest(egress: HostEgress, head: Partial<RequestHead>): Promise<Answer> {
@@ -99,7 +103,7 @@
 
 	describe('requests', () => {
 		it('name the backend server, the caller and the time left, and keep the rest', async () => {
-			const {send, backend} = await startRig((socket, text) => socket.write(formatRawAnswer(text)));
+			const {send, backend} = await startRig(answerWhole);
 			expect(await send()).to.deep.equal({outcome: '200', body: 'whole'});
 			const [text = ''] = backend.requests;
 			expect(text.startsWith('GET /sizes?x=1 HTTP/1.1\r\n')).to.equal(true);
@@ -119,7 +123,9 @@
 				outcome: 'serverBroke',
 				answer(socket, text) {
 					socket.write(`HTTP/1.1 200 OK\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\nconnection: close\r\n\r\nhalf`);
-					setTimeout(() => socket.resetAndDestroy(), 20);
+					setTimeout(() => {
+						socket.resetAndDestroy();
+					}, 20);
 				},
 			},
 			{
@@ -168,7 +174,7 @@
 		cases.forEach(({what, outcome, answer}) => {
 			it(`that ${what} fail as ${outcome}`, async () => {
 				const {send} = await startRig(answer);
-				expect((await send()).outcome).to.equal(outcome);
+				expect(await send()).to.include({outcome: outcome});
 			});
 		});
 
@@ -180,7 +186,9 @@
 		});
 
 		it('that follow a whole answer harm no later request', async () => {
-			const {send} = await startRig((socket, text) => socket.write(formatRawAnswer(text) + formatRawAnswer(text, {id: 'r-0', body: 'extra'})));
+			const {send} = await startRig((socket, text) => {
+				socket.write(formatRawAnswer(text) + formatRawAnswer(text, {id: 'r-0', body: 'extra'}));
+			});
 			expect(await send()).to.deep.equal({outcome: '200', body: 'whole'});
 			await wait(20);
 			expect(await send({requestId: 'r-2'})).to.deep.equal({outcome: '200', body: 'whole'});
@@ -189,10 +197,12 @@
 
 	describe('a backend server at whose address another is found', () => {
 		it('gets no more requests', async () => {
-			const {send, backend, egress} = await startRig((socket, text) => socket.write(formatRawAnswer(text, {status: 421})));
+			const {send, backend, egress} = await startRig((socket, text) => {
+				socket.write(formatRawAnswer(text, {status: 421}));
+			});
 			await send();
 			expect(egress.listServers()).to.deep.equal([]);
-			expect((await send()).outcome).to.equal('serverNotHere');
+			expect(await send()).to.include({outcome: 'serverNotHere'});
 			expect(backend.requests.length).to.equal(1);
 		});
 	});
@@ -201,25 +211,28 @@
 		it('gets nothing new from the acknowledgement on, also what waits', async () => {
 			const answers: Array<() => void> = [];
 			const {send, backend, announce} = await startRig((socket, text) => {
-				answers.push(() => socket.write(formatRawAnswer(text)));
+				answers.push(() => {
+					socket.write(formatRawAnswer(text));
+				});
 			});
 			const running = [send(), send(), send()];
 			const waiting = send();
 			await wait(30);
 			announce({isLeaving: true});
-			expect((await waiting).outcome).to.equal('serverLeaving');
-			expect((await send()).outcome).to.equal('serverLeaving');
+			expect(await waiting).to.include({outcome: 'serverLeaving'});
+			expect(await send()).to.include({outcome: 'serverLeaving'});
 			answers.forEach(answer => {
 				answer();
 			});
-			expect((await Promise.all(running)).map(({outcome}) => outcome)).to.deep.equal(['200', '200', '200']);
+			const finished = await Promise.all(running);
+			expect(finished.map(({outcome}) => outcome)).to.deep.equal(['200', '200', '200']);
 			expect(backend.requests.length).to.equal(3);
 		});
 
 		it('may say so without having announced it before', async () => {
-			const {send, announcements} = await startRig((socket, text) => socket.write(formatRawAnswer(text)));
+			const {send, announcements} = await startRig(answerWhole);
 			announcements.leave('server-1');
-			expect((await send()).outcome).to.equal('serverLeaving');
+			expect(await send()).to.include({outcome: 'serverLeaving'});
 		});
 	});
 
@@ -227,7 +240,9 @@
 		it('bound the requests at the backend server, the most urgent first', async () => {
 			const answers: Array<() => void> = [];
 			const {send, backend} = await startRig((socket, text) => {
-				answers.push(() => socket.write(formatRawAnswer(text)));
+				answers.push(() => {
+					socket.write(formatRawAnswer(text));
+				});
 			});
 			const all = [send(), send(), send(), send({requestId: 'late', priority: 2}), send({requestId: 'urgent', priority: 0})];
 			await wait(30);
@@ -240,21 +255,22 @@
 			});
 			await wait(30);
 			answers.at(-1)!();
-			expect((await Promise.all(all)).map(({outcome}) => outcome)).to.deep.equal(['200', '200', '200', '200', '200']);
+			const finished = await Promise.all(all);
+			expect(finished.map(({outcome}) => outcome)).to.deep.equal(['200', '200', '200', '200', '200']);
 		});
 	});
 
 	describe('retries', () => {
 		it('are refused beyond the budget, and the refusal is no arrival', async () => {
-			const {send, backend} = await startRig((socket, text) => socket.write(formatRawAnswer(text)), () => new WindowedRetries({windowMs: 10_000, ratio: 0.2, allowance: 1}, () => 1));
-			expect((await send({earlierAttempts: 1, maxAttempts: 2})).outcome).to.equal('200');
-			expect((await send({earlierAttempts: 1, maxAttempts: 2})).outcome).to.equal('retriesSpent');
+			const {send, backend} = await startRig(answerWhole, () => new WindowedRetries({windowMs: 10_000, ratio: 0.2, allowance: 1}, () => 1));
+			expect(await send({earlierAttempts: 1, maxAttempts: 2})).to.include({outcome: '200'});
+			expect(await send({earlierAttempts: 1, maxAttempts: 2})).to.include({outcome: 'retriesSpent'});
 			expect(backend.requests.length).to.equal(1);
 		});
 	});
 
 	it('answers heads that carry its load', async () => {
-		const {egress} = await startRig((socket, text) => socket.write(formatRawAnswer(text)));
+		const {egress} = await startRig(answerWhole);
 		expect(egress.findLoad('server-1', 0, 'sizes')).to.include({freeSlots: 3, queued: 0, isUnwell: false});
 	});
 });
--- /dev/null
+++ b/packages/node/src/address-probe.ts
@@ -0,0 +1,37 @@
+/** Finds out whether a process listens at an address. */
+import {createConnection} from 'node:net';
+import {type Address} from '@limpetbarrow/core';
+
+const probeTimeoutMs = 500;
+
+type ProbeResult = 'accepted' | 'refused' | 'unknown';
+
+async function probeAddress({host, port}: Address): Promise<ProbeResult> {
+	return new Promise(resolve => {
+		const socket = createConnection({host, port, timeout: probeTimeoutMs});
+		const finish = (result: ProbeResult): void => {
+			socket.destroy();
+			resolve(result);
+		};
+
+		socket.once('connect', () => {
+			finish('accepted');
+		});
+		socket.once('timeout', () => {
+			finish('unknown');
+		});
+		socket.once('error', (error: Error & {readonly code?: string}) => {
+			finish(error.code === 'ECONNREFUSED' ? 'refused' : 'unknown');
+		});
+	});
+}
+
+/** True when a connection is refused, as it is after the process has crashed. */
+export async function isRefusing(address: Address): Promise<boolean> {
+	return await probeAddress(address) === 'refused';
+}
+
+/** True when a connection is accepted, as it is while the process runs. */
+export async function isAccepting(address: Address): Promise<boolean> {
+	return await probeAddress(address) === 'accepted';
+}
--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	createFailure, exchangeWindowBytes, Exchange, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead, type ResponseHead,
+	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
 import {selectResponseHeaders} from './headers.js';
@@ -14,6 +14,8 @@
 	readonly getLoad: () => LoadHint;
 	/** Called once the run has all that it needs before it is started. */
 	readonly handleReady: (run: BackendRun) => void;
+	/** Finds out whether the backend server still runs; asked where only that tells a whole answer from a part of one. */
+	readonly checkServer?: () => Promise<boolean>;
 	/** Called when the body has ended before the run is started. */
 	readonly handleBodyEnd?: (run: BackendRun) => void;
 	/** Called when the run is given up before it was started. */
@@ -25,6 +27,7 @@
 type RunState = 'waiting' | 'running' | 'over';
 
 const firstServerError = 500;
+const noContent = 204;
 const notModified = 304;
 /** The client's error for a 304 that names the length of the body it does not have, as HTTP allows. */
 const lengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
@@ -33,6 +36,12 @@
 	return Array.isArray(headers) ? headers.map(part => Buffer.isBuffer(part) ? part.toString('latin1') : part) : [];
 }
 
+/** True when neither a length nor chunks frame the answer's body. */
+function isUnframed(status: number, headers: RawHeaders): boolean {
+	const isFramed = findHeader(headers, 'content-length') !== undefined || findHeader(headers, 'transfer-encoding') !== undefined;
+	return !isFramed && status !== noContent && status !== notModified;
+}
+
 /** Sends one request to a backend server and hands its answer on. */
 export class BackendRun extends Exchange {
 	readonly #head: RequestHead;
@@ -48,6 +57,8 @@
 	#startedAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#status = 0;
+	/** True when the end of the connection is the end of the answer. */
+	#isUnframed = false;
 	/** Monotonic times: the request's body was whole, the answer's head came. */
 	#bodyEndedAt: number | undefined;
 	#headAt: number | undefined;
@@ -167,7 +178,9 @@
 			},
 			onResponseStart: (controller, status) => {
 				if (this.#state === 'running' && status >= 200) {
-					this.#handleHead({status, headers: selectResponseHeaders(decodeHeaders(controller.rawHeaders))});
+					const headers = decodeHeaders(controller.rawHeaders);
+					this.#isUnframed = isUnframed(status, headers);
+					this.#handleHead({status, headers: selectResponseHeaders(headers)});
 				}
 			},
 			onResponseData: (controller, chunk) => {
@@ -205,11 +218,28 @@
 		} else {
 			this.#status = answer.status;
 			this.#headAt = performance.now();
-			this.#handler.handleHead({...answer, load: this.#owner.getLoad()});
+			this.#handler.handleHead({...answer, load: this.#owner.getLoad(), ...(this.#isUnframed && {isUnframed: true})});
 		}
 	}
 
+	/** The kernel ends the connections of a process that has crashed in order, so an answer without a length proves nothing then. */
 	#handleEnd(): void {
+		const {checkServer} = this.#owner;
+		if (this.#state !== 'running' || !this.#isUnframed || !checkServer) {
+			this.#finishAnswer();
+			return;
+		}
+
+		void checkServer().then(isRunning => {
+			if (isRunning) {
+				this.#finishAnswer();
+			} else {
+				this.#fail(createFailure('serverBroke', 'the backend server ended under an answer without a length'), 'failed');
+			}
+		});
+	}
+
+	#finishAnswer(): void {
 		if (this.#state === 'running') {
 			this.#finish(this.#createOutcome(this.#status >= firstServerError ? 'failed' : 'answered'), undefined);
 			this.#handler.handleEnd();
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -9,6 +9,7 @@
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type WorkOutcome} from '@limpetbarrow/detect';
+import {isAccepting} from './address-probe.js';
 import {createBackendConnector} from './backend-connector.js';
 import {BackendRun} from './backend-run.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -89,6 +90,7 @@
 			handleReady() {
 				// The place is held already.
 			},
+			checkServer: async () => isAccepting(this.#server.address),
 			handleBodyEnd: ended => {
 				this.#handleBodyEnd(ended, head);
 			},
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -110,12 +110,14 @@
 		};
 	}
 
-	#handleHead({status, headers}: ResponseHead): void {
+	/** An answer that may be cut short looks no more whole to the caller than it did here. */
+	#handleHead({status, headers, isUnframed = false}: ResponseHead): void {
 		if (this.#isOver) {
 			return;
 		}
 
 		this.#pauseWrites();
+		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
 		try {
 			this.#response.writeHead(status, [...headers]);
 		} catch (error) {
--- a/packages/node/src/quarantine.ts
+++ b/packages/node/src/quarantine.ts
@@ -1,9 +1,9 @@
 /** Refuses requests that crashed backend servers before, and finds them. */
-import {createConnection} from 'node:net';
 import {
 	createFailure, Exchange, exchangeWindowBytes, Subject, type Address, type ExchangeHandler, type Failure, type PoisonMark, type RequestHead,
 } from '@limpetbarrow/core';
 import {isPoison, mergePoisonMarks, PoisonRegister} from '@limpetbarrow/detect';
+import {isRefusing} from './address-probe.js';
 import {createClosedExchange, refuseExchange} from './closed-exchange.js';
 import {FingerprintBuilder} from './fingerprint.js';
 
@@ -13,30 +13,8 @@
 /** Finds out whether nothing listens at an address any more. */
 export type ProbeAddress = (address: Address) => Promise<boolean>;
 
-const probeTimeoutMs = 500;
 const firstServerError = 500;
 
-/** True when a connection is refused, as it is after the process has crashed. */
-export async function isRefusing({host, port}: Address): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = createConnection({host, port, timeout: probeTimeoutMs});
-		const finish = (isRefused: boolean): void => {
-			socket.destroy();
-			resolve(isRefused);
-		};
-
-		socket.once('connect', () => {
-			finish(false);
-		});
-		socket.once('timeout', () => {
-			finish(false);
-		});
-		socket.once('error', (error: Error & {readonly code?: string}) => {
-			finish(error.code === 'ECONNREFUSED');
-		});
-	});
-}
-
 /** Watches the requests of one node's backend servers. */
 export class Quarantine {
 	/** Fires when the node's own marks have changed. */
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -296,7 +296,7 @@
 			});
 		}
 
-		if (this.#tries.length > 0) {
+		if (this.#tries.length > 0 && !isGateRefusal(failure)) {
 			return;
 		}
 
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -5,7 +5,9 @@
 import {type Tier} from '@limpetbarrow/choose';
 
 /** Refusals by a node, before any backend server had the request. */
-const gateRefusals: ReadonlySet<ResultName> = new Set(['serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed', 'retriesSpent']);
+const gateRefusals: ReadonlySet<ResultName> = new Set([
+	'serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed', 'retriesSpent',
+]);
 const defaultMaxAttempts = 2;
 /** Steps after which a request stops looking for a place. */
 const maxSteps = 10;
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -62,7 +62,9 @@
 export type SidecarSettingsInput = Readonly<Record<keyof SidecarSettings, unknown>>;
 
 /** Settings that a running node applies; the others take a restart. */
-export const changeableSettings = ['service', 'serverAddress', 'announcementPeriodMs', 'retryWindowMs', 'retryRatio', 'retryAllowance', 'stopTimeoutMs', 'lameDuckMs', 'logLevel'] as const satisfies ReadonlyArray<keyof SidecarSettings>;
+export const changeableSettings = [
+	'service', 'serverAddress', 'retryWindowMs', 'retryRatio', 'retryAllowance', 'stopTimeoutMs', 'lameDuckMs', 'logLevel',
+] as const satisfies ReadonlyArray<keyof SidecarSettings>;
 
 /** Checks settings, naming every one that is wrong. */
 export function parseSidecarSettings(input: Partial<SidecarSettingsInput>): Either<Failure, SidecarSettings> {
