Wake once for all links; bundle without what a sidecar does not use

Cause: each link session had a timer of 500 ms, 46 wake-ups a second on a node with 23 links, and the bundle ran consola and the parts of the product that a sidecar does not use. Change: one tick a pool; packages are free of side effects.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './fold-result.js';
 export * from './log-events.js';
 export * from './logger.js';
+export * from './consola-logger.js';
 export * from './line-logger.js';
 export * from './store.js';
 export * from './subject.js';
--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -1,7 +1,5 @@
-/** Structured logs: numbered events with fields, written by consola as text or as JSON lines. */
-import process from 'node:process';
-import {createConsola, type ConsolaInstance, type ConsolaReporter} from 'consola';
-import {logEvents, type LogEventName, type LogLevel} from './log-events.js';
+/** Structured logs: numbered events with fields. */
+import {type LogEventName} from './log-events.js';
 
 /** Values of an event's fields. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -9,10 +7,6 @@
 /** Form of the log lines. */
 export type LogForm = 'text' | 'json';
 
-const consolaLevels: Readonly<Record<LogLevel, number>> = {
-	error: 0, warn: 1, info: 3, debug: 4,
-};
-
 /** Writes log events. */
 export abstract class Logger {
 	abstract log(event: LogEventName, fields?: LogFields): void;
@@ -24,46 +18,3 @@
 		// Drops the event on purpose.
 	}
 }
-
-/** Writes events by consola, to standard error. */
-export class ConsolaLogger extends Logger {
-	readonly #consola: ConsolaInstance;
-	readonly #form: LogForm;
-	readonly #base: LogFields;
-
-	constructor(form: LogForm, level: LogLevel, base: LogFields = {}) {
-		super();
-		this.#form = form;
-		this.#base = base;
-		this.#consola = createConsola({
-			level: consolaLevels[level],
-			stdout: process.stderr,
-			stderr: process.stderr,
-			...(form === 'json' && {reporters: [jsonReporter]}),
-		});
-	}
-
-	override log(event: LogEventName, fields: LogFields = {}): void {
-		const {number, level, meaning} = logEvents[event];
-		const all = {...this.#base, ...fields};
-		const line = this.#form === 'json'
-			? JSON.stringify({
-				time: new Date().toISOString(), level, event: number, name: event, ...all,
-			})
-			: `[${number} ${event}] ${meaning} ${formatFields(all)}`;
-		this.#consola[level](line);
-	}
-}
-
-const jsonReporter: ConsolaReporter = {
-	log(entry) {
-		process.stderr.write(`${String(entry.args[0])}\n`);
-	},
-};
-
-function formatFields(fields: LogFields): string {
-	return Object.entries(fields)
-		.filter(([, value]) => value !== undefined)
-		.map(([name, value]) => `${name}=${String(value)}`)
-		.join(' ');
-}
--- a/packages/link/src/client-session.ts
+++ b/packages/link/src/client-session.ts
@@ -49,13 +49,21 @@
 	readonly isGreeted: boolean;
 };
 
+function registerOwnTick(listener: () => void): () => void {
+	const timer = setInterval(listener, heartbeatMs);
+	timer.unref();
+	return () => {
+		clearInterval(timer);
+	};
+}
+
 /** Connects, resumes, watches for silence, and ends. */
 export class ClientSession {
 	readonly state = new LinkSession();
 	readonly #options: ClientSessionOptions;
 	readonly #handler: ClientSessionHandler;
 	readonly #id = createRandomId();
-	readonly #tick: NodeJS.Timeout;
+	readonly #stopTick: () => void;
 	#attached: Attached | undefined;
 	#attempt = 0;
 	#wasGreeted = false;
@@ -71,10 +79,9 @@
 	constructor(options: ClientSessionOptions, handler: ClientSessionHandler) {
 		this.#options = options;
 		this.#handler = handler;
-		this.#tick = setInterval(() => {
+		this.#stopTick = (options.registerTick ?? registerOwnTick)(() => {
 			this.#check();
-		}, heartbeatMs);
-		this.#tick.unref();
+		});
 		this.#connect();
 	}
 
@@ -115,7 +122,7 @@
 		}
 
 		this.#isEnded = true;
-		clearInterval(this.#tick);
+		this.#stopTick();
 		clearTimeout(this.#pause);
 		clearTimeout(this.#probe);
 		this.state.sendControl({kind: 'close', received: this.state.getReceived()});
--- a/packages/link/src/link-pool.ts
+++ b/packages/link/src/link-pool.ts
@@ -1,11 +1,11 @@
 /** The links a node has opened, one for each run of another node. */
 import {connect} from 'node:net';
 import {
-	MetricRegistry, SilentLogger, type Carrier, type NodeIdentity,
+	MetricRegistry, SilentLogger, Subject, type Carrier, type NodeIdentity,
 } from '@limpetbarrow/core';
 import {type OpenConnection} from './client-session.js';
 import {FrameConnection} from './frame-connection.js';
-import {forgetAfterMs} from './constants.js';
+import {forgetAfterMs, heartbeatMs} from './constants.js';
 import {LinkClient} from './link-client.js';
 import {type LinkOptions} from './link-options.js';
 import {type LinkPeer} from './types.js';
@@ -30,11 +30,17 @@
 	readonly #options: LinkOptions;
 	readonly #openConnection: OpenConnection;
 	readonly #links = new Map<string, PooledLink>();
+	readonly #ticks = new Subject<void>();
+	#timer: NodeJS.Timeout | undefined;
 	#isClosed = false;
 
 	constructor(self: NodeIdentity, options: Partial<LinkOptions> = {}, openConnection: OpenConnection = connectSocket) {
 		this.#self = self;
-		this.#options = {logger: options.logger ?? new SilentLogger(), metrics: options.metrics ?? new MetricRegistry()};
+		this.#options = {
+			logger: options.logger ?? new SilentLogger(),
+			metrics: options.metrics ?? new MetricRegistry(),
+			registerTick: listener => this.#ticks.registerListener(listener),
+		};
 		this.#openConnection = openConnection;
 	}
 
@@ -56,6 +62,7 @@
 			return link;
 		}
 
+		this.#startTimer();
 		this.#links.set(key, {link, askedAt: performance.now()});
 		return link;
 	}
@@ -83,12 +90,21 @@
 	/** Closes every link; exchanges in progress fail. */
 	close(): void {
 		this.#isClosed = true;
+		clearInterval(this.#timer);
 		[...this.#links.values()].forEach(({link}) => {
 			link.close();
 		});
 		this.#links.clear();
 	}
 
+	/** One timer serves all links, so that many idle ones wake the process no more often than one. */
+	#startTimer(): void {
+		this.#timer ??= setInterval(() => {
+			this.#ticks.publish();
+		}, heartbeatMs);
+		this.#timer.unref();
+	}
+
 	/** A link just asked for has no session yet and must stay, or its session would be closed by nobody. */
 	#forgetUnused(): void {
 		const oldest = performance.now() - forgetAfterMs;
