--- a/packages/checks/src/run-tests.ts
+++ b/packages/checks/src/run-tests.ts
@@ -14,10 +14,11 @@
 };
 
 function listTestFiles(): readonly string[] {
-	return readdirSync(`${repositoryRoot}packages`, {recursive: true, encoding: 'utf8'})
-		.filter(path => /^[^\/]+\/dist\/__tests__\/.*\.test\.js$/v.test(path))
+	return ['packages', 'platform']
+		.flatMap(folder => readdirSync(`${repositoryRoot}${folder}`, {recursive: true, encoding: 'utf8'}).map(path => `${folder}/${path}`))
+		.filter(path => /^(?:packages\/[^\/]+|platform)\/dist\/__tests__\/.*\.test\.js$/v.test(path))
 		.toSorted((a, b) => a.localeCompare(b))
-		.map(path => `${repositoryRoot}packages/${path}`);
+		.map(path => `${repositoryRoot}${path}`);
 }
 
 async function runMocha(): Promise<TestCounts> {
--- a/packages/checks/src/source-files.ts
+++ b/packages/checks/src/source-files.ts
@@ -17,11 +17,17 @@
 	return readFileSync(`${repositoryRoot}${path}`, 'utf8');
 }
 
-/** Lists the TypeScript files of all packages. */
+/** Lists the files below a folder of the repository, by their paths from the root. */
+function listPaths(folder: string): readonly string[] {
+	return readdirSync(`${repositoryRoot}${folder}`, {recursive: true, encoding: 'utf8'})
+		.map(path => `${folder}/${path.replaceAll('\\', '/')}`);
+}
+
+/** Lists the TypeScript files of all packages and of the platform's adapter. */
 export function listSourceFiles(): readonly SourceFile[] {
-	return readdirSync(`${repositoryRoot}packages`, {recursive: true, encoding: 'utf8'})
-		.map(path => `packages/${path.replaceAll('\\', '/')}`)
-		.filter(path => /^packages\/[^\/]+\/src\/.*\.ts$/v.test(path))
+	return ['packages', 'platform']
+		.flatMap(folder => listPaths(folder))
+		.filter(path => /^(?:packages\/[^\/]+|platform)\/src\/.*\.ts$/v.test(path))
 		.toSorted((a, b) => a.localeCompare(b))
 		.map(path => ({path, text: readRepositoryFile(path)}));
 }
--- a/packages/choose/src/__tests__/unit/spill-plan.test.ts
+++ b/packages/choose/src/__tests__/unit/spill-plan.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {chooseSpillStep, type SpillRequest, type SpillView, type Tier} from '../../index.js';
+import {
+	chooseSpillStep, type SpillRequest, type SpillView, type Tier,
+} from '../../index.js';
 
 const request: SpillRequest = {isRetryable: true, objectiveMs: 800, objectiveLeftMs: 800};
 
--- a/packages/choose/src/path-health.ts
+++ b/packages/choose/src/path-health.ts
@@ -18,7 +18,7 @@
 	readonly #maxBackOffMs: number;
 	readonly #paths = new Map<string, PathState>();
 	/** Ways that failed since one last worked. */
-	readonly #failedInARow = new Set<string>();
+	readonly #failedInRow = new Set<string>();
 	#isolatedUntil = 0;
 	#version = 0;
 	#validUntil = Number.POSITIVE_INFINITY;
@@ -39,14 +39,14 @@
 		const backOffMs = Math.min(this.#maxBackOffMs, firstBackOffMs * (2 ** (failures - 1)));
 		this.#paths.delete(nodeId);
 		this.#paths.set(nodeId, {failures, avoidedUntil: now + backOffMs});
-		this.#failedInARow.add(nodeId);
-		this.#isolatedUntil = this.#failedInARow.size >= isolatedAfter ? now + isolatedMs : 0;
+		this.#failedInRow.add(nodeId);
+		this.#isolatedUntil = this.#failedInRow.size >= isolatedAfter ? now + isolatedMs : 0;
 		this.#sweep(now);
 	}
 
 	/** Takes an answer that came back by the path. */
 	recordSuccess(nodeId: string, now: number): void {
-		this.#failedInARow.clear();
+		this.#failedInRow.clear();
 		this.#isolatedUntil = 0;
 		if (this.#paths.delete(nodeId)) {
 			this.#sweep(now);
--- a/packages/choose/src/spill-plan.ts
+++ b/packages/choose/src/spill-plan.ts
@@ -85,7 +85,6 @@
 	return (view.waitMs ?? assumedWaitMs) + extraWorkMs + delayMs + (objectiveMs * (share + healthShare + (view.tier === 'host' ? 0 : jitter * jitterShare)));
 }
 
-
 /** Chooses the next step; undefined when no candidate is left. */
 export function chooseSpillStep(views: readonly SpillView[], request: SpillRequest, pickRandom: () => number): SpillStep | undefined {
 	const typical = computeTypical(views);
--- a/packages/node/src/__tests__/raw-backend.ts
+++ b/packages/node/src/__tests__/raw-backend.ts
@@ -1,5 +1,7 @@
 /** A backend server that answers with raw bytes, for answers that no HTTP library would write. */
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {type Address} from '@limpetbarrow/core';
 
 /** Writes what follows one request; `text` is the request as it came. */
--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -174,7 +174,7 @@
 		cases.forEach(({what, outcome, answer}) => {
 			it(`that ${what} fail as ${outcome}`, async () => {
 				const {send} = await startRig(answer);
-				expect(await send()).to.include({outcome: outcome});
+				expect(await send()).to.include({outcome});
 			});
 		});
 
--- a/packages/node/src/backend-connector.ts
+++ b/packages/node/src/backend-connector.ts
@@ -14,7 +14,7 @@
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
-			(socket as Socket | null)?.prependListener('error', (error: Error & {code?: string}) => {
+			(socket)?.prependListener('error', (error: Error & {code?: string}) => {
 				if (error.code === 'ECONNRESET') {
 					error.code = resetCode;
 				}
--- a/packages/node/src/request-body.ts
+++ b/packages/node/src/request-body.ts
@@ -1,7 +1,9 @@
 /** The body of a request on its way to a backend server: whole in memory when it is small, else a stream. */
 import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
-import {exchangeWindowBytes, findHeader, type RawHeaders} from '@limpetbarrow/core';
+import {
+	exchangeWindowBytes, findHeader, selectHeaders, type RawHeaders, type RequestHead,
+} from '@limpetbarrow/core';
 
 /** How a body is sent by its headers: `whole` ones are collected first, as they come before the first window is used up. */
 export type BodyForm = 'none' | 'whole' | 'streamed';
@@ -17,6 +19,15 @@
 	return findHeader(headers, 'transfer-encoding') === undefined ? 'none' : 'streamed';
 }
 
+const framingNames: ReadonlySet<string> = new Set(['transfer-encoding', 'content-length']);
+
+/** A small whole body goes with its length, whatever form it came in. */
+export function replaceLength(head: RequestHead, bytes: number): RequestHead {
+	return findHeader(head.headers, 'transfer-encoding') === undefined
+		? head
+		: {...head, headers: [...selectHeaders(head.headers, name => !framingNames.has(name)), 'content-length', String(bytes)]};
+}
+
 /** Collects what arrives before the request is started, and passes on what arrives later. */
 export class RequestBody {
 	readonly #handleTaken: (bytes: number) => void;
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -1,6 +1,6 @@
 /** One routed request: its hand-overs, one after the other or, for one that hangs, two at a time. */
 import {
-	createFailure, Exchange, exchangeWindowBytes, findHeader, selectHeaders, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
+	createFailure, Exchange, exchangeWindowBytes, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
 import {
 	type Candidate, type PathHealth, type SpillStep, type Tier,
@@ -8,6 +8,7 @@
 import {BufferedAnswer} from './buffered-answer.js';
 import {type FindEgress} from './forwarder.js';
 import {type LoadTracker} from './load-tracker.js';
+import {replaceLength} from './request-body.js';
 import {isGateRefusal, RoutedRequest} from './routed-request.js';
 
 /** What the hand-overs of a request need. */
@@ -42,13 +43,6 @@
 };
 const pathFailures: ReadonlySet<string> = new Set(['linkUnreachable', 'linkLost']);
 
-/** A small whole body goes with its length, whatever form it came in. */
-function replaceLength(head: RequestHead, bytes: number): RequestHead {
-	return findHeader(head.headers, 'transfer-encoding') === undefined
-		? head
-		: {...head, headers: [...selectHeaders(head.headers, name => name !== 'transfer-encoding' && name !== 'content-length'), 'content-length', String(bytes)]};
-}
-
 /** Tries a request, again elsewhere when that is safe and within the budget. */
 export class RoutedExchange extends Exchange {
 	readonly #request: RoutedRequest;
