--- a/packages/core/src/utils.ts
+++ b/packages/core/src/utils.ts
@@ -47,3 +47,12 @@
 	});
 	return groups;
 }
+
+/** Picks up to `count` items at random, each at most once. */
+export function pickRandom<Item>(items: readonly Item[], count: number): readonly Item[] {
+	return items
+		.map(item => ({item, order: Math.random()}))
+		.toSorted((a, b) => a.order - b.order)
+		.slice(0, count)
+		.map(({item}) => item);
+}
--- a/packages/node/src/peer-baseline-source.ts
+++ b/packages/node/src/peer-baseline-source.ts
@@ -1,7 +1,7 @@
 /** Asks other nodes' egresses for summaries, over the links that carry requests. */
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import {type Carrier} from '@limpetbarrow/core';
+import {pickRandom, type Carrier} from '@limpetbarrow/core';
 import {BaselineSource, confirmTimeoutMs, type ServerSummary} from '@limpetbarrow/detect';
 import {type FindEgress} from './forwarder.js';
 import {fetchInternal} from './internal-fetch.js';
@@ -39,14 +39,6 @@
 	return answer.map(body => parseSummaries(body)).orDefault([]);
 }
 
-function pickRandom<Item>(items: readonly Item[], count: number): readonly Item[] {
-	return items
-		.map(item => ({item, order: Math.random()}))
-		.toSorted((a, b) => a.order - b.order)
-		.slice(0, count)
-		.map(({item}) => item);
-}
-
 /** Picks nodes with backend servers of the service that are in use. */
 export class PeerBaselineSource extends BaselineSource {
 	readonly #selfId: string;
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -73,11 +73,11 @@
 export class SidecarNode {
 	/** Takes the number of this run, listens on all addresses and begins to learn of the fleet and its configuration. */
 	static async start(options: SidecarOptions): Promise<SidecarNode> {
-		const {id, gossip} = options.getSettings();
+		const {id, failureDomain, gossip} = options.getSettings();
 		const started: {node?: SidecarNode} = {};
 		const discovery = new StoreDiscovery({
 			store: options.platform.store,
-			self: {id, gossipAddress: gossip},
+			self: {id, failureDomain, gossipAddress: gossip},
 			logger: options.logger,
 			handlePeers(peers) {
 				started.node?.addPeers(peers);
--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/store-discovery.ts
@@ -2,14 +2,14 @@
 import {EitherAsync, Left} from 'purify-ts';
 import {z} from 'zod';
 import {
-	formatAddress, parseAddress, type Address, type Failure, type Logger,
+	formatAddress, parseAddress, pickRandom, type Address, type Failure, type Logger,
 } from '@limpetbarrow/core';
 import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 
 /** What discovery works with. */
 export type StoreDiscoveryOptions = {
 	readonly store: ObjectStore;
-	readonly self: {readonly id: string; readonly gossipAddress: Address};
+	readonly self: {readonly id: string; readonly failureDomain: string; readonly gossipAddress: Address};
 	readonly logger: Logger;
 	/** Called with the gossip addresses of other nodes. */
 	readonly handlePeers: (peers: readonly Address[]) => void;
@@ -29,7 +29,11 @@
 /** Time after which a node that knows no other reads the list again, in milliseconds. */
 const alonePeriodMs = 2000;
 
-const entrySchema = z.object({gossip: z.string(), incarnation: z.int().min(0)});
+/** Nodes that a node writes to first, in its own failure domain and beyond; it learns of the others from them. */
+const nearContacts = 3;
+const distantContacts = 3;
+
+const entrySchema = z.object({gossip: z.string(), failureDomain: z.string().default(''), incarnation: z.int().min(0)});
 
 type Entry = z.output<typeof entrySchema>;
 
@@ -126,14 +130,18 @@
 	}
 
 	#formatEntry(incarnation: number): string {
-		return JSON.stringify({gossip: formatAddress(this.#options.self.gossipAddress), incarnation});
+		const {gossipAddress, failureDomain} = this.#options.self;
+		return JSON.stringify({gossip: formatAddress(gossipAddress), failureDomain, incarnation});
 	}
 
 	#handleList(objects: readonly StoredObject[]): void {
 		const {self, logger, handlePeers} = this.#options;
-		const peers = objects.filter(({key}) => key !== this.#key).flatMap(({value}) => parseAddress(parseEntry(value)?.gossip ?? '') ?? []);
-		logger.log('discoveryDone', {peers: peers.length, incarnation: this.#incarnation});
-		handlePeers(peers.filter(({host, port}) => host !== self.gossipAddress.host || port !== self.gossipAddress.port));
+		const others = objects.filter(({key}) => key !== this.#key).map(({value}) => parseEntry(value)).filter(entry => entry !== undefined);
+		const near = others.filter(({failureDomain}) => failureDomain === self.failureDomain);
+		const distant = others.filter(({failureDomain}) => failureDomain !== self.failureDomain);
+		const contacts = [...pickRandom(near, nearContacts), ...pickRandom(distant, distantContacts)].flatMap(({gossip}) => parseAddress(gossip) ?? []);
+		logger.log('discoveryDone', {nodes: others.length + 1, contacts: contacts.length, incarnation: this.#incarnation});
+		handlePeers(contacts);
 		void this.#sweep(objects);
 	}
 
