--- a/packages/members/src/__tests__/unit/announcements.test.ts
+++ b/packages/members/src/__tests__/unit/announcements.test.ts
@@ -43,6 +43,8 @@
 			['a renewal', {generation: 4}, host, 'accepted'],
 			['a higher generation', {generation: 5}, host, 'accepted'],
 			['a lower generation', {generation: 4}, host, 'announcementStale'],
+			['another server at the address that started before', {id: 'late', generation: 3}, host, 'announcementStale'],
+			['another server at the address that started later', {id: 'next', generation: 9}, host, 'accepted'],
 			['another host', {generation: 6}, '10.0.0.2', 'announcementForeign'],
 			['no slots', {slots: 0}, host, 'announcementInvalid'],
 			['an address without port', {address: host}, host, 'announcementInvalid'],
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -139,7 +139,7 @@
 				logger.log(isUnwell ? 'serverEjected' : 'serverReturned', {server: id, sickness: sickness.toFixed(3)});
 			},
 			reportRun({requestId, route, isRepeatable}, {outcome, ms, sickness}) {
-				logger.log('serverRan', {
+				logger.log(outcome === 'answered' ? 'serverRan' : 'serverRanBadly', {
 					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
 				});
 			},
