--- /dev/null
+++ b/packages/members/src/__tests__/unit/peer-choice.test.ts
@@ -0,0 +1,77 @@
+import {expect} from 'chai';
+import {type NodeRecord} from '@limpetbarrow/core';
+import {MemberTable, pickPeers, selectProbed} from '../../index.js';
+
+function createRecord(domain: number, index: number): NodeRecord {
+	const address = {host: `10.${domain}.0.${index}`, port: 1};
+	return {
+		id: `n${domain}-${index}`,
+		incarnation: 1,
+		sequence: 1,
+		placement: {region: `r${Math.floor(domain / 2)}`, failureDomain: `d${domain}`},
+		linkAddress: address,
+		gossipAddress: address,
+		ingressAddress: address,
+		adminAddress: address,
+		state: 'serving',
+		release: 0,
+		servers: [],
+		poison: [],
+	};
+}
+
+/** A fleet of six failure domains in three regions, as node 0 of domain 0 sees it. */
+function createTable(perDomain: number): MemberTable {
+	const records = Array.from({length: 6 * perDomain}, (_, index) => createRecord(index % 6, Math.floor(index / 6)));
+	const [self, ...others] = records;
+	const table = new MemberTable(self!);
+	table.merge(others);
+	return table;
+}
+
+/** Numbers from 0 to below 1, the same in each run. */
+function createRandom(seed: number): () => number {
+	let state = seed;
+	return () => {
+		state = ((state * 48_271) + 11) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+}
+
+function countDistant(perDomain: number): number {
+	const table = createTable(perDomain);
+	const pickNext = createRandom(4711);
+	const picked = Array.from({length: 2000}, () => pickPeers(table, 1, pickNext)).flat();
+	expect(picked.length).to.equal(2000);
+	return picked.filter(({host}) => !host.startsWith('10.0.')).length / 2000;
+}
+
+describe('choice of members to talk to', () => {
+	describe('in fleets of growing failure domains', () => {
+		it('lets about as many messages for each change leave a domain, whatever its size', () => {
+			expect(countDistant(4)).to.be.within(0.15, 0.25);
+			const leaving = [10, 40, 120].map(perDomain => countDistant(perDomain) * perDomain);
+			leaving.forEach(count => {
+				expect(count).to.be.within(0.8, 1.9);
+			});
+		});
+	});
+
+	it('picks from other domains when none is near', () => {
+		const table = new MemberTable(createRecord(0, 0));
+		table.merge([createRecord(3, 1)]);
+		expect(pickPeers(table, 2, () => 0.9).map(({host}) => host)).to.deep.equal(['10.3.0.1']);
+	});
+
+	it('picks nobody when there is nobody', () => {
+		expect(pickPeers(new MemberTable(createRecord(0, 0)), 2, () => 0.5)).to.deep.equal([]);
+	});
+
+	it('probes all near members in a cycle, and some others', () => {
+		const table = createTable(10);
+		const ids = table.listLive().map(({record}) => record.id).filter(id => id !== 'n0-0');
+		const probed = selectProbed(table, ids);
+		expect(probed.filter(id => id.startsWith('n0-')).length).to.equal(9);
+		expect(probed.length).to.equal(12);
+	});
+});
--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -11,6 +11,7 @@
 export * from './update-queue.js';
 export * from './prober.js';
 export * from './repair.js';
+export * from './peer-choice.js';
 export * from './membership.js';
 export * from './gossip.js';
 export * from './announcements.js';
--- a/packages/members/src/peer-choice.ts
+++ b/packages/members/src/peer-choice.ts
@@ -1,43 +1,65 @@
-/** Picks members to talk to: mostly near ones, since bytes between failure domains and regions are paid for. */
+/**
+ * Picks members to talk to: mostly near ones, since bytes between failure domains and regions are paid for.
+ *
+ * Of the messages about one change a number leaves each failure domain that does not grow with the domain's size, so that
+ * what is paid for does not grow with the fleet as fast as the fleet.
+ */
 import {type Address, type Placement} from '@limpetbarrow/core';
 import {type MemberTable} from './member-table.js';
 import {type Member} from './types.js';
 
-/** Chance of a member by its distance, relative to one in the same failure domain; a change leaves a domain several times all the same. */
-const regionWeight = 0.15;
-const remoteWeight = 0.04;
-/** Share of the members of other failure domains that one cycle of probes takes in. */
-const distantProbeShare = 0.1;
+/** Share of the messages that leave a failure domain: in a small one, and times the number of its other members. */
+const maxDistantShare = 0.2;
+const distantPerMember = 1.2;
+/** Part of those that stays in the region, where other failure domains are there. */
+const regionShare = 0.6;
+/** Distant members in one cycle of probes, for each near one. */
+const distantProbes = 0.3;
 
-function getWeight(self: Placement, {record: {placement}}: Member): number {
-	if (placement.failureDomain === self.failureDomain) {
-		return 1;
-	}
+type Choice = {
+	readonly near: readonly Member[];
+	readonly region: readonly Member[];
+	readonly remote: readonly Member[];
+};
 
-	return placement.region === self.region ? regionWeight : remoteWeight;
+function groupOthers(table: MemberTable, self: Placement): Choice {
+	const others = table.listLive().filter(({record}) => record.id !== table.self.id);
+	const distant = others.filter(({record}) => record.placement.failureDomain !== self.failureDomain);
+	return {
+		near: others.filter(({record}) => record.placement.failureDomain === self.failureDomain),
+		region: distant.filter(({record}) => record.placement.region === self.region),
+		remote: distant.filter(({record}) => record.placement.region !== self.region),
+	};
 }
 
-/** Other members that are not dead. */
-function listOthers(table: MemberTable): readonly Member[] {
-	return table.listLive().filter(({record}) => record.id !== table.self.id);
+function removeMembers({near, region, remote}: Choice, removed: readonly Member[]): Choice {
+	const isLeft = (member: Member): boolean => !removed.includes(member);
+	return {near: near.filter(isLeft), region: region.filter(isLeft), remote: remote.filter(isLeft)};
+}
+
+function selectGroup({near, region, remote}: Choice, pickNext: () => number): readonly Member[] {
+	const distantShare = Math.min(maxDistantShare, distantPerMember / Math.max(1, near.length));
+	const isDistant = near.length === 0 || pickNext() < distantShare;
+	const preferred = isDistant ? (pickNext() < regionShare ? [region, remote] : [remote, region]) : [near];
+	return [...preferred, near].find(group => group.length > 0) ?? [];
 }
 
 /** Picks the gossip addresses of up to `count` other members. */
 export function pickPeers(table: MemberTable, count: number, pickNext: () => number): readonly Address[] {
-	const self = table.getSelf().placement;
-	return listOthers(table)
-		.map(member => ({member, key: pickNext() ** (1 / getWeight(self, member))}))
-		.toSorted((a, b) => b.key - a.key)
-		.slice(0, count)
-		.map(({member}) => member.record.gossipAddress);
+	const choice = groupOthers(table, table.getSelf().placement);
+	const picked = Array.from({length: count}).reduce<readonly Member[]>(before => {
+		const group = selectGroup(removeMembers(choice, before), pickNext);
+		const member = group[Math.floor(pickNext() * group.length)];
+		return member ? [...before, member] : before;
+	}, []);
+	return picked.map(({record}) => record.gossipAddress);
 }
 
-/** Selects who is probed in one cycle: all near members, and some of the others. */
-export function selectProbed(table: MemberTable, ids: readonly string[], pickNext: () => number): readonly string[] {
+/** Selects who is probed in one cycle, from ids in random order: all near members, and some of the others. */
+export function selectProbed(table: MemberTable, ids: readonly string[]): readonly string[] {
 	const {failureDomain} = table.getSelf().placement;
 	const near = ids.filter(id => table.findMember(id)?.record.placement.failureDomain === failureDomain);
-	const distant = ids.filter(id => !near.includes(id));
-	const chosen = distant.filter(() => pickNext() < distantProbeShare);
-	const fallback = chosen.length === 0 ? distant.slice(0, 1) : chosen;
-	return [...near, ...fallback];
+	const nearIds = new Set(near);
+	const distant = ids.filter(id => !nearIds.has(id));
+	return [...near, ...distant.slice(0, Math.max(1, Math.ceil(near.length * distantProbes)))];
 }
--- a/packages/members/src/prober.ts
+++ b/packages/members/src/prober.ts
@@ -137,7 +137,7 @@
 	#startProbe(now: number): void {
 		const {table} = this.#context;
 		const ids = new Set(table.listLive().map(({record}) => record.id).filter(id => id !== table.self.id));
-		const id = this.#schedule.pick(ids, candidates => selectProbed(table, candidates, this.#context.pickNext));
+		const id = this.#schedule.pick(ids, candidates => selectProbed(table, candidates));
 		const member = id === undefined ? undefined : table.findMember(id);
 		this.#nextProbeAt = now + (probePeriodMs * this.#health.getFactor());
 		if (!member) {
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -167,8 +167,9 @@
 	}
 }
 
-function toRecord({id, service, slots, generation, isLeaving, coldMs = 0}: AnnouncedServer): ServerRecord {
+/** A cold start is told by the load on answers, which is newer than a record can be. */
+function toRecord({id, service, slots, generation, isLeaving}: AnnouncedServer): ServerRecord {
 	return {
-		id, service, slots, generation, state: isLeaving ? 'leaving' : (coldMs > 0 ? 'warming' : 'ready'), badness: 0,
+		id, service, slots, generation, state: isLeaving ? 'leaving' : 'ready', badness: 0,
 	};
 }
