--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -3,6 +3,7 @@
 import {
 	idempotencyHeader, ranHeader, resultHeader, termsHeader,
 } from '@limpetbarrow/core';
+import {isNeverSent} from './never-sent.js';
 
 /** A request of a caller. */
 export type CallerRequest = {
@@ -58,7 +59,7 @@
 			};
 		} catch (error) {
 			return {
-				status: 0, text: String(error), code: undefined, ran: 'unknown',
+				status: 0, text: String(error), code: undefined, ran: isNeverSent(error) ? 'not-run' : 'unknown',
 			};
 		}
 	}
--- a/packages/caller/src/transport.ts
+++ b/packages/caller/src/transport.ts
@@ -1,5 +1,6 @@
 /** How sends reach an ingress. */
 import {request} from 'undici';
+import {isNeverSent} from './never-sent.js';
 import {type Send, type SendResult} from './types.js';
 
 /** Makes one send and never throws. */
@@ -7,8 +8,6 @@
 	abstract send(send: Send): Promise<SendResult>;
 }
 
-const notSentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
-
 function selectText(headers: Readonly<Record<string, string | string[] | undefined>>): Readonly<Record<string, string>> {
 	return Object.fromEntries(Object.entries(headers).map(([name, value]) => [name, String(value)]));
 }
@@ -25,7 +24,7 @@
 			};
 		} catch (error) {
 			const {code = '', message} = error as Error & {readonly code?: string};
-			return {kind: notSentCodes.has(code) ? 'not-sent' : 'lost', detail: `${code} ${message}`.trim()};
+			return {kind: isNeverSent(error) ? 'not-sent' : 'lost', detail: `${code} ${message}`.trim()};
 		}
 	}
 }
