Have every node tell of its release again

Failed try: a node told of a release only when no other did. When the one that had told left, nobody told of it any more, and a node that started while the store was away stayed without a configuration. Ruled out: load; the restarted node was reached by the others in time. Left: fewer tellers that hand over when one goes, for the size of the fleet (docs/CAPACITY.md).

--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -1,6 +1,6 @@
 /** A sidecar node: callers and one backend server on the same host, other nodes beyond, all in one process. */
 import {
-	MetricRegistry, type Address, type Carrier, type Failure, type Logger, type NodeRecord, type RequestTarget, type Unregister,
+	MetricRegistry, type Address, type Carrier, type Failure, type Logger, type NodeRecord, type RequestTarget,
 } from '@limpetbarrow/core';
 import {WindowedRetries} from '@limpetbarrow/choose';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
@@ -23,7 +23,6 @@
 import {ConfigurationCarrier, PeerConfigurations} from './peer-configurations.js';
 import {drainNode} from './planned-stop.js';
 import {registerProcessGauges, registerProgressGauges, type ProgressCount} from './process-gauges.js';
-import {registerReleasePublishing} from './release-publishing.js';
 import {RequestRouter} from './request-router.js';
 import {ServerDirectory} from './server-directory.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -107,7 +106,6 @@
 	readonly #peers: PeerConfigurations;
 	readonly #discovery: StoreDiscovery;
 	#sweep: NodeJS.Timeout | undefined;
-	#stopPublishing: Unregister | undefined;
 	#isStopping = false;
 
 	private constructor(options: SidecarOptions, discovery: StoreDiscovery, incarnation: number) {
@@ -170,7 +168,6 @@
 	/** Ends at once. */
 	async close(): Promise<void> {
 		clearInterval(this.#sweep);
-		this.#stopPublishing?.();
 		this.#watcher.stop();
 		this.#peers.stop();
 		this.#discovery.stop();
@@ -268,7 +265,10 @@
 		this.#announcements.store.registerListener(() => {
 			this.#table.updateSelf(() => ({servers: this.#listServers(), poison: this.#egress.listPoison()}));
 		});
-		this.#stopPublishing = registerReleasePublishing({table: this.#table, releases: this.#releases, logger: this.#options.logger});
+		this.#releases.store.registerListener(({after}) => {
+			this.#options.logger.log('releaseInForce', {release: after.configuration.release, routes: after.configuration.routes.size});
+			this.#table.updateSelf(() => ({release: after.configuration.release}));
+		});
 	}
 
 	#listServers(): NodeRecord['servers'] {
