--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -86,7 +86,13 @@
 		});
 		const node = new SidecarNode(options, discovery, await discovery.takeIncarnation());
 		started.node = node;
-		await node.#start();
+		try {
+			await node.#start();
+		} catch (error) {
+			await node.close();
+			throw error;
+		}
+
 		return node;
 	}
 
