--- a/packages/caller/src/__tests__/unit/origin-ring.test.ts
+++ b/packages/caller/src/__tests__/unit/origin-ring.test.ts
@@ -47,6 +47,23 @@
 		});
 	});
 
+	describe('that stops as planned', () => {
+		beforeEach(() => {
+			ring.recordStopping('b');
+		});
+
+		it('is passed over until it has stopped and started again', () => {
+			clock.tick(9000);
+			expect(pickMany(3)).to.deep.equal(['a', 'c', 'a']);
+			clock.tick(1000);
+			expect(pickMany(3)).to.include('b');
+		});
+
+		it('is passed over by a caller that names it first', () => {
+			expect(ring.pickOrigin(1)).to.equal('c');
+		});
+	});
+
 	it('picks in turn when all refuse', () => {
 		origins.forEach(origin => {
 			ring.recordRefusal(origin);
--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -4,6 +4,7 @@
 	idempotencyHeader, ranHeader, resultHeader, termsHeader,
 } from '@limpetbarrow/core';
 import {isNeverSent} from './never-sent.js';
+import {isStoppingOrigin, OriginRing} from './origin-ring.js';
 
 /** A request of a caller. */
 export type CallerRequest = {
@@ -27,19 +28,20 @@
 
 /** Sends requests to ingress base URLs, such as `http://127.0.0.1:8080`. */
 export class Caller {
-	readonly #origins: readonly string[];
+	readonly #origins: OriginRing;
 	readonly #token: string | undefined;
 
 	constructor(origins: readonly string[], token?: string) {
-		this.#origins = origins;
+		this.#origins = new OriginRing(origins);
 		this.#token = token;
 	}
 
-	/** Sends a request once, through the ingress at `index`. */
+	/** Sends a request once, through the ingress at `index` or the next one that does not stop. */
 	async send(callerRequest: CallerRequest, index = 0): Promise<CallerAnswer> {
 		const {method, path, host, body, headers = {}, idempotencyKey} = callerRequest;
+		const origin = this.#origins.pickOrigin(index);
 		try {
-			const answer = await request(`${this.#origins[index % this.#origins.length]}${path}`, {
+			const answer = await request(`${origin}${path}`, {
 				method,
 				body: body ?? null,
 				headers: {
@@ -49,6 +51,10 @@
 					...(idempotencyKey !== undefined && {[idempotencyHeader]: idempotencyKey}),
 				},
 			});
+			if (isStoppingOrigin(answer.headers)) {
+				this.#origins.recordStopping(origin);
+			}
+
 			const text = await answer.body.text();
 			const code = answer.headers[resultHeader];
 			return {
--- a/packages/caller/src/fleet-caller.ts
+++ b/packages/caller/src/fleet-caller.ts
@@ -7,7 +7,7 @@
 import {
 	judgeSend, readOutcome, type NextStep, type SendOutcome,
 } from './judge-send.js';
-import {OriginRing} from './origin-ring.js';
+import {isStoppingOrigin, OriginRing} from './origin-ring.js';
 import {RetryBudget} from './retry-budget.js';
 import {TermsHolder, type Credentials, type HeldTerms} from './terms-holder.js';
 import {HttpTransport, type Transport} from './transport.js';
@@ -159,10 +159,12 @@
 		);
 	}
 
-	#recordReach(origin: string, {kind}: SendResult): void {
-		if (kind === 'answer') {
+	#recordReach(origin: string, result: SendResult): void {
+		if (result.kind === 'answer' && isStoppingOrigin(result.headers)) {
+			this.#origins.recordStopping(origin);
+		} else if (result.kind === 'answer') {
 			this.#origins.recordAnswer(origin);
-		} else if (kind === 'not-sent') {
+		} else if (result.kind === 'not-sent') {
 			this.#origins.recordRefusal(origin);
 		}
 	}
