--- a/packages/admission/src/__tests__/unit/server-gate.test.ts
+++ b/packages/admission/src/__tests__/unit/server-gate.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {ServerGate, type GateLoad, type GateRequest} from '../../index.js';
+import {
+	ServerGate, type GateLoad, type GateOutcome, type GateRequest,
+} from '../../index.js';
 
 const idle: GateLoad = {
 	slots: 3, running: [], ahead: [], waitingCount: 0,
@@ -9,7 +11,7 @@
 };
 const order: GateRequest = {...read, route: 'order', isRetryable: false};
 
-function createGate(outcomes: ReadonlyArray<'well' | 'failed' | 'unreachable'>): ServerGate {
+function createGate(outcomes: readonly GateOutcome[]): ServerGate {
 	const gate = new ServerGate(0);
 	outcomes.forEach((outcome, index) => {
 		gate.recordOutcome(outcome, 10 * (index + 1));
@@ -80,6 +82,28 @@
 		});
 	});
 
+	describe('before a backend server that rejects work without running it', () => {
+		const shedding = (): ServerGate => createGate(['well', 'shed', 'shed', 'well', 'shed']);
+
+		it('refuses nothing, as what is rejected has not run', () => {
+			expect(shedding().findRefusal(order, idle, 100)).to.equal(undefined);
+			expect(shedding().isUnwell(100)).to.equal(false);
+		});
+
+		it('says so, so that others are asked first, until some work was taken again', () => {
+			const gate = shedding();
+			expect(gate.isShedding(100)).to.equal(true);
+			Array.from({length: 12}, (_, index) => 110 + index).forEach(now => {
+				gate.recordOutcome('well', now);
+			});
+			expect(gate.isShedding(170)).to.equal(false);
+		});
+
+		it('says nothing after a single rejection', () => {
+			expect(createGate(['well', 'well', 'well', 'well', 'well', 'shed', 'well']).isShedding(100)).to.equal(false);
+		});
+	});
+
 	describe('before a backend server that is slow', () => {
 		it('sends trials only when its work alone takes the whole objective', () => {
 			const gate = createGate(['well']);
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -18,6 +18,9 @@
 /** Probability of sickness above which repeatable requests are trials only: losing one costs a retry. */
 export const repeatableSickness = 0.4;
 
+/** Probability of a spell of shedding above which other backend servers are asked first. */
+export const sheddingBound = 0.4;
+
 /** Shortest and longest time between two trials of a sick backend server, in milliseconds; it doubles with each failure. */
 export const minTrialPauseMs = 250;
 export const maxTrialPauseMs = 1500;
--- a/packages/admission/src/server-gate.ts
+++ b/packages/admission/src/server-gate.ts
@@ -3,12 +3,14 @@
  *
  * Only the backend server's own host sends to it, so the gate sees every outcome and the exact queue. It answers
  * gray failures (a sick server gets trials only, and none that may not be repeated) and uneven load (a request is told
- * the real wait at once, so that its sender can go elsewhere within its time).
+ * the real wait at once, so that its sender can go elsewhere within its time). It answers shedding, by one backend server
+ * or by all of a service, without refusing anything: work that was rejected has not run and is lost only with the last
+ * retry, so senders are told to prefer others, and where all shed, each request still gets its try.
  */
 import {createFailure, type Failure} from '@limpetbarrow/core';
-import {SicknessFilter} from '@limpetbarrow/detect';
+import {SicknessFilter, sheddingSpells} from '@limpetbarrow/detect';
 import {
-	coldFactor, maxTrialPauseMs, maxWaiting, minTrialPauseMs, objectiveShare, repeatableSickness, unrepeatableSickness,
+	coldFactor, maxTrialPauseMs, maxWaiting, minTrialPauseMs, objectiveShare, repeatableSickness, sheddingBound, unrepeatableSickness,
 } from './constants.js';
 import {estimateWait, type Running} from './slot-forecast.js';
 import {type Waiting} from './wait-queue.js';
@@ -39,12 +41,13 @@
 };
 
 /** What became of a request, as far as it speaks for or against the backend server. */
-export type GateOutcome = 'well' | 'failed' | 'unreachable';
+export type GateOutcome = 'well' | 'failed' | 'unreachable' | 'shed';
 
 /** Gate before one backend server. Times are monotonic milliseconds given by the caller. */
 export class ServerGate {
 	readonly #times = new WorkTimes();
 	readonly #sickness: SicknessFilter;
+	readonly #shedding: SicknessFilter;
 	#coldUntil = 0;
 	#trialPauseMs = minTrialPauseMs;
 	#nextTrialAt = 0;
@@ -52,6 +55,7 @@
 
 	constructor(now: number) {
 		this.#sickness = new SicknessFilter(now);
+		this.#shedding = new SicknessFilter(now, sheddingSpells);
 	}
 
 	/** Takes how much longer the backend server is slow after its start. */
@@ -61,6 +65,11 @@
 
 	recordOutcome(outcome: GateOutcome, now: number): void {
 		this.#isUnreachable = outcome === 'unreachable';
+		this.#shedding.recordOutcome(outcome === 'shed', now);
+		if (outcome === 'shed') {
+			return;
+		}
+
 		this.#sickness.recordOutcome(outcome !== 'well', now);
 		this.#trialPauseMs = outcome === 'well' ? minTrialPauseMs : this.#trialPauseMs;
 		this.#nextTrialAt = outcome === 'well' ? now : this.#nextTrialAt;
@@ -85,6 +94,11 @@
 		return this.#isUnreachable || this.estimateSickness(now) > repeatableSickness;
 	}
 
+	/** True while the backend server rejects a large part of its work. */
+	isShedding(now: number): boolean {
+		return this.#shedding.estimateShare(now) > sheddingBound;
+	}
+
 	/** Time until a request that came now would get a slot, in milliseconds. */
 	estimateWait({slots, running, ahead}: GateLoad, now: number): number {
 		return estimateWait(slots, running, ahead, now);
--- a/packages/caller/src/origin-ring.ts
+++ b/packages/caller/src/origin-ring.ts
@@ -19,7 +19,7 @@
  * request on it.
  */
 export function isStoppingOrigin(headers: Readonly<Record<string, string | readonly string[] | undefined>>): boolean {
-	return headers['connection'] === 'close' && headers[resultHeader] === undefined;
+	return headers.connection === 'close' && headers[resultHeader] === undefined;
 }
 
 /** Picks origins in turn. */
--- a/packages/choose/src/__tests__/unit/spill-plan.test.ts
+++ b/packages/choose/src/__tests__/unit/spill-plan.test.ts
@@ -18,6 +18,7 @@
 		waitMs: 0,
 		workMs: 100,
 		isUnwell: false,
+		isShedding: false,
 		refusals: 0,
 		...fields,
 	};
@@ -71,6 +72,19 @@
 		});
 	});
 
+	describe('beside backend servers that shed', () => {
+		it('goes past one to another in the failure domain, not further', () => {
+			const shedding = createView('shedding', 'host', {isShedding: true});
+			expect(chooseId([shedding, createView('near', 'failureDomain')])).to.equal('near');
+			expect(chooseId([shedding, createView('region', 'region')])).to.equal('shedding');
+		});
+
+		it('goes to the nearest when all shed, also what may not be repeated, as it is lost nowhere', () => {
+			const views = [createView('own', 'host', {isShedding: true}), createView('near', 'failureDomain', {isShedding: true}), createView('far', 'remote', {isShedding: true})];
+			expect(chooseId(views, {isRetryable: false})).to.equal('own');
+		});
+	});
+
 	describe('beside backend servers that are unwell', () => {
 		it('goes past them, far for what can\'t be tried again', () => {
 			const views = [createView('sick', 'host', {isUnwell: true}), createView('far', 'remote')];
--- a/packages/choose/src/spill-plan.ts
+++ b/packages/choose/src/spill-plan.ts
@@ -18,6 +18,8 @@
 	readonly workMs: number | undefined;
 	/** True when the backend server is known to take trials only. */
 	readonly isUnwell: boolean;
+	/** True when the backend server is known to reject much of its work without running it. */
+	readonly isShedding: boolean;
 	/** Refusals of this request so far. */
 	readonly refusals: number;
 };
@@ -52,6 +54,11 @@
 const unwellLossShare = 4;
 /** Part of the mean wait elsewhere that is assumed where no wait is known. */
 const assumedWaitShare = 0.5;
+/**
+ * Cost of a backend server that sheds, as a share of the objective: more than the way to another in the failure domain,
+ * less than the way to another one. Where a whole service sheds, going further finds no better.
+ */
+const sheddingShare = 0.25;
 /** Cost of a backend server that warms, as a share of the objective. */
 const warmingShare = 0.1;
 /** Wait that is always worth taking at the nearest place, as a share of the objective. */
@@ -81,7 +88,8 @@
 function computeCost(view: SpillView, {objectiveMs, isRetryable}: SpillRequest, {typicalMs, assumedWaitMs}: Typical, jitter: number): number {
 	const {share, delayMs} = distances[view.tier];
 	const extraWorkMs = Math.max(0, (view.workMs ?? typicalMs) - typicalMs);
-	const healthShare = (view.isUnwell ? (isRetryable ? unwellShare : unwellLossShare) : 0) + (view.candidate.server.state === 'warming' ? warmingShare : 0);
+	const healthShare = (view.isUnwell ? (isRetryable ? unwellShare : unwellLossShare) : 0)
+		+ (view.isShedding ? sheddingShare : 0) + (view.candidate.server.state === 'warming' ? warmingShare : 0);
 	return (view.waitMs ?? assumedWaitMs) + extraWorkMs + delayMs + (objectiveMs * (share + healthShare + (view.tier === 'host' ? 0 : jitter * jitterShare)));
 }
 
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -129,6 +129,8 @@
 	readonly workMs?: number;
 	/** True while the egress sends only trials to the backend server. */
 	readonly isUnwell?: boolean;
+	/** True while the backend server rejects a large part of what it is sent, without running it. */
+	readonly isShedding?: boolean;
 };
 
 /** The head of an answer as it travels between nodes. */
--- a/packages/detect/src/sickness-filter.ts
+++ b/packages/detect/src/sickness-filter.ts
@@ -25,6 +25,11 @@
 	wellMs: 60_000, sickMs: 8000, wellFailureShare: 0.015, sickFailureShare: 0.8,
 };
 
+/** Spells in which a backend server rejects much of its work without running it, which a well one hardly ever does. */
+export const sheddingSpells: SpellModel = {
+	wellMs: 60_000, sickMs: 8000, wellFailureShare: 0.005, sickFailureShare: 0.5,
+};
+
 /** One backend server. Times are monotonic milliseconds given by the caller. */
 export class SicknessFilter {
 	readonly #model: SpellModel;
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -47,6 +47,7 @@
 	waitMs: isOptional(isDuration),
 	workMs: isOptional(isDuration),
 	isUnwell: isOptional(isFlag),
+	isShedding: isOptional(isFlag),
 };
 const isSequencer = hasFields({kind: (kind: unknown) => kind === 'sequencer'});
 const isEgress = hasFields({kind: (kind: unknown) => kind === 'egress', serverId: isText});
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -1,10 +1,10 @@
 /** One backend server behind this node's gate: its slots, its queue by priority, and the connections to it. */
 import {Pool, type Dispatcher} from 'undici';
 import {
-	createFailure, formatAddress, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
+	createFailure, formatAddress, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
 import {
-	minOverdueMs, overdueFactor, ServerGate, WaitQueue, type GateLoad, type GateRequest, type Running, type Waiting,
+	minOverdueMs, overdueFactor, ServerGate, WaitQueue, type GateLoad, type GateOutcome, type GateRequest, type Running, type Waiting,
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type RetryPolicy} from '@limpetbarrow/choose';
@@ -61,6 +61,8 @@
 const connectTimeoutMs = 1000;
 /** Rank of requests that name none. */
 const lastPriority = 1000;
+/** Failures that say something else of the backend server than that it loses work. */
+const failureOutcomes: ReadonlyMap<ResultName | undefined, GateOutcome> = new Map([['serverRefused', 'unreachable'], ['serverShed', 'shed']]);
 /** Time for which a place is held for a request whose body does not end, in milliseconds. */
 const reservationMs = 1000;
 
@@ -115,6 +117,7 @@
 			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad(priority), now)),
 			workMs: Math.round(this.#gate.estimateWork(route, now)),
 			isUnwell: this.#gate.isUnwell(now),
+			...(this.#gate.isShedding(now) && {isShedding: true}),
 		};
 	}
 
@@ -326,11 +329,11 @@
 			this.#gate.recordWork(head.route ?? '', durationMs);
 			this.#recordHealth('well');
 		} else if (kind === 'failed') {
-			this.#recordHealth(failure?.name === 'serverRefused' ? 'unreachable' : 'failed');
+			this.#recordHealth(failureOutcomes.get(failure?.name) ?? 'failed');
 		}
 	}
 
-	#recordHealth(outcome: 'well' | 'failed' | 'unreachable'): void {
+	#recordHealth(outcome: GateOutcome): void {
 		const now = performance.now();
 		this.#gate.recordOutcome(outcome, now);
 		const isUnwell = this.#gate.isUnwell(now);
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -89,6 +89,7 @@
 			waitMs: hint?.waitMs === undefined && crowdedMs === 0 ? undefined : Math.max(hint?.waitMs ?? 0, crowdedMs),
 			workMs,
 			isUnwell: hint?.isUnwell ?? false,
+			isShedding: hint?.isShedding ?? false,
 			refusals: request.countRefusals(server.id),
 		};
 	}
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -284,9 +284,9 @@
 			this.#options.loads.recordHint({
 				serverId: server.id, freeSlots: 0, queued: 0, waitMs: failure.retryAfterMs,
 			});
-		} else if (failure.name === 'serverUnwell') {
+		} else if (failure.name === 'serverUnwell' || failure.name === 'serverShed') {
 			this.#options.loads.recordHint({
-				serverId: server.id, freeSlots: 0, queued: 0, isUnwell: true,
+				serverId: server.id, freeSlots: 0, queued: 0, ...(failure.name === 'serverShed' ? {isShedding: true} : {isUnwell: true}),
 			});
 		}
 
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -12,6 +12,8 @@
 /** Steps after which a request stops looking for a place. */
 const maxSteps = 10;
 const maxLastResorts = 2;
+/** Backend servers without a retry to spare after which a request stops: the others are likely to have spent theirs too. */
+const maxSpentRefusals = 2;
 /** Bounds of the delay after which a refused caller is asked to come back, in milliseconds. */
 const minRetryAfterMs = 150;
 const maxRetryAfterMs = 1500;
@@ -32,6 +34,7 @@
 	readonly #tiers = new Map<string, string>();
 	#steps = 0;
 	#lastResorts = 0;
+	#spentRefusals = 0;
 	#shortestWaitMs = Number.POSITIVE_INFINITY;
 	#unknown: Failure | undefined;
 	#last: Failure | undefined;
@@ -79,7 +82,7 @@
 
 	/** True when the request may look for another place. */
 	hasStep(isLastResort: boolean): boolean {
-		return this.#steps < maxSteps && !(isLastResort && this.#lastResorts >= maxLastResorts);
+		return this.#steps < maxSteps && this.#spentRefusals < maxSpentRefusals && !(isLastResort && this.#lastResorts >= maxLastResorts);
 	}
 
 	recordStep(serverId: string, tier: Tier, isLastResort: boolean): void {
@@ -93,6 +96,7 @@
 	recordFailure(serverId: string, failure: Failure, now: number): void {
 		this.#trace = [...this.#trace, `${serverId}/${this.#tiers.get(serverId) ?? ''}:${failure.code}@${Math.round(this.getElapsedMs(now))}`];
 		this.#last = failure;
+		this.#spentRefusals += Number(failure.name === 'retriesSpent');
 		if (failure.ran !== 'not-run') {
 			this.#unknown ??= failure;
 		}
