--- a/packages/limits/src/terms-token.ts
+++ b/packages/limits/src/terms-token.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {createHmac, timingSafeEqual} from 'node:crypto';
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createFailure, foldResult, type Failure} from '@limpetbarrow/core';
 
 const termsSchema = z.strictObject({
--- a/packages/members/src/announcements.ts
+++ b/packages/members/src/announcements.ts
@@ -1,6 +1,6 @@
 /** The backend servers that announced themselves to this node. */
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	createFailure, formatAddress, parseAddress, Store, type Failure, type Logger,
 } from '@limpetbarrow/core';
--- a/packages/members/src/message-codec.ts
+++ b/packages/members/src/message-codec.ts
@@ -1,7 +1,7 @@
 /** Messages between members as datagrams. */
 import {Encoder} from 'cbor-x';
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	createFailure, formatAddress, parseAddress, type Failure,
 } from '@limpetbarrow/core';
--- a/packages/node/src/http-release-peers.ts
+++ b/packages/node/src/http-release-peers.ts
@@ -2,7 +2,7 @@
 import {
 	EitherAsync, Left, Right, type Either,
 } from 'purify-ts';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
 import {
 	createFailure, FailureError, formatAddress, type Failure,
 } from '@limpetbarrow/core';
@@ -71,7 +71,9 @@
 			throw new FailureError(createFailure('linkUnreachable', `${peerId} is not a member`));
 		}
 
-		const answer = await request(`http://${formatAddress(address)}${path}`, {dispatcher: this.#agent, signal: AbortSignal.timeout(fetchTimeoutMs)});
+		const answer = await this.#agent.request({
+			origin: `http://${formatAddress(address)}`, path, method: 'GET', signal: AbortSignal.timeout(fetchTimeoutMs),
+		});
 		const text = await readBoundedText(answer.body, maxAnswerBytes);
 		if (answer.statusCode === 200) {
 			return parseJsonBody(text);
--- a/packages/node/src/peer-baseline-source.ts
+++ b/packages/node/src/peer-baseline-source.ts
@@ -1,6 +1,6 @@
 /** Asks other nodes' egresses for summaries, over the links that carry requests. */
 import {Buffer} from 'node:buffer';
-import {z} from 'zod';
+import * as z from 'zod';
 import {pickRandom, type Carrier} from '@limpetbarrow/core';
 import {BaselineSource, confirmTimeoutMs, type ServerSummary} from '@limpetbarrow/detect';
 import {type FindEgress} from './forwarder.js';
--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/store-discovery.ts
@@ -1,6 +1,6 @@
 /** Finds other nodes by a list in the object API: each node writes one object of its own and reads the list. */
 import {EitherAsync, Left} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	formatAddress, parseAddress, pickRandom, type Address, type Failure, type Logger,
 } from '@limpetbarrow/core';
--- a/packages/node/src/terms-keys.ts
+++ b/packages/node/src/terms-keys.ts
@@ -4,7 +4,7 @@
 import {
 	EitherAsync, Left, Right, type Either,
 } from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	createFailure, createRandomId, foldResult, type Failure, type Logger,
 } from '@limpetbarrow/core';
--- a/packages/node/src/terms-service.ts
+++ b/packages/node/src/terms-service.ts
@@ -5,7 +5,7 @@
 import {
 	EitherAsync, Left, Right, type Either,
 } from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	createFailure, FailureError, foldResult, reservedPathPrefix, type Failure, type Logger, type NodeIdentity,
 } from '@limpetbarrow/core';
--- a/packages/object-store/src/http-object-store.ts
+++ b/packages/object-store/src/http-object-store.ts
@@ -1,7 +1,7 @@
 /** The object API over HTTP. */
 import {Buffer} from 'node:buffer';
 import {EitherAsync, Left, Right} from 'purify-ts';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
 import {
 	createFailure, FailureError, type Failure, type ResultName,
 } from '@limpetbarrow/core';
@@ -145,8 +145,8 @@
 
 	async #fetch({method, path, headers = {}, body, timeoutMs = this.#timeoutMs, signal}: CallOptions): Promise<unknown> {
 		const timeout = AbortSignal.timeout(timeoutMs);
-		const answer = await request(`${this.#origin}${path}`, {
-			method, headers, body: body ?? null, dispatcher: this.#agent, signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+		const answer = await this.#agent.request({
+			origin: this.#origin, path, method, headers, body: body ?? null, signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
 		});
 		const text = await readBounded(answer.body);
 		if (answer.statusCode >= 300) {
--- a/packages/releases/src/note-attempts.ts
+++ b/packages/releases/src/note-attempts.ts
@@ -5,7 +5,7 @@
  * every number under which the same note may be in the log, also those whose answers were lost.
  */
 import {EitherAsync, Left, Right} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createFailure, type Failure} from '@limpetbarrow/core';
 import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 import {getAttemptsKey} from './release-keys.js';
--- a/packages/releases/src/release-codec.ts
+++ b/packages/releases/src/release-codec.ts
@@ -1,7 +1,7 @@
 /** Releases and configurations as text in the object API and between nodes. */
 import {Buffer} from 'node:buffer';
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createFailure, type Failure} from '@limpetbarrow/core';
 import {maxValueBytes} from '@limpetbarrow/object-store';
 import {hashText} from './part-text.js';
--- a/packages/releases/src/release-note.ts
+++ b/packages/releases/src/release-note.ts
@@ -1,5 +1,5 @@
 /** Schema of a release note. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxNameLength = 63;
 const maxSlotsFloor = 10_000;
--- a/packages/releases/src/snapshot-store.ts
+++ b/packages/releases/src/snapshot-store.ts
@@ -6,7 +6,7 @@
  * the log instead.
  */
 import {EitherAsync, Left, Right} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createFailure, createRandomId, type Failure} from '@limpetbarrow/core';
 import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 import {flattenToParts, hashText} from './part-text.js';
