--- a/packages/admission/src/__tests__/unit/server-gate.test.ts
+++ b/packages/admission/src/__tests__/unit/server-gate.test.ts
@@ -83,15 +83,15 @@
 	});
 
 	describe('before a backend server that rejects work without running it', () => {
-		const shedding = (): ServerGate => createGate(['well', 'shed', 'shed', 'well', 'shed']);
+		const createShedding = (): ServerGate => createGate(['well', 'shed', 'shed', 'well', 'shed']);
 
 		it('refuses nothing, as what is rejected has not run', () => {
-			expect(shedding().findRefusal(order, idle, 100)).to.equal(undefined);
-			expect(shedding().isUnwell(100)).to.equal(false);
+			expect(createShedding().findRefusal(order, idle, 100)).to.equal(undefined);
+			expect(createShedding().isUnwell(100)).to.equal(false);
 		});
 
 		it('says so, so that others are asked first, until some work was taken again', () => {
-			const gate = shedding();
+			const gate = createShedding();
 			expect(gate.isShedding(100)).to.equal(true);
 			Array.from({length: 12}, (_, index) => 110 + index).forEach(now => {
 				gate.recordOutcome('well', now);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of a node, from flags and environment variables. */
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	createFailure, parseAddress, type Address, type Failure, type LogForm, type LogLevel,
 } from '@limpetbarrow/core';
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -58,8 +58,8 @@
 		incarnation,
 		sequence: 1,
 		placement: {region: settings.region, failureDomain: settings.failureDomain},
-		linkAddress: settings.link,
-		gossipAddress: settings.gossip,
+		linkAddress: settings.advertisedLink ?? settings.link,
+		gossipAddress: settings.advertisedGossip ?? settings.gossip,
 		ingressAddress: settings.ingress,
 		adminAddress: settings.metrics,
 		state: 'serving',
@@ -73,11 +73,13 @@
 export class SidecarNode {
 	/** Takes the number of this run, listens on all addresses and begins to learn of the fleet and its configuration. */
 	static async start(options: SidecarOptions): Promise<SidecarNode> {
-		const {id, failureDomain, gossip} = options.getSettings();
+		const {
+			id, failureDomain, gossip, advertisedGossip = gossip,
+		} = options.getSettings();
 		const started: {node?: SidecarNode} = {};
 		const discovery = new StoreDiscovery({
 			store: options.platform.store,
-			self: {id, failureDomain, gossipAddress: gossip},
+			self: {id, failureDomain, gossipAddress: advertisedGossip},
 			logger: options.logger,
 			handlePeers(peers) {
 				started.node?.addPeers(peers);
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of a sidecar node: one process beside the one backend server of its host. */
 import {Left, Right, type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createFailure, parseAddress, type Failure} from '@limpetbarrow/core';
 
 const maxDurationMs = 3_600_000;
@@ -38,6 +38,9 @@
 	link: addressSchema,
 	/** UDP address for other nodes. */
 	gossip: addressSchema,
+	/** Addresses at which other nodes reach this one, where something between them maps addresses; otherwise those above. */
+	advertisedLink: addressSchema.optional(),
+	advertisedGossip: addressSchema.optional(),
 	/** Base URL of the object API. */
 	platform: z.url({protocol: /^https?$/v}).transform(url => url.replace(/\/$/v, '')),
 	/** Time between two announcements of a backend server, in milliseconds. */
--- /dev/null
+++ b/packages/soak/src/fault-plan.ts
@@ -0,0 +1,93 @@
+/** Draws the faults of one soak run from its seed. */
+import {createSeededRandom} from '@limpetbarrow/stand-ins';
+
+/** Work that an operator plans; none of it may cost a caller an answer. */
+export const plannedKinds = ['stopNode', 'reloadSettings', 'changeConfiguration', 'replaceServer'] as const;
+
+/** Faults from outside the processes. */
+export const unplannedKinds = [
+	'killNode',
+	'killAllNodes',
+	'pauseNode',
+	'stepClock',
+	'delayLink',
+	'resetLink',
+	'cutLinkInward',
+	'cutLinkOutward',
+	'silenceLink',
+	'dropGossip',
+	'cutStore',
+	'silenceStore',
+	'breakStore',
+	'loseStoreAnswers',
+	'forgetStoreHistory',
+	'crashServer',
+	'failServer',
+	'hangServer',
+	'breakServerAnswers',
+	'resetServerConnections',
+] as const;
+
+/** What can happen in a soak run. */
+export type FaultKind = typeof plannedKinds[number] | typeof unplannedKinds[number];
+
+/** One fault. */
+export type SoakFault = {
+	readonly kind: FaultKind;
+	/** Time from the start of the load to the fault, in milliseconds. */
+	readonly atMs: number;
+	readonly forMs: number;
+	/** Index of the host that it concerns. */
+	readonly host: number;
+	/** How strong it is, from 0 to below 1. */
+	readonly strength: number;
+};
+
+/** Bounds of a plan. */
+export type FaultPlanOptions = {
+	readonly seed: number;
+	readonly hosts: number;
+	/** Time in which faults begin, in milliseconds. */
+	readonly spanMs: number;
+};
+
+/** One run in so many has planned work only, so that whatever a caller loses in it is the fleet's doing. */
+const plannedPeriod = 5;
+const minFaults = 4;
+const maxFaults = 10;
+const minForMs = 300;
+const maxForMs = 4000;
+/** Share of the faults that come as a series: the same again, a little later, mostly elsewhere. */
+const seriesShare = 0.3;
+const seriesGapMs = 400;
+
+/** True when a run has planned work only. */
+export function isPlannedRun(seed: number): boolean {
+	return seed % plannedPeriod === 0;
+}
+
+function createFault(pick: () => number, kinds: readonly FaultKind[], {hosts, spanMs}: FaultPlanOptions): SoakFault {
+	return {
+		kind: kinds[Math.floor(pick() * kinds.length)]!,
+		atMs: Math.round(pick() * spanMs),
+		forMs: Math.round(minForMs + (pick() * (maxForMs - minForMs))),
+		host: Math.floor(pick() * hosts),
+		strength: pick(),
+	};
+}
+
+function createSeries(pick: () => number, fault: SoakFault, {hosts}: FaultPlanOptions): readonly SoakFault[] {
+	return pick() < seriesShare
+		? [fault, {...fault, atMs: fault.atMs + seriesGapMs, host: Math.floor(pick() * hosts)}]
+		: [fault];
+}
+
+/** The faults of a run, by time; the same for the same seed. */
+export function createFaultPlan(options: FaultPlanOptions): readonly SoakFault[] {
+	const pick = createSeededRandom(options.seed);
+	const kinds = isPlannedRun(options.seed) ? plannedKinds : [...plannedKinds, ...unplannedKinds];
+	const count = minFaults + Math.floor(pick() * (maxFaults - minFaults + 1));
+	return Array.from({length: count}, () => createFault(pick, kinds, options))
+		.flatMap(fault => createSeries(pick, fault, options))
+		.toSorted((a, b) => a.atMs - b.atMs);
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,4 @@
 export * from './object-history.js';
 export * from './memory-object-store.js';
 export * from './tcp-relay.js';
+export * from './udp-relay.js';
