--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -195,6 +195,15 @@
 			expect(failure?.retryAfterMs).to.be.within(150, 2250);
 		});
 
+		it('asks a backend server that has no retry to spare once, and then another', async () => {
+			open();
+			getHandOvers('near')[0]!.handler.handleFailure(createFailure('serverShed', 'full'));
+			getHandOvers('far')[0]!.handler.handleFailure(createFailure('retriesSpent', 'attempt 2'));
+			await clock.tickAsync(1);
+			expect(getHandOvers('far').length).to.equal(1);
+			expect(failure).to.include({name: 'retriesSpent', ran: 'not-run'});
+		});
+
 		it('says how many may have had it before, for the budget of retries', () => {
 			open();
 			expect(getHandOvers('near')[0]!.head.earlierAttempts).to.equal(0);
--- a/packages/node/src/__tests__/unit/shedding-service.test.ts
+++ b/packages/node/src/__tests__/unit/shedding-service.test.ts
@@ -13,7 +13,7 @@
 const workMs = 200;
 const objectiveMs = 800;
 const periodMs = 20;
-const loadMs = 20_000;
+const loadMs = 100_000;
 const shedShare = 0.55;
 const retryWindow = {windowMs: 10_000, ratio: 0.17, allowance: 24};
 const randomFactor = 48_271;
@@ -88,7 +88,7 @@
 
 	#continue(request: RoutedRequest, self: Host): void {
 		const now = performance.now();
-		const views = this.#hosts.filter(({candidate}) => !request.hasHanded(candidate.server.id)).map(host => this.#createView(host, self, request));
+		const views = this.#hosts.filter(({candidate}) => request.isOpenTo(candidate.server.id)).map(host => this.#createView(host, self, request));
 		const isRetryable = request.head.isRepeatable && request.hasAttemptAfterNext();
 		const step = chooseSpillStep(views, {isRetryable, objectiveMs, objectiveLeftMs: objectiveMs}, () => this.#pickRandom());
 		if (!step || !request.hasStep(step.isLastResort)) {
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -34,7 +34,8 @@
 	readonly #tiers = new Map<string, string>();
 	#steps = 0;
 	#lastResorts = 0;
-	#spentRefusals = 0;
+	/** Backend servers that had no retry to spare; they are not asked again. */
+	#spent: ReadonlySet<string> = new Set();
 	#shortestWaitMs = Number.POSITIVE_INFINITY;
 	#unknown: Failure | undefined;
 	#last: Failure | undefined;
@@ -58,8 +59,9 @@
 		return this.#trace.join(' ');
 	}
 
-	hasHanded(serverId: string): boolean {
-		return this.#handed.has(serverId);
+	/** True when the request may be handed to that backend server: it has not been, and no retry was missing there. */
+	isOpenTo(serverId: string): boolean {
+		return !this.#handed.has(serverId) && !this.#spent.has(serverId);
 	}
 
 	countHanded(): number {
@@ -82,7 +84,7 @@
 
 	/** True when the request may look for another place. */
 	hasStep(isLastResort: boolean): boolean {
-		return this.#steps < maxSteps && this.#spentRefusals < maxSpentRefusals && !(isLastResort && this.#lastResorts >= maxLastResorts);
+		return this.#steps < maxSteps && this.#spent.size < maxSpentRefusals && !(isLastResort && this.#lastResorts >= maxLastResorts);
 	}
 
 	recordStep(serverId: string, tier: Tier, isLastResort: boolean): void {
@@ -96,11 +98,14 @@
 	recordFailure(serverId: string, failure: Failure, now: number): void {
 		this.#trace = [...this.#trace, `${serverId}/${this.#tiers.get(serverId) ?? ''}:${failure.code}@${Math.round(this.getElapsedMs(now))}`];
 		this.#last = failure;
-		this.#spentRefusals += Number(failure.name === 'retriesSpent');
 		if (failure.ran !== 'not-run') {
 			this.#unknown ??= failure;
 		}
 
+		if (failure.name === 'retriesSpent') {
+			this.#spent = new Set([...this.#spent, serverId]);
+		}
+
 		if (isGateRefusal(failure)) {
 			this.#handed = new Set([...this.#handed].filter(id => id !== serverId));
 			this.#refusals.set(serverId, this.countRefusals(serverId) + 1);
