--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -130,6 +130,11 @@
 		this.#violations = [...this.#violations, violation];
 	}
 
+	/** True when a backend server has begun to run the request. */
+	hasRun(id: string): boolean {
+		return this.#runs.has(id);
+	}
+
 	listViolations(): readonly Violation[] {
 		return this.#violations;
 	}
