--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -45,6 +45,7 @@
 	egressFailed: {number: 304, level: 'info', meaning: 'The egress refused a request, or its backend server failed it.'},
 	serverRan: {number: 306, level: 'debug', meaning: 'A backend server ran a request; what became of it and what the gate believes now.'},
 	serverRanBadly: {number: 307, level: 'info', meaning: 'A backend server ran a request and failed it, or its time ran out; what the gate believes now.'},
+	sheddingChanged: {number: 308, level: 'info', meaning: 'A backend server began to reject a large part of its work without running it, or takes it again (`isShedding`).'},
 	serverReplaced: {number: 305, level: 'warn', meaning: 'Another backend server was found at the address; the one announced is not used any more.'},
 
 	// Sequencer
--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -1,7 +1,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect} from 'chai';
 import {
-	MetricRegistry, SilentLogger, type RequestHead,
+	Logger, MetricRegistry, SilentLogger, type LogEventName, type LogFields, type RequestHead,
 } from '@limpetbarrow/core';
 import {UnlimitedRetries, WindowedRetries, type RetryPolicy} from '@limpetbarrow/choose';
 import {Announcements} from '@limpetbarrow/members';
@@ -27,6 +27,16 @@
 	socket.write(formatRawAnswer(text));
 };
 
+/** Keeps what was logged. */
+class KeepingLogger extends Logger {
+	lines: ReadonlyArray<readonly [LogEventName, LogFields]> = [];
+
+	override log(event: LogEventName, fields: LogFields = {}): void {
+		this.lines = [...this.lines, [event, fields]];
+	}
+}
+
+let logger = new KeepingLogger();
 let close: () => Promise<void> = async () => undefined;
 
 async function sendRequest(egress: HostEgress, head: Partial<RequestHead>): Promise<Answer> {
@@ -67,6 +77,7 @@
 }
 
 async function startRig(script: RawScript, createRetries: () => RetryPolicy = () => new UnlimitedRetries()): Promise<Rig> {
+	logger = new KeepingLogger();
 	const backend = new RawBackend(script);
 	const {host, port} = await backend.listen();
 	const announcements = new Announcements(new SilentLogger());
@@ -77,7 +88,7 @@
 		listFleetMarks: () => [],
 		isStopping: () => false,
 		metrics: new MetricRegistry(),
-		logger: new SilentLogger(),
+		logger,
 	});
 	const announce = (fields: Readonly<Record<string, unknown>> = {}): void => {
 		announcements.accept({
@@ -260,6 +271,30 @@
 		});
 	});
 
+	describe('a backend server that rejects work without running it', () => {
+		it('is told of once when it begins and once when it takes work again, and gets all work meanwhile', async () => {
+			let isFull = true;
+			const {send, egress} = await startRig((socket, text) => {
+				socket.write(isFull ? 'HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n' : formatRawAnswer(text));
+			});
+			const sendMany = async (count: number): Promise<void> => {
+				if (count > 0) {
+					await send({isRepeatable: false});
+					await sendMany(count - 1);
+				}
+			};
+
+			await sendMany(4);
+			expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isShedding: true, isUnwell: false});
+			isFull = false;
+			await sendMany(20);
+			expect(egress.findLoad('server-1', 0, 'sizes')).to.not.have.property('isShedding');
+			expect(logger.lines.filter(([event]) => event === 'sheddingChanged').map(([, fields]) => fields)).to.deep.equal([
+				{server: 'server-1', isShedding: true}, {server: 'server-1', isShedding: false},
+			]);
+		});
+	});
+
 	describe('retries', () => {
 		it('are refused beyond the budget, and the refusal is no arrival', async () => {
 			const {send, backend} = await startRig(answerWhole, () => new WindowedRetries({windowMs: 10_000, ratio: 0.2, allowance: 1}, () => 1));
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -23,6 +23,8 @@
 	readonly handleReplaced: () => void;
 	/** Called when the gate's belief about the backend server has changed. */
 	readonly reportHealth: (isUnwell: boolean, sickness: number) => void;
+	/** Called when the backend server began to reject a large part of its work, or takes it again. */
+	readonly reportShedding: (isShedding: boolean) => void;
 	/** Called with each request that the backend server ran. */
 	readonly reportRun: (head: RequestHead, run: RunReport) => void;
 	/** Called with each request that was refused or failed here. */
@@ -77,6 +79,7 @@
 	readonly #pools: {readonly repeatable: Pool; readonly unrepeatable: Pool};
 	#server: AnnouncedServer;
 	#wasUnwell = false;
+	#wasShedding = false;
 
 	constructor(server: AnnouncedServer, options: GatedServerOptions) {
 		this.#options = options;
@@ -341,6 +344,12 @@
 			this.#wasUnwell = isUnwell;
 			this.#options.reportHealth(isUnwell, this.#gate.estimateSickness(now));
 		}
+
+		const isShedding = this.#gate.isShedding(now);
+		if (isShedding !== this.#wasShedding) {
+			this.#wasShedding = isShedding;
+			this.#options.reportShedding(isShedding);
+		}
 	}
 
 	#startNext(): void {
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -138,6 +138,9 @@
 				metrics.addCount(isUnwell ? 'egress_ejections_total' : 'egress_returns_total');
 				logger.log(isUnwell ? 'serverEjected' : 'serverReturned', {server: id, sickness: sickness.toFixed(3)});
 			},
+			reportShedding(isShedding) {
+				logger.log('sheddingChanged', {server: id, isShedding});
+			},
 			reportRun({requestId, route, isRepeatable}, {outcome, ms, sickness}) {
 				logger.log(outcome === 'answered' ? 'serverRan' : 'serverRanBadly', {
 					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
