Keep which backend servers have left for the process after this one

Cause: a node forgot with its process that it had acknowledged a leave. Found by reading besides: the leave of a backend server that a node doesn't know was acknowledged and forgotten, and a lapsed one that had left came back with a late heartbeat.

Change: the starts of the runs that have left are remembered apart from the announcements, and written into the node's own object in the store, which each start reads anyway, so a start costs no call more and a leave costs one. The gate closes first; the acknowledgement follows once the store has it. If it can't be kept within 750 ms the answer is 503 with code 8005: nothing new is handed over all the same, and the backend server's next heartbeat tries again. Reading and writing that object moved into a file of its own.

Ruled out: other nodes as keepers. Their records of this node end with its old run, and a cut node reaches them no better than the store.

Left: a node that starts while the store is away doesn't know what left before until the store answers.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -83,6 +83,8 @@
 	memberJoined: {number: 804, level: 'info', meaning: 'Another node became known.'},
 	memberSuspected: {number: 805, level: 'info', meaning: 'Another node does not answer probes.'},
 	announcementRefused: {number: 808, level: 'warn', meaning: 'An announcement was not taken.'},
+	leaveKept: {number: 809, level: 'info', meaning: 'The leave of a backend server is kept for the processes after this one, and acknowledged.'},
+	leaveNotKept: {number: 810, level: 'warn', meaning: 'The leave of a backend server is in force, but could not be kept; it is not acknowledged.'},
 	memberLost: {number: 806, level: 'warn', meaning: 'Another node was declared dead.'},
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
 
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -215,6 +215,9 @@
 	announcementStale: {
 		code: 8003, status: 409, ran: 'none', resend: 'never', meaning: 'A newer announcement of this backend server is known.',
 	},
+	leaveNotKept: {
+		code: 8005, status: 503, ran: 'none', resend: 'later', meaning: 'The leave of a backend server is in force here, but could not be kept for the process after this one.',
+	},
 	gossipMalformed: {
 		code: 8004, status: 400, ran: 'none', resend: 'never', meaning: 'A gossip message could not be read.',
 	},
--- a/packages/members/src/__tests__/unit/announcements.test.ts
+++ b/packages/members/src/__tests__/unit/announcements.test.ts
@@ -16,7 +16,7 @@
 	let announcements: Announcements;
 
 	beforeEach(() => {
-		clock = install();
+		clock = install({now: 1_700_000_000_000});
 		announcements = new Announcements(new SilentLogger());
 	});
 
@@ -109,6 +109,48 @@
 		});
 	});
 
+	describe('having left', () => {
+		it('outlasts the announcement, so that a heartbeat from before it brings nothing back', () => {
+			acceptName({isLeaving: true});
+			simulateSweeps(announcementLeaseMs + (2 * announcementSweepMs));
+			expect(isHeld()).to.equal(false);
+			expect(acceptName({})).to.equal('announcementStale');
+		});
+
+		const rows: ReadonlyArray<readonly [string, number | undefined, number, string]> = [
+			['of a run that is told', 4, 4, 'announcementStale'],
+			['of an earlier run', 4, 3, 'announcementStale'],
+			['of a later run', 4, 5, 'accepted'],
+			['of one that started before a leave without a run', undefined, -1, 'announcementStale'],
+			['of one that started after a leave without a run', undefined, 1, 'accepted'],
+		];
+		rows.forEach(([what, generation, announced, outcome]) => {
+			it(`is remembered for a backend server that is not known; a heartbeat ${what} is ${outcome}`, () => {
+				announcements.leave('s', generation);
+				expect(acceptName({generation: generation === undefined ? Date.now() + announced : announced})).to.equal(outcome);
+			});
+		});
+
+		it('is taken from the process before this one, also when the heartbeat came first', () => {
+			acceptName({});
+			announcements.recordLeft(new Map([['s', 4], ['other', 9]]));
+			expect(announcements.store.getState().servers.get('s')!.isLeaving).to.equal(true);
+			expect(acceptName({})).to.equal('announcementStale');
+		});
+
+		it('of an earlier run says nothing about a later one', () => {
+			acceptName({generation: 5});
+			announcements.leave('s', 4);
+			expect(announcements.store.getState().servers.get('s')!.isLeaving).to.equal(false);
+		});
+
+		it('is remembered for a bounded number of backend servers, the latest of them', () => {
+			Array.from({length: 100}, (_, index) => announcements.leave(`s${index}`, 1));
+			expect(announcements.store.getState().left.size).to.equal(32);
+			expect(acceptName({id: 's99', generation: 1})).to.equal('announcementStale');
+		});
+	});
+
 	describe('another node', () => {
 		beforeEach(() => {
 			acceptName({});
--- a/packages/members/src/announcements.ts
+++ b/packages/members/src/announcements.ts
@@ -7,6 +7,7 @@
 import {
 	announcementLeaseMs, announcementSweepMs, maxAnnouncedServers, maxYieldedServers, pauseBoundMs,
 } from './constants.js';
+import {hasLeft, mergeLeft, type LeftServers} from './left-servers.js';
 import {type AnnouncedServer, type Announcement} from './types.js';
 
 const announcementSchema = z.object({
@@ -25,6 +26,8 @@
 	readonly servers: ReadonlyMap<string, AnnouncedServer>;
 	/** Generation under which each backend server went to another node. */
 	readonly yielded: ReadonlyMap<string, number>;
+	/** Outlives the announcements: a heartbeat that was late must not bring back what has left. */
+	readonly left: LeftServers;
 };
 
 function parseAnnouncement(input: unknown): Either<Failure, Announcement> {
@@ -43,7 +46,7 @@
 
 /** Takes announcements and drops those that lapse. */
 export class Announcements {
-	readonly store = new Store<AnnouncementSnapshot>({servers: new Map(), yielded: new Map()});
+	readonly store = new Store<AnnouncementSnapshot>({servers: new Map(), yielded: new Map(), left: new Map()});
 	readonly #logger: Logger;
 	readonly #leaseMs: number;
 	#sweptAt = performance.now();
@@ -63,12 +66,22 @@
 			.map(announcement => this.#record(createServer(announcement, performance.now() + this.#leaseMs)));
 	}
 
-	/** Takes that a backend server of this host leaves, whether it announced so before or not. */
-	leave(id: string): void {
-		const server = this.store.getState().servers.get(id);
-		if (server && !server.isLeaving) {
+	/**
+	 * Takes that a backend server of this host leaves, whether it announced so or itself before or not. Without a
+	 * generation it is the run that is known; of one that isn't known, every run that has started by now.
+	 */
+	leave(id: string, generation = this.store.getState().servers.get(id)?.generation ?? Date.now()): LeftServers {
+		const left = new Map([[id, generation]]);
+		this.recordLeft(left);
+		return left;
+	}
+
+	/** Takes which runs have left, as this node or the process before it was told. */
+	recordLeft(left: LeftServers): void {
+		this.store.update('recordLeft', snapshot => ({...snapshot, left: mergeLeft(snapshot.left, left)}));
+		[...this.store.getState().servers.values()].filter(server => !server.isLeaving && hasLeft(left, server)).forEach(server => {
 			this.#record({...server, isLeaving: true});
-		}
+		});
 	}
 
 	/** Drops a backend server whose address has been found to be another's. */
@@ -129,16 +142,15 @@
 	}
 
 	#checkGeneration(announcement: Announcement): Either<Failure, Announcement> {
-		const {servers, yielded} = this.store.getState();
+		const {servers, yielded, left} = this.store.getState();
 		const known = servers.get(announcement.id);
 		const lowest = Math.max(known?.generation ?? 0, (yielded.get(announcement.id) ?? -1) + 1);
 		if (announcement.generation < lowest) {
 			return Left(createFailure('announcementStale', `the lowest generation taken is ${lowest}`));
 		}
 
-		const isReturn = known?.isLeaving === true && !announcement.isLeaving && known.generation === announcement.generation;
-		return isReturn
-			? Left(createFailure('announcementStale', `generation ${known.generation} has said that it leaves`))
+		return !announcement.isLeaving && hasLeft(left, announcement)
+			? Left(createFailure('announcementStale', `generation ${announcement.generation} has said that it leaves`))
 			: this.#checkRoom(announcement);
 	}
 
@@ -170,7 +182,9 @@
 
 		const replaced = new Set(this.#listNeighbours(server).filter(({generation}) => generation < server.generation).map(({id}) => id));
 		this.store.update('record', snapshot => ({
-			...snapshot, servers: new Map([...snapshot.servers].filter(([id]) => !replaced.has(id))).set(server.id, server),
+			...snapshot,
+			left: server.isLeaving ? mergeLeft(snapshot.left, new Map([[server.id, server.generation]])) : snapshot.left,
+			servers: new Map([...snapshot.servers].filter(([id]) => !replaced.has(id))).set(server.id, server),
 		}));
 		return server;
 	}
--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -15,3 +15,4 @@
 export * from './membership.js';
 export * from './gossip.js';
 export * from './announcements.js';
+export * from './left-servers.js';
--- a/packages/node/src/control-server.ts
+++ b/packages/node/src/control-server.ts
@@ -2,7 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Either} from 'purify-ts';
+import {EitherAsync, type Either} from 'purify-ts';
 import {
 	foldResult, type Address, type Failure,
 } from '@limpetbarrow/core';
@@ -13,7 +13,8 @@
 /** A call to the node itself. */
 export type ControlCall
 	= | {readonly kind: 'announce'; readonly announcement: unknown}
-		| {readonly kind: 'leave'; readonly serverId: string}
+		/** `generation` is the start of the run that leaves, where it is told. */
+		| {readonly kind: 'leave'; readonly serverId: string; readonly generation?: number}
 		| {readonly kind: 'readiness'}
 		| {readonly kind: 'metrics'};
 
@@ -30,7 +31,7 @@
 };
 
 /** Carries a call out. `remoteHost` is the address of the caller. */
-export type HandleControlCall = (call: ControlCall, remoteHost: string) => Either<Failure, ControlAnswer>;
+export type HandleControlCall = (call: ControlCall, remoteHost: string) => EitherAsync<Failure, ControlAnswer>;
 
 const maxBodyBytes = 65_536;
 
@@ -63,8 +64,9 @@
 	async #answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		try {
 			const body = await readBoundedText(message, maxBodyBytes);
-			const result = this.#dialect.parseCall(message.method ?? 'GET', message.url ?? '/', body)
-				.chain(call => this.#handleCall(call, message.socket.remoteAddress ?? ''));
+			const result = await EitherAsync.liftEither(this.#dialect.parseCall(message.method ?? 'GET', message.url ?? '/', body))
+				.chain(call => this.#handleCall(call, message.socket.remoteAddress ?? ''))
+				.run();
 			const {status, contentType, body: text} = foldResult(result, toAnswer, answer => answer);
 			response.writeHead(status, {'content-type': contentType});
 			response.end(text);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -20,6 +20,7 @@
 export * from './host-egress.js';
 export * from './gated-server.js';
 export * from './store-discovery.js';
+export * from './node-entry.js';
 export * from './host-announcement.js';
 export * from './run-daemon.js';
 export * from './run-sidecar.js';
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -5,15 +5,13 @@
 import {WindowedRetries} from '@limpetbarrow/choose';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {
-	announcementSweepMs, Announcements, Gossip, MemberTable,
+	announcementSweepMs, Announcements, Gossip, MemberTable, type AnnouncedServer, type LeftServers,
 } from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/object-store';
 import {
 	ConfigurationWatcher, ReleaseState, type ConfigurationSource,
 } from '@limpetbarrow/releases';
-import {
-	Left, Right, type Either,
-} from 'purify-ts';
+import {EitherAsync, Right, type Either} from 'purify-ts';
 import {
 	ControlServer, type ControlAnswer, type ControlCall, type ControlDialect,
 } from './control-server.js';
@@ -47,6 +45,13 @@
 	readonly logger: Logger;
 };
 
+/** What is there before the node has its number. */
+type SidecarState = {
+	readonly announcements: Announcements;
+	readonly discovery: StoreDiscovery;
+	readonly incarnation: number;
+};
+
 /** Announcements that may be missing in a row before a backend server counts as gone. */
 const announcementsPerLease = 6;
 /** Lines that one configuration may take to tell which of its entries can't be read. */
@@ -79,16 +84,20 @@
 			id, failureDomain, gossip, advertisedGossip = gossip,
 		} = options.getSettings();
 		const started: {node?: SidecarNode} = {};
+		const announcements = new Announcements(options.logger, options.getSettings().announcementPeriodMs * announcementsPerLease);
 		const discovery = new StoreDiscovery({
 			store: options.platform.store,
 			self: {id, failureDomain, gossipAddress: advertisedGossip},
+			handleLeft(left) {
+				announcements.recordLeft(left);
+			},
 			logger: options.logger,
 			handlePeers(peers) {
 				started.node?.addPeers(peers);
 			},
 			listLiveIds: () => started.node?.listLiveIds() ?? [],
 		});
-		const node = new SidecarNode(options, discovery, await discovery.takeIncarnation());
+		const node = new SidecarNode(options, {announcements, discovery, incarnation: await discovery.takeIncarnation()});
 		started.node = node;
 		try {
 			await node.#start();
@@ -118,14 +127,14 @@
 	#sweep: NodeJS.Timeout | undefined;
 	#isStopping = false;
 
-	private constructor(options: SidecarOptions, discovery: StoreDiscovery, incarnation: number) {
+	private constructor(options: SidecarOptions, {announcements, discovery, incarnation}: SidecarState) {
 		const {logger, platform} = options;
 		const settings = options.getSettings();
 		this.#options = options;
 		this.#discovery = discovery;
 		registerProcessGauges(this.#metrics);
 		this.#table = new MemberTable(createRecord(settings, incarnation));
-		this.#announcements = new Announcements(logger, settings.announcementPeriodMs * announcementsPerLease);
+		this.#announcements = announcements;
 		this.#directory = new ServerDirectory(this.#table);
 		this.#links = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
 		this.#egress = this.#createEgress();
@@ -290,34 +299,44 @@
 		return this.#isStopping ? servers.map(server => ({...server, state: 'leaving'})) : servers;
 	}
 
-	#handleCall(call: ControlCall, remoteHost: string): Either<Failure, ControlAnswer> {
+	#handleCall(call: ControlCall, remoteHost: string): EitherAsync<Failure, ControlAnswer> {
 		switch (call.kind) {
 			case 'announce': {
-				return this.#acceptAnnouncement(call.announcement, remoteHost);
+				return EitherAsync.liftEither(this.#acceptAnnouncement(call.announcement, remoteHost))
+					.chain(({id, generation, isLeaving}) => isLeaving ? this.#recordLeft(new Map([[id, generation]])) : EitherAsync.liftEither(Right(undefined)))
+					.map(() => createJsonAnswer(200));
 			}
 
 			case 'leave': {
-				this.#announcements.leave(call.serverId);
-				return Right(createJsonAnswer(200));
+				return this.#recordLeft(this.#announcements.leave(call.serverId, call.generation)).map(() => createJsonAnswer(200));
 			}
 
 			case 'readiness': {
-				return Right(createJsonAnswer(!this.#isStopping && this.#releases.getNumber() > 0 ? 200 : 503));
+				return EitherAsync.liftEither(Right(createJsonAnswer(!this.#isStopping && this.#releases.getNumber() > 0 ? 200 : 503)));
 			}
 
 			case 'metrics': {
-				return Right({status: 200, contentType: 'text/plain; version=0.0.4', body: this.#metrics.formatReport()});
+				return EitherAsync.liftEither(Right({status: 200, contentType: 'text/plain; version=0.0.4', body: this.#metrics.formatReport()}));
 			}
 		}
 	}
 
-	#acceptAnnouncement(input: unknown, remoteHost: string): Either<Failure, ControlAnswer> {
+	/** Nothing new is handed over from before this call; it is acknowledged once the process after this one is bound as well. */
+	#recordLeft(left: LeftServers): EitherAsync<Failure, void> {
+		const {logger} = this.#options;
+		const servers = [...left].map(([id, generation]) => `${id}@${generation}`).join(',');
+		return this.#discovery.recordLeft(left).ifRight(() => {
+			logger.log('leaveKept', {servers});
+		}).ifLeft(({code, detail}) => {
+			logger.log('leaveNotKept', {servers, code, detail});
+		});
+	}
+
+	#acceptAnnouncement(input: unknown, remoteHost: string): Either<Failure, AnnouncedServer> {
 		const {serverAddress} = this.#options.getSettings();
 		const {services} = this.#releases.getConfiguration();
-		const accepted = acceptHostAnnouncement(this.#announcements, input, {serverAddress, remoteHost, services});
-		return accepted.map(() => createJsonAnswer(200)).chainLeft(failure => {
+		return acceptHostAnnouncement(this.#announcements, input, {serverAddress, remoteHost, services}).ifLeft(failure => {
 			this.#options.logger.log('announcementRefused', {code: failure.code, detail: failure.detail});
-			return Left(failure);
 		});
 	}
 
--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/store-discovery.ts
@@ -1,15 +1,19 @@
 /** Finds other nodes by a list in the object API: each node writes one object of its own and reads the list. */
+import {setTimeout as wait} from 'node:timers/promises';
 import {EitherAsync, Left} from 'purify-ts';
-import * as z from 'zod';
 import {
-	formatAddress, parseAddress, pickRandom, type Address, type Failure, type Logger,
+	createFailure, parseAddress, pickRandom, type Address, type Failure, type Logger,
 } from '@limpetbarrow/core';
+import {type LeftServers} from '@limpetbarrow/members';
 import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
+import {NodeEntry, nodePrefix, parseNodeEntry} from './node-entry.js';
 
 /** What discovery works with. */
 export type StoreDiscoveryOptions = {
 	readonly store: ObjectStore;
 	readonly self: {readonly id: string; readonly failureDomain: string; readonly gossipAddress: Address};
+	/** Called with the backend servers of this host that have left, as the run before kept them. */
+	readonly handleLeft?: (left: LeftServers) => void;
 	readonly logger: Logger;
 	/** Called with the gossip addresses of other nodes. */
 	readonly handlePeers: (peers: readonly Address[]) => void;
@@ -17,11 +21,10 @@
 	readonly listLiveIds: () => readonly string[];
 };
 
-/** Prefix of the nodes' objects. */
-export const nodePrefix = 'limpetbarrow-nodes/';
-
 /** Time a starting node waits for its number before it takes one from the clock, in milliseconds. */
 const incarnationBoundMs = 800;
+/** Time within which a leave must be kept to be acknowledged, in milliseconds: an acknowledgement counts for a second. */
+const keepBoundMs = 750;
 const firstRetryMs = 500;
 const maxRetryMs = 4000;
 /** Time between two looks for objects of nodes that are gone, in milliseconds. */
@@ -33,32 +36,18 @@
 const nearContacts = 3;
 const distantContacts = 3;
 
-const entrySchema = z.object({gossip: z.string(), failureDomain: z.string().default(''), incarnation: z.int().min(0)});
-
-type Entry = z.output<typeof entrySchema>;
-
-function parseEntry(text: string): Entry | undefined {
-	try {
-		return entrySchema.safeParse(JSON.parse(text)).data;
-	} catch {
-		return undefined;
-	}
-}
-
-/**
- * The number of this run: above that of the run before, whatever the clock says. A number from the clock is the start,
- * so that it also grows while the store is away.
- */
-function computeIncarnation(known: StoredObject | undefined): number {
-	return Math.max(Date.now(), (known === undefined ? 0 : parseEntry(known.value)?.incarnation ?? 0) + 1);
+async function waitAtMost<T>(result: Promise<T>, boundMs: number): Promise<T | undefined> {
+	const bound = new AbortController();
+	const late = wait(boundMs, undefined, {signal: bound.signal, ref: false}).catch(() => undefined);
+	const first = await Promise.race([result, late]);
+	bound.abort();
+	return first;
 }
 
 /** Keeps this node in the list and learns of the others. */
 export class StoreDiscovery {
 	readonly #options: StoreDiscoveryOptions;
-	readonly #key: string;
-	#incarnation = 0;
-	#isWritten = false;
+	readonly #entry: NodeEntry;
 	#timer: NodeJS.Timeout | undefined;
 	#retryMs = firstRetryMs;
 	#sweptAt = performance.now();
@@ -67,17 +56,23 @@
 
 	constructor(options: StoreDiscoveryOptions) {
 		this.#options = options;
-		this.#key = `${nodePrefix}${options.self.id}`;
+		const {store, self, handleLeft = () => undefined} = options;
+		this.#entry = new NodeEntry({store, self, handleLeft});
 	}
 
 	/** Takes the number of this run and writes this node's object; from the clock alone when the store does not answer. */
 	async takeIncarnation(): Promise<number> {
-		const bound = new Promise<void>(resolve => {
-			setTimeout(resolve, incarnationBoundMs).unref();
+		await waitAtMost(this.#entry.write().run(), incarnationBoundMs);
+		return this.#entry.getIncarnation();
+	}
+
+	/** Resolves once the processes after this one know which runs have left, or that they could not be told in time. */
+	recordLeft(left: LeftServers): EitherAsync<Failure, void> {
+		return EitherAsync.fromPromise(async () => {
+			const kept = await waitAtMost(this.#entry.recordLeft(left).run(), keepBoundMs);
+			return (kept ?? Left(createFailure('leaveNotKept', `the object API did not answer within ${keepBoundMs} ms`)))
+				.mapLeft(({detail}) => createFailure('leaveNotKept', detail));
 		});
-		await Promise.race([this.#writeEntry().run(), bound]);
-		this.#incarnation = this.#isWritten ? this.#incarnation : computeIncarnation(undefined);
-		return this.#incarnation;
 	}
 
 	/** Reads the list, and writes this node's object if that is still to be done. */
@@ -102,7 +97,7 @@
 	async #runStep(): Promise<void> {
 		const {logger, listLiveIds, store} = this.#options;
 		const list = store.list(nodePrefix);
-		const result = await (this.#isWritten ? list : this.#writeEntry().chain(() => list)).run();
+		const result = await this.#entry.write().chain(() => list).run();
 		result.ifRight(({objects}) => {
 			this.#retryMs = firstRetryMs;
 			this.#handleList(objects);
@@ -117,30 +112,13 @@
 		}
 	}
 
-	#writeEntry(): EitherAsync<Failure, StoredObject> {
-		const {store} = this.#options;
-		return store.create(this.#key, this.#formatEntry(computeIncarnation(undefined)))
-			.chainLeft(failure => failure.name === 'platformConflict'
-				? store.get(this.#key).chain(known => store.update(this.#key, this.#formatEntry(computeIncarnation(known)), known.version))
-				: EitherAsync.liftEither(Left(failure)))
-			.ifRight(({value}) => {
-				this.#isWritten = true;
-				this.#incarnation = parseEntry(value)?.incarnation ?? this.#incarnation;
-			});
-	}
-
-	#formatEntry(incarnation: number): string {
-		const {gossipAddress, failureDomain} = this.#options.self;
-		return JSON.stringify({gossip: formatAddress(gossipAddress), failureDomain, incarnation});
-	}
-
 	#handleList(objects: readonly StoredObject[]): void {
 		const {self, logger, handlePeers} = this.#options;
-		const others = objects.filter(({key}) => key !== this.#key).map(({value}) => parseEntry(value)).filter(entry => entry !== undefined);
+		const others = objects.filter(({key}) => key !== this.#entry.key).map(({value}) => parseNodeEntry(value)).filter(entry => entry !== undefined);
 		const near = others.filter(({failureDomain}) => failureDomain === self.failureDomain);
 		const distant = others.filter(({failureDomain}) => failureDomain !== self.failureDomain);
 		const contacts = [...pickRandom(near, nearContacts), ...pickRandom(distant, distantContacts)].flatMap(({gossip}) => parseAddress(gossip) ?? []);
-		logger.log('discoveryDone', {nodes: others.length + 1, contacts: contacts.length, incarnation: this.#incarnation});
+		logger.log('discoveryDone', {nodes: others.length + 1, contacts: contacts.length, incarnation: this.#entry.getIncarnation()});
 		handlePeers(contacts);
 		void this.#sweep(objects);
 	}
