Answer pipelined requests in order, and cut off none that was handed on

Cause: the ingress left pipelining to Node's http. During a planned stop every answer said `connection: close`, so the first of several answers on a connection closed it, and the requests behind it, which backend servers were running, got no answer. When a caller left, only the response whose turn it was heard of it: the others' work went on at the backend servers, and the count of requests in progress never came back to zero. Any number of requests was held for one connection.

Change: a `CallerConnection` knows the answers that are due. The end of the connection reaches every response. Bytes that are no request end the connection behind the answers due.

Ruled out: opening a request only once the answer before it is known, which would add up the work of all of them in the caller's wait.

--- /dev/null
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -0,0 +1,296 @@
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Right} from 'purify-ts';
+import {
+	Carrier, createFailure, Exchange, MetricRegistry, SilentLogger, type Address, type ExchangeHandler, type RequestHead,
+} from '@limpetbarrow/core';
+import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
+import {maxPipelinedRequests} from '../../caller-connection.js';
+import {Ingress} from '../../ingress.js';
+
+const host = '127.0.0.1';
+const seed = 20_261_204;
+
+type Opened = {
+	readonly path: string;
+	readonly handler: ExchangeHandler;
+};
+
+/** Holds what the ingress hands on until the test answers it. */
+class HeldExchange extends Exchange {
+	readonly #handleCancel: () => void;
+
+	constructor(handleCancel: () => void) {
+		super();
+		this.#handleCancel = handleCancel;
+	}
+
+	override writeBody(): void {
+		// The ledger holds paths only.
+	}
+
+	override endBody(): void {
+		// Answered by the test.
+	}
+
+	override grantCredit(): void {
+		// Answers are small.
+	}
+
+	override cancel(): void {
+		this.#handleCancel();
+	}
+}
+
+class HeldCarrier extends Carrier {
+	opened: readonly Opened[] = [];
+	cancelled: readonly string[] = [];
+
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		this.opened = [...this.opened, {path: head.path, handler}];
+		return new HeldExchange(() => {
+			this.cancelled = [...this.cancelled, head.path];
+		});
+	}
+
+	answer(path: string, body = `answer to ${path};`): void {
+		const handler = this.opened.find(one => one.path === path)?.handler;
+		handler?.handleHead({status: 200, headers: ['content-length', String(body.length)]});
+		handler?.handleData(Buffer.from(body));
+		handler?.handleEnd();
+	}
+
+	fail(path: string): void {
+		this.opened.find(one => one.path === path)?.handler.handleFailure(createFailure('serverBroke', path));
+	}
+
+	listPaths(): readonly string[] {
+		return this.opened.map(({path}) => path);
+	}
+}
+
+function createReleases(): ReleaseState {
+	const releases = new ReleaseState();
+	const note = releaseNoteSchema.parse({
+		id: 'first', operator: 'test', base: 0, added: {services: [{name: 'desk'}], routes: [{name: 'all', pathPrefix: '/', service: 'desk'}]},
+	});
+	releases.apply([{number: 1, acceptedAt: 0, note}]);
+	return releases;
+}
+
+function formatRequest(path: string, method = 'GET', header = 'x: y'): string {
+	return `${method} ${path} HTTP/1.1\r\nhost: h\r\n${header}\r\n${method === 'POST' ? 'content-length: 0\r\n' : ''}\r\n`;
+}
+
+async function waitUntil(condition: () => boolean, boundMs = 2000): Promise<boolean> {
+	if (condition() || boundMs <= 0) {
+		return condition();
+	}
+
+	await wait(5);
+	return waitUntil(condition, boundMs - 5);
+}
+
+describe('pipelined requests', () => {
+	let carrier: HeldCarrier;
+	let ingress: Ingress;
+	let address: Address;
+	let socket: Socket;
+	let received: string;
+	let isClosed: boolean;
+
+	async function openConnection(): Promise<void> {
+		carrier = new HeldCarrier();
+		ingress = new Ingress({
+			releases: createReleases(),
+			admitRequest: () => Right(undefined),
+			selectNext: () => Right(carrier),
+			handleReserved(_message, response) {
+				response.end();
+			},
+			metrics: new MetricRegistry(),
+			logger: new SilentLogger(),
+		});
+		address = await ingress.listen({host, port: 0});
+		received = '';
+		isClosed = false;
+		socket = connect(address.port, host);
+		socket.on('data', (chunk: Uint8Array) => {
+			received += Buffer.from(chunk).toString('latin1');
+		});
+		socket.on('error', () => undefined);
+		socket.once('close', () => {
+			isClosed = true;
+		});
+	}
+
+	async function closeConnection(): Promise<void> {
+		socket.destroy();
+		ingress.close();
+		await wait(0);
+	}
+
+	async function hasOpened(count: number): Promise<boolean> {
+		return waitUntil(() => carrier.opened.length >= count);
+	}
+
+	function listBodies(): readonly string[] {
+		return [...received.matchAll(/answer to (?<path>\/\w+);/gv)].map(match => match.groups!.path!);
+	}
+
+	describe('on one connection', () => {
+		beforeEach(openConnection);
+		afterEach(closeConnection);
+
+		it('run beside each other and are answered in the order in which they came', async () => {
+			socket.write(['/a', '/b', '/c'].map(path => formatRequest(path)).join(''));
+			expect(await hasOpened(3)).to.equal(true);
+			carrier.answer('/c');
+			carrier.answer('/b');
+			await wait(30);
+			expect(received).to.equal('');
+			carrier.answer('/a');
+			await waitUntil(() => listBodies().length === 3);
+			expect(listBodies()).to.deep.equal(['/a', '/b', '/c']);
+		});
+
+		it('behind a failure are answered all the same', async () => {
+			socket.write(formatRequest('/a') + formatRequest('/b'));
+			await hasOpened(2);
+			carrier.answer('/b');
+			carrier.fail('/a');
+			await waitUntil(() => listBodies().length === 1);
+			expect(received).to.match(/^HTTP\/1\.1 502/v);
+			expect(listBodies()).to.deep.equal(['/b']);
+		});
+
+		['GET', 'POST'].forEach(method => {
+			it(`behind a ${method} that asks to close the connection are not read`, async () => {
+				socket.write(formatRequest('/a', method, 'connection: close') + formatRequest('/b', method));
+				await hasOpened(1);
+				await wait(30);
+				expect(carrier.listPaths()).to.deep.equal(['/a']);
+				carrier.answer('/a');
+				expect(await waitUntil(() => isClosed)).to.equal(true);
+				expect(listBodies()).to.deep.equal(['/a']);
+			});
+		});
+
+		it('beyond the bound are not read: the last of those taken closes the connection', async () => {
+			const paths = Array.from({length: 300}, (_, index) => `/p${index}`);
+			socket.write(paths.map(path => formatRequest(path)).join(''));
+			await hasOpened(maxPipelinedRequests);
+			await wait(50);
+			expect(carrier.listPaths()).to.deep.equal(paths.slice(0, maxPipelinedRequests));
+			carrier.listPaths().forEach(path => {
+				carrier.answer(path);
+			});
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listBodies()).to.deep.equal(paths.slice(0, maxPipelinedRequests));
+			expect(received.match(/connection: close/giv)).to.have.length(1);
+		});
+
+		it('beyond the bound are not read either when the last one\'s head has gone out', async () => {
+			socket.write(formatRequest('/first'));
+			await hasOpened(1);
+			carrier.opened[0]!.handler.handleHead({status: 200, headers: ['content-length', '4']});
+			carrier.opened[0]!.handler.handleData(Buffer.from('ha'));
+			await waitUntil(() => received.endsWith('ha'));
+			const paths = Array.from({length: 40}, (_, index) => `/p${index}`);
+			socket.write(paths.map(path => formatRequest(path)).join(''));
+			await hasOpened(maxPipelinedRequests);
+			carrier.opened[0]!.handler.handleData(Buffer.from('lf'));
+			carrier.opened[0]!.handler.handleEnd();
+			carrier.listPaths().slice(1).forEach(path => {
+				carrier.answer(path);
+			});
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listBodies()).to.deep.equal(carrier.listPaths().slice(1));
+		});
+
+		it('in front of bytes that are no request are answered, and the connection closes', async () => {
+			socket.write(`${formatRequest('/a')}${formatRequest('/b')}\u0000nonsense\r\n\r\n`);
+			await hasOpened(2);
+			carrier.answer('/b');
+			carrier.answer('/a');
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listBodies()).to.deep.equal(['/a', '/b']);
+		});
+
+		it('are given up when the caller leaves', async () => {
+			socket.write(formatRequest('/a') + formatRequest('/b'));
+			await hasOpened(2);
+			socket.destroy();
+			expect(await waitUntil(() => carrier.cancelled.length === 2, 500)).to.equal(true);
+			expect(carrier.cancelled).to.have.members(['/a', '/b']);
+			expect(ingress.countRequests()).to.equal(0);
+		});
+	});
+
+	describe('when the node stops as planned', () => {
+		beforeEach(openConnection);
+		afterEach(closeConnection);
+
+		it('are all answered if they were read; only the last answer closes the connection', async () => {
+			socket.write(['/a', '/b', '/c'].map(path => formatRequest(path)).join(''));
+			await hasOpened(3);
+			ingress.startStopping();
+			['/b', '/a', '/c'].forEach(path => {
+				carrier.answer(path);
+			});
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listBodies()).to.deep.equal(['/a', '/b', '/c']);
+			expect(received.match(/connection: close/giv)).to.have.length(1);
+		});
+
+		it('are not read once the answer that closes the connection has begun', async () => {
+			socket.write(formatRequest('/a'));
+			await hasOpened(1);
+			ingress.startStopping();
+			carrier.opened[0]!.handler.handleHead({status: 200, headers: ['content-length', '4']});
+			await waitUntil(() => received.includes('\r\n\r\n'));
+			socket.write(formatRequest('/b'));
+			await wait(30);
+			expect(carrier.listPaths()).to.deep.equal(['/a']);
+			carrier.opened[0]!.handler.handleData(Buffer.from('done'));
+			carrier.opened[0]!.handler.handleEnd();
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(received).to.match(/connection: close/iv).and.to.match(/done$/v);
+		});
+	});
+
+	describe('in any order, cut anywhere', () => {
+		it('get their own whole answers in order, and each is handed on at most once', async function () {
+			this.timeout(60_000);
+			const run = fc.record({
+				count: fc.integer({min: 1, max: 12}),
+				cuts: fc.array(fc.integer({min: 1, max: 400}), {maxLength: 5}),
+				order: fc.array(fc.nat(), {minLength: 12, maxLength: 12}),
+				sizes: fc.array(fc.integer({min: 0, max: 3000}), {minLength: 12, maxLength: 12}),
+			});
+			await fc.assert(fc.asyncProperty(run, async ({count, cuts, order, sizes}) => {
+				await openConnection();
+				const paths = Array.from({length: count}, (_, index) => `/p${index}`);
+				const text = paths.map(path => formatRequest(path)).join('');
+				const bounds = [0, ...cuts.filter(cut => cut < text.length).toSorted((a, b) => a - b), text.length];
+				await bounds.slice(1).reduce(async (before, bound, index) => {
+					await before;
+					socket.write(text.slice(bounds[index], bound));
+					await wait(1);
+				}, Promise.resolve());
+				await hasOpened(count);
+				paths.map((path, index) => ({path, rank: order[index]!, size: sizes[index]!})).toSorted((a, b) => a.rank - b.rank).forEach(({path, size}) => {
+					carrier.answer(path, `answer to ${path};${'.'.repeat(size)}`);
+				});
+				await waitUntil(() => listBodies().length === count);
+				const handed = carrier.listPaths();
+				const bodies = listBodies();
+				await closeConnection();
+				expect({handed, bodies}).to.deep.equal({handed: paths, bodies: paths});
+			}), {numRuns: 60, seed});
+		});
+	});
+});
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -12,6 +12,8 @@
 export type IngressExchangeOptions = {
 	readonly maxBodyBytes: number;
 	readonly recordFailure: (failure: Failure) => void;
+	/** Called before the head of the answer is written. */
+	readonly applyClosing: () => void;
 	/** True when callers read fractions of a second in `retry-after`. */
 	readonly takesFractions?: boolean;
 };
@@ -117,6 +119,7 @@
 		}
 
 		this.#pauseWrites();
+		this.#options.applyClosing();
 		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
 		try {
 			this.#response.writeHead(status, [...headers]);
@@ -153,6 +156,7 @@
 		if (this.#response.headersSent) {
 			this.#response.socket?.resetAndDestroy();
 		} else {
+			this.#options.applyClosing();
 			sendFailure(this.#message, this.#response, failure, this.#options.takesFractions);
 		}
 	}
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -12,6 +12,7 @@
 import {type Terms} from '@limpetbarrow/limits';
 import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
 import {formatRawFailure, sendFailure} from './answer.js';
+import {CallerConnection} from './caller-connection.js';
 import {IngressExchange} from './ingress-exchange.js';
 import {
 	ownCallerProtocol, parseIngressRequest, type CallerProtocol, type IngressRequest,
@@ -62,7 +63,7 @@
 
 	readonly #exchanges = new Set<IngressExchange>();
 	#configuration: Configuration | undefined;
-	readonly #connections = new Set<Socket>();
+	readonly #connections = new Map<Socket, CallerConnection>();
 	#inProgress = 0;
 	#isStopping = false;
 
@@ -73,7 +74,7 @@
 			this.#handle(message, response);
 		});
 		this.#server.on('connection', socket => {
-			this.#connections.add(socket);
+			this.#connections.set(socket, new CallerConnection(socket));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
@@ -96,7 +97,7 @@
 		return listenServer(this.#server, address);
 	}
 
-	/** From now on every answer closes its connection, so that callers go to other nodes. */
+	/** From now on the last answer of each connection closes it, so that callers go to other nodes. */
 	startStopping(): void {
 		this.#isStopping = true;
 	}
@@ -123,14 +124,19 @@
 	}
 
 	#handle(message: IncomingMessage, response: ServerResponse): void {
+		if (this.#connections.get(message.socket)?.takeRequest(response) === false) {
+			this.#options.metrics.addCount('ingress_unread_requests_total');
+			return;
+		}
+
 		const startedAt = performance.now();
 		this.#inProgress++;
-		response.shouldKeepAlive &&= !this.#isStopping;
 		response.once('close', () => {
 			this.#inProgress--;
 			this.#options.metrics.recordDuration('request_duration_us', (performance.now() - startedAt) * usPerMs);
 		});
 		if (message.url?.startsWith(reservedPathPrefix)) {
+			this.#applyClosing(message, response);
 			this.#options.handleReserved(message, response);
 			return;
 		}
@@ -178,6 +184,9 @@
 				recordFailure: failure => {
 					this.#recordFailure(failure);
 				},
+				applyClosing: () => {
+					this.#applyClosing(message, response);
+				},
 			});
 			this.#exchanges.add(exchange);
 			response.once('close', () => {
@@ -192,9 +201,14 @@
 
 	#refuse(message: IncomingMessage, response: ServerResponse, failure: Failure): void {
 		this.#recordFailure(failure);
+		this.#applyClosing(message, response);
 		sendFailure(message, response, failure, this.#protocol.takesFractions);
 	}
 
+	#applyClosing({socket}: IncomingMessage, response: ServerResponse): void {
+		this.#connections.get(socket)?.applyClosing(response, this.#isStopping);
+	}
+
 	#recordFailure(failure: Failure): void {
 		this.#options.metrics.addCount('ingress_failures_total', 1, {code: String(failure.code)});
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
@@ -207,6 +221,7 @@
 			exchanges.forEach(exchange => {
 				exchange.failBody(createFailure('bodyBroken', error.message));
 			});
+			this.#connections.get(socket)?.closeAfterLast();
 			return;
 		}
 
