Count calls of repeated runs as retries, and calls as no requests of callers

Each egress keeps to 0.85 of the ratio for the requests that it takes, but it took the calls that other backend servers make for requests of callers, and the calls of a run that was itself a repeat for first tries.

Change: the ingress tells a call by its id, which begins with that of a request that its backend server runs, and marks it; a call adds nothing to the budget, one of a repeated run takes from it. Ids are a hint here: one that doesn't follow the form is counted as before.

--- a/packages/choose/src/__tests__/unit/windowed-retries.test.ts
+++ b/packages/choose/src/__tests__/unit/windowed-retries.test.ts
@@ -41,6 +41,27 @@
 		});
 	});
 
+	describe('when retries fan out into calls', () => {
+		it('keep a service that is called within the budget of its callers\' requests alone', () => {
+			const part = new WindowedRetries({...window, allowance: 2}, () => 1);
+			Array.from({length: 10}).forEach(() => {
+				part.recordRequest();
+				part.recordRequest('call');
+				part.recordRequest('call');
+			});
+			const retries = Array.from({length: 20}).filter(() => part.takeRetry(false, performance.now())).length;
+			expect(retries).to.equal((window.ratio * 10) + 2);
+		});
+
+		it('leave less for its own retries when runs that were repeated call it again', () => {
+			const part = new WindowedRetries({...window, allowance: 5}, () => 1);
+			Array.from({length: 4}).forEach(() => {
+				part.recordRequest('repeatedCall');
+			});
+			expect([1, 2].map(() => part.takeRetry(false, performance.now()))).to.deep.equal([true, false]);
+		});
+	});
+
 	it('share the allowance by the number of parts', () => {
 		const one = new WindowedRetries({...window, allowance: 24}, () => 12);
 		expect([1, 2, 3].map(() => one.takeRetry(true, performance.now()))).to.deep.equal([true, true, false]);
--- a/packages/choose/src/retry-budget.ts
+++ b/packages/choose/src/retry-budget.ts
@@ -1,5 +1,7 @@
 /** Bounds retries to a share of the traffic, so that they can't keep an overload going. */
 
+import {type RequestCause} from '@limpetbarrow/core';
+
 /** Share of first tries that may be followed by a retry. */
 const retryShare = 0.1;
 /** Retries that may be saved up, and those a service starts with. */
@@ -12,8 +14,8 @@
 
 /** Decides on retries. */
 export abstract class RetryPolicy {
-	/** Counts a first try. */
-	abstract recordRequest(): void;
+	/** Counts a first try; calls that backend servers make for other requests are told apart by their cause. */
+	abstract recordRequest(cause?: RequestCause): void;
 	/** Takes the permit for one retry; `isNotRun` when the request is proven not to have run. */
 	abstract takeRetry(isNotRun: boolean, now: number): boolean;
 }
--- a/packages/choose/src/windowed-retries.ts
+++ b/packages/choose/src/windowed-retries.ts
@@ -4,7 +4,11 @@
  *
  * It answers retry storms: for a share of the first tries that a backend server took in the window it may take retries,
  * and besides its part of the service's fixed allowance. Summed up that is the budget itself, however uneven the load.
+ *
+ * It answers retries that fan out: a run that is repeated makes its calls again, so those take from the budget of the
+ * service that is called, while calls as such don't add to it.
  */
+import {type RequestCause} from '@limpetbarrow/core';
 import {RetryPolicy} from './retry-budget.js';
 
 /** Size of a service's budget. */
@@ -35,8 +39,10 @@
 		this.#countParts = countParts;
 	}
 
-	override recordRequest(): void {
-		this.#add(false, performance.now());
+	override recordRequest(cause?: RequestCause): void {
+		if (cause !== 'call') {
+			this.#add(cause === 'repeatedCall', performance.now());
+		}
 	}
 
 	override takeRetry(_isNotRun: boolean, now: number): boolean {
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -82,6 +82,9 @@
 	= | {readonly kind: 'egress'; readonly serverId: string}
 		| {readonly kind: 'sequencer'};
 
+/** Why a request came, where a backend server sent it: for a request that it runs, or for one that was repeated. */
+export type RequestCause = 'call' | 'repeatedCall';
+
 /** The head of a request as it travels between nodes. */
 export type RequestHead = {
 	readonly requestId: string;
@@ -116,6 +119,8 @@
 	readonly patienceMs?: number;
 	/** True when every other backend server has refused: only lack of time or room is a reason to refuse it here. */
 	readonly isLastResort?: boolean;
+	/** Absent on requests of callers. */
+	readonly cause?: RequestCause;
 };
 
 /** Load of a backend server as its egress last saw it, carried on answers. */
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -74,6 +74,7 @@
 	callerService: isOptional(isText),
 	patienceMs: isOptional(isDuration),
 	isLastResort: isOptional(isFlag),
+	cause: isOptional(value => value === 'call' || value === 'repeatedCall'),
 };
 
 /** Every field of an answer's head; the order is that of the wire. */
--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -76,6 +76,13 @@
 	});
 }
 
+async function waitFor(condition: () => boolean, boundMs = 1000): Promise<void> {
+	if (!condition() && boundMs > 0) {
+		await wait(5);
+		await waitFor(condition, boundMs - 5);
+	}
+}
+
 async function startRig(script: RawScript, createRetries: () => RetryPolicy = () => new UnlimitedRetries()): Promise<Rig> {
 	logger = new KeepingLogger();
 	const backend = new RawBackend(script);
@@ -304,6 +311,43 @@
 		});
 	});
 
+	describe('calls of the backend server', () => {
+		const rows: ReadonlyArray<{readonly what: string; readonly running: Partial<RequestHead>; readonly id: string; readonly cause: string | undefined}> = [
+			{
+				what: 'by a first run', running: {}, id: 'r-1.5f', cause: 'call',
+			},
+			{
+				what: 'by a repeated run', running: {earlierAttempts: 1}, id: 'r-1.5f', cause: 'repeatedCall',
+			},
+			{
+				what: 'by the run of a repeated call', running: {cause: 'repeatedCall'}, id: 'r-1.5f', cause: 'repeatedCall',
+			},
+			{
+				what: 'by the run of a call', running: {cause: 'call'}, id: 'r-1.5f', cause: 'call',
+			},
+			{
+				what: 'with an id of its own', running: {}, id: 'q-7', cause: undefined,
+			},
+			{
+				what: 'with the very id that runs', running: {}, id: 'r-1', cause: undefined,
+			},
+		];
+		rows.forEach(({what, running, id, cause}) => {
+			it(`are told from requests of callers: one ${what}`, async () => {
+				const {egress, send, backend} = await startRig(() => undefined);
+				void send(running);
+				await waitFor(() => backend.requests.length === 1);
+				expect(egress.findCause(id)).to.equal(cause);
+			});
+		});
+
+		it('end with the run', async () => {
+			const {egress, send} = await startRig(answerWhole);
+			await send();
+			expect(egress.findCause('r-1.5f')).to.equal(undefined);
+		});
+	});
+
 	it('answers heads that carry its load', async () => {
 		const {egress} = await startRig(answerWhole);
 		expect(egress.findLoad('server-1', 0, 'sizes')).to.include({freeSlots: 3, queued: 0, isUnwell: false});
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -124,6 +124,11 @@
 		};
 	}
 
+	/** The request in progress at the backend server for which it makes a call of that id: the ids of calls begin with it. */
+	findParent(requestId: string): RequestHead | undefined {
+		return [...this.#running.values()].find(({head}) => requestId.length > head.requestId.length && requestId.startsWith(head.requestId))?.head;
+	}
+
 	/** Requests running, waiting, or whose body is arriving. */
 	countRequests(): number {
 		return this.#running.size + this.#queue.count() + this.#reserved.size;
@@ -175,7 +180,7 @@
 	#admit(run: BackendRun, head: RequestHead, handler: ExchangeHandler): void {
 		const {priority = lastPriority, earlierAttempts = 0} = head;
 		const remainingMs = run.getRemainingMs();
-		const request: GateRequest = {
+		const request = {
 			route: head.route ?? '',
 			priority,
 			isRetryable: head.isRepeatable && earlierAttempts + 1 < (head.maxAttempts ?? 1),
@@ -183,6 +188,7 @@
 			objectiveMs: head.objectiveMs ?? remainingMs,
 			patienceMs: head.patienceMs ?? remainingMs,
 			isLastResort: head.isLastResort ?? false,
+			...(head.cause !== undefined && {cause: head.cause}),
 		};
 		const refusal = this.#findRefusal(request, earlierAttempts);
 		if (refusal) {
@@ -235,7 +241,7 @@
 	}
 
 	/** A retry counts against the budget only when it is taken. */
-	#findRefusal(request: GateRequest, earlierAttempts: number): Failure | undefined {
+	#findRefusal(request: GateRequest & Pick<RequestHead, 'cause'>, earlierAttempts: number): Failure | undefined {
 		if (this.#server.isLeaving) {
 			return createFailure('serverLeaving', `server ${this.#server.id}`);
 		}
@@ -247,7 +253,7 @@
 		}
 
 		if (earlierAttempts === 0) {
-			this.#options.retries.recordRequest();
+			this.#options.retries.recordRequest(request.cause);
 			return undefined;
 		}
 
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -1,6 +1,6 @@
 /** The egress of a host whose one backend server only this node can reach. */
 import {
-	Carrier, createFailure, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type PoisonMark, type RequestHead, type ServerRecord,
+	Carrier, createFailure, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type PoisonMark, type RequestCause, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
@@ -68,6 +68,16 @@
 		return this.#guarded.get(serverId)?.server.getLoad(priority, route);
 	}
 
+	/** Why a request came that began on this host; undefined for one of a caller. */
+	findCause(requestId: string): RequestCause | undefined {
+		const parent = this.#listGated().map(server => server.findParent(requestId)).find(head => head !== undefined);
+		if (!parent) {
+			return undefined;
+		}
+
+		return (parent.earlierAttempts ?? 0) > 0 || parent.cause === 'repeatedCall' ? 'repeatedCall' : 'call';
+	}
+
 	/** The backend servers as the node publishes them. */
 	listServers(): readonly ServerRecord[] {
 		return [...this.#guarded.values()].map(({announced}) => toRecord(announced));
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -6,7 +6,8 @@
 import {type Socket} from 'node:net';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix, type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestHead,
+	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
+	type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestCause, type RequestHead,
 } from '@limpetbarrow/core';
 import {isRepeatable, pickService, RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
@@ -40,6 +41,8 @@
 	readonly protocol?: CallerProtocol;
 	/** Service of this host, which backend servers are told as the caller's. */
 	readonly getCallerService?: () => string;
+	/** Tells calls of this host's backend server from requests of callers, by their ids. */
+	readonly findCause?: (requestId: string) => RequestCause | undefined;
 };
 
 type Located = {
@@ -192,7 +195,7 @@
 			response.once('close', () => {
 				this.#exchanges.delete(exchange);
 			});
-			exchange.open(carrier, createHead(located, this.#options.getCallerService?.()));
+			exchange.open(carrier, createHead(located, this.#options));
 			if (message.headers.expect !== undefined) {
 				response.writeContinue();
 			}
@@ -245,7 +248,9 @@
 		: Right(route);
 }
 
-function createHead({request, route, terms}: Located, callerService: string | undefined): RequestHead {
+function createHead({request, route, terms}: Located, {getCallerService, findCause}: Pick<IngressOptions, 'getCallerService' | 'findCause'>): RequestHead {
+	const callerService = getCallerService?.();
+	const cause = request.requestId === undefined ? undefined : findCause?.(request.requestId);
 	const bounds = [request.timeoutMs, terms?.timeoutMs, route.timeoutMs].filter(bound => bound !== undefined);
 	return {
 		requestId: request.requestId ?? createRandomId(),
@@ -262,6 +267,7 @@
 		...(route.maxAttempts !== undefined && {maxAttempts: route.maxAttempts}),
 		...(route.objectiveMs !== undefined && {objectiveMs: route.objectiveMs}),
 		...(callerService !== undefined && {callerService}),
+		...(cause !== undefined && {cause}),
 		...(request.idempotencyKey !== undefined && {idempotencyKey: request.idempotencyKey}),
 	};
 }
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -265,6 +265,7 @@
 			},
 			protocol: platform.callers,
 			getCallerService: () => getSettings().service,
+			findCause: requestId => this.#egress.findCause(requestId),
 			metrics: this.#metrics,
 			logger,
 		});
