Take no rejection of another request for this one's; bound answers without end

Whole answers and server errors were told apart by their id, but a rejection (`not run`, or another server at the address) was judged before its id was looked at. A late copy of one counted as proof that the next request had not run, so a request that may not be repeated would have been sent to a second backend server while the first ran it.

Change 1: a rejection that bears another request's id is a broken answer. One without an id still counts, as backend servers need not send one with it.

Cause 2: bytes that are no answer may come without end.

--- a/packages/node/src/backend-run.ts
+++ b/packages/node/src/backend-run.ts
@@ -26,7 +26,10 @@
 
 type RunState = 'waiting' | 'running' | 'over';
 
+const firstFinalStatus = 200;
 const firstServerError = 500;
+/** Answers before the answer (1xx) that a backend server may send for one request. */
+const maxInterimAnswers = 16;
 const noContent = 204;
 const notModified = 304;
 /** The client's error for a 304 that names the length of the body it does not have, as HTTP allows. */
@@ -57,6 +60,7 @@
 	#startedAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#status = 0;
+	#interimAnswers = 0;
 	/** True when the end of the connection is the end of the answer. */
 	#isUnframed = false;
 	/** Monotonic times: the request's body was whole, the answer's head came. */
@@ -177,7 +181,9 @@
 				}
 			},
 			onResponseStart: (controller, status) => {
-				if (this.#state === 'running' && status >= 200) {
+				if (this.#state === 'running' && status < firstFinalStatus) {
+					this.#handleInterim();
+				} else if (this.#state === 'running') {
 					const headers = decodeHeaders(controller.rawHeaders);
 					this.#isUnframed = isUnframed(status, headers);
 					this.#handleHead({status, headers: selectResponseHeaders(headers)});
@@ -208,6 +214,13 @@
 		};
 	}
 
+	#handleInterim(): void {
+		this.#interimAnswers++;
+		if (this.#interimAnswers > maxInterimAnswers) {
+			this.#fail(createFailure('serverBroke', `more than ${maxInterimAnswers} answers before the answer`), 'failed');
+		}
+	}
+
 	#handleHead(answer: ResponseHead): void {
 		const failure = this.#protocol.judgeAnswer(this.#head, answer);
 		if (failure?.ran === 'not-run') {
--- a/packages/node/src/server-protocol.ts
+++ b/packages/node/src/server-protocol.ts
@@ -69,19 +69,19 @@
 
 	override judgeAnswer({requestId}: RequestHead, {status, headers}: ResponseHead): Failure | undefined {
 		const names = this.#names;
-		if (status === misdirectedStatus) {
-			return createFailure('serverReplaced', 'another backend server answered');
-		}
-
-		if (findHeader(headers, names.notRun) !== undefined) {
-			return createFailure('serverShed', `status ${status}`);
-		}
-
 		const answeredId = findHeader(headers, names.requestId);
-		if (answeredId !== requestId) {
+		const isRejection = status === misdirectedStatus || findHeader(headers, names.notRun) !== undefined;
+		// Rejections need not bear an id; one that bears another request's says nothing about this one.
+		if (answeredId !== requestId && !(isRejection && answeredId === undefined)) {
 			return createFailure('serverBroke', `the answer belongs to request ${answeredId ?? 'without an id'}`);
 		}
 
+		if (isRejection) {
+			return status === misdirectedStatus
+				? createFailure('serverReplaced', 'another backend server answered')
+				: createFailure('serverShed', `status ${status}`);
+		}
+
 		const isUnproven = findHeader(headers, names.signature) === undefined || findHeader(headers, 'content-encoding') !== undefined;
 		return isUnproven && status < firstRedirect
 			? createFailure('serverBroke', 'the answer is not signed or not the plain body')
