--- /dev/null
+++ b/packages/node/src/__tests__/host-egress-rig.ts
@@ -0,0 +1,123 @@
+/** A host egress before a backend server that answers with raw bytes. */
+import {setTimeout as wait} from 'node:timers/promises';
+import {
+	Logger, MetricRegistry, SilentLogger, type LogEventName, type LogFields, type RequestHead,
+} from '@limpetbarrow/core';
+import {UnlimitedRetries, type RetryPolicy} from '@limpetbarrow/choose';
+import {Announcements} from '@limpetbarrow/members';
+import {HostEgress, ProvenServerProtocol} from '../index.js';
+import {
+	formatRawAnswer, RawBackend, testServerHeaders, type RawScript,
+} from './raw-backend.js';
+
+/** What a request came to: the status, or the name of the failure. */
+export type Answer = {
+	readonly outcome: string;
+	readonly body: string;
+};
+
+/** The parts that a test works with. */
+export type EgressRig = {
+	readonly backend: RawBackend;
+	readonly announcements: Announcements;
+	readonly egress: HostEgress;
+	readonly send: (head?: Partial<RequestHead>) => Promise<Answer>;
+	readonly announce: (fields?: Readonly<Record<string, unknown>>) => void;
+	readonly logger: KeepingLogger;
+	readonly close: () => Promise<void>;
+};
+
+/** Answers each request with a signed, whole answer. */
+export const answerWhole: RawScript = (socket, text) => {
+	socket.write(formatRawAnswer(text));
+};
+
+/** Keeps what was logged. */
+export class KeepingLogger extends Logger {
+	lines: ReadonlyArray<readonly [LogEventName, LogFields]> = [];
+
+	override log(event: LogEventName, fields: LogFields = {}): void {
+		this.lines = [...this.lines, [event, fields]];
+	}
+}
+
+async function sendRequest(egress: HostEgress, head: Partial<RequestHead>): Promise<Answer> {
+	return new Promise(resolve => {
+		let status = 0;
+		let body = '';
+		const exchange = egress.openExchange({
+			requestId: 'r-1',
+			target: {kind: 'egress', serverId: 'server-1'},
+			service: 'catalogue',
+			method: 'GET',
+			path: '/sizes?x=1',
+			headers: ['host', 'shop.example', 'x-extra', 'kept', 'x-caller', 'forged', 'connection', 'x-hop', 'x-hop', 'dropped'],
+			remainingMs: 2000,
+			isRepeatable: true,
+			organisation: '',
+			callerService: 'desk',
+			...head,
+		}, {
+			handleHead(answer) {
+				status = answer.status;
+			},
+			handleData(chunk) {
+				body += new TextDecoder().decode(chunk);
+			},
+			handleCredit() {
+				// Requests have no body.
+			},
+			handleEnd() {
+				resolve({outcome: String(status), body});
+			},
+			handleFailure({name}) {
+				resolve({outcome: name, body});
+			},
+		});
+		exchange.endBody();
+	});
+}
+
+/** Waits for a condition, at most so long, in milliseconds. */
+export async function waitFor(condition: () => boolean, boundMs = 1000): Promise<void> {
+	if (!condition() && boundMs > 0) {
+		await wait(5);
+		await waitFor(condition, boundMs - 5);
+	}
+}
+
+/** Starts a backend server with that script and an egress that knows it. */
+export async function startEgressRig(script: RawScript, createRetries: () => RetryPolicy = () => new UnlimitedRetries()): Promise<EgressRig> {
+	const logger = new KeepingLogger();
+	const backend = new RawBackend(script);
+	const {host, port} = await backend.listen();
+	const announcements = new Announcements(new SilentLogger());
+	const egress = new HostEgress({
+		announcements,
+		protocol: new ProvenServerProtocol(testServerHeaders),
+		createRetries,
+		listFleetMarks: () => [],
+		isStopping: () => false,
+		metrics: new MetricRegistry(),
+		logger,
+	});
+	const announce = (fields: Readonly<Record<string, unknown>> = {}): void => {
+		announcements.accept({
+			id: 'server-1', service: 'catalogue', address: `${host}:${port}`, slots: 3, generation: 1, ...fields,
+		}, host);
+	};
+
+	announce();
+	return {
+		backend,
+		announcements,
+		egress,
+		announce,
+		logger,
+		send: async (head = {}) => sendRequest(egress, head),
+		async close() {
+			await egress.close();
+			backend.close();
+		},
+	};
+}
--- /dev/null
+++ b/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
@@ -0,0 +1,140 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {EitherAsync, Left, Right} from 'purify-ts';
+import {createFailure, SilentLogger, type Failure} from '@limpetbarrow/core';
+import {
+	ConfigurationSource, ConfigurationWatcher, emptyConfiguration, ReleaseState, type SourceReading,
+} from '../../index.js';
+
+const watchMs = 10_000;
+
+/** Counts calls; a watch ends when the version changes or its time is up. */
+class CountingSource extends ConfigurationSource {
+	reads = 0;
+	watches = 0;
+	release = 3;
+	isAway = false;
+	#wake: Array<() => void> = [];
+
+	write(release: number): void {
+		this.release = release;
+		this.#wake.forEach(wake => {
+			wake();
+		});
+		this.#wake = [];
+	}
+
+	override read(): EitherAsync<Failure, SourceReading> {
+		this.reads++;
+		return EitherAsync.liftEither(this.isAway ? Left(createFailure('platformUnavailable', 'away')) : Right(this.#createReading(0)));
+	}
+
+	override watch(fromVersion: number): EitherAsync<Failure, SourceReading> {
+		this.watches++;
+		return EitherAsync.fromPromise(async () => {
+			if (fromVersion >= this.release) {
+				await new Promise<void>(resolve => {
+					this.#wake.push(resolve);
+					setTimeout(resolve, watchMs);
+				});
+			}
+
+			return Right(this.#createReading(fromVersion));
+		});
+	}
+
+	#createReading(fromVersion: number): SourceReading {
+		return {version: this.release, configuration: this.release > fromVersion && this.release > 0 ? {...emptyConfiguration, release: this.release} : undefined};
+	}
+}
+
+describe('a configuration watcher in a large fleet', () => {
+	let clock: Clock;
+	let source: CountingSource;
+	let state: ReleaseState;
+	let isChosen: boolean;
+	let live: number;
+	let watcher: ConfigurationWatcher;
+
+	beforeEach(() => {
+		clock = install();
+		source = new CountingSource();
+		state = new ReleaseState();
+		isChosen = false;
+		live = 1_000_000;
+		watcher = new ConfigurationWatcher({
+			source, state, logger: new SilentLogger(), isChosen: () => isChosen, countLive: () => live, random: () => 0.5,
+		});
+	});
+
+	afterEach(() => {
+		watcher.stop();
+		clock.uninstall();
+	});
+
+	it('reads once and leaves watching to those that are chosen', async () => {
+		watcher.start();
+		await clock.tickAsync(60_000);
+		expect({reads: source.reads, watches: source.watches, release: state.getNumber()}).to.deep.equal({reads: 1, watches: 0, release: 3});
+		expect(watcher.isWatching()).to.equal(false);
+	});
+
+	it('watches from what it has read once it is chosen, and hears of what came meanwhile', async () => {
+		watcher.start();
+		await clock.tickAsync(5000);
+		source.write(4);
+		await clock.tickAsync(5000);
+		expect(state.getNumber()).to.equal(3);
+		isChosen = true;
+		await clock.tickAsync(600);
+		expect(state.getNumber()).to.equal(4);
+		expect(watcher.isWatching()).to.equal(true);
+		expect(source.reads).to.equal(1);
+	});
+
+	it('watches in any case while it has no configuration', async () => {
+		source.release = 0;
+		watcher.start();
+		await clock.tickAsync(1000);
+		expect(source.watches).to.equal(1);
+		source.write(5);
+		await clock.tickAsync(100);
+		expect(state.getNumber()).to.equal(5);
+	});
+
+	it('reads now and then, so that a change is found also when every watch is cut off', async () => {
+		live = 1;
+		watcher = new ConfigurationWatcher({
+			source, state, logger: new SilentLogger(), isChosen: () => false, countLive: () => live, random: () => 0.2,
+		});
+		watcher.start();
+		await clock.tickAsync(1000);
+		source.write(9);
+		await clock.tickAsync(2000);
+		expect(state.getNumber()).to.equal(9);
+	});
+
+	it('reads no more often over the whole fleet than a small one does', async () => {
+		const sizes = [24, 96, 234, 730];
+		const rates = await sizes.reduce<Promise<readonly number[]>>(async (before, size) => {
+			const known = await before;
+			const fleet = new CountingSource();
+			const watchers = Array.from({length: size}, () => new ConfigurationWatcher({
+				source: fleet, state: new ReleaseState(), logger: new SilentLogger(), isChosen: () => false, countLive: () => size,
+			}));
+			watchers.forEach(one => {
+				one.start();
+			});
+			await clock.tickAsync(1000);
+			const started = fleet.reads;
+			await clock.tickAsync(40_000);
+			watchers.forEach(one => {
+				one.stop();
+			});
+			return [...known, (fleet.reads - started) / 40];
+		}, Promise.resolve([]));
+		rates.forEach(perS => {
+			expect(perS).to.be.below(1);
+		});
+	});
+});
