Watch the configuration from four nodes of each failure domain

Change: four nodes of each failure domain watch, chosen alike by all. The others read once at their start, hear of a change by gossip and fetch it from a node that has it, without the lead that a watching node waits for. A node without a configuration watches in any case, one that holds no other alive chooses itself, and nodes that don't watch read now and then, every 2 s over the whole fleet. Where a failure domain has four nodes or fewer all watch, as before: on the 24-host deployments nothing changes but the first 3 s.

Ruled out: two a failure domain, as the product's own node has it: a stop and a cut at once would leave none while members still hold them alive.

--- a/packages/node/src/peer-configurations.ts
+++ b/packages/node/src/peer-configurations.ts
@@ -18,12 +18,14 @@
 	readonly table: MemberTable;
 	readonly state: ReleaseState;
 	readonly findEgress: FindEgress;
+	/** True while this node hears of changes by a watch of its own. */
+	readonly isWatching: () => boolean;
 	readonly logger: Logger;
 };
 
 /** Time between two looks at what others have in force, in milliseconds. */
 const checkPeriodMs = 400;
-/** Time another node's lead must last before it is asked, in milliseconds; mostly the node's own watch comes first. */
+/** Time another node's lead must last before a node that watches asks it, in milliseconds; mostly its own watch comes first. */
 const leadMs = 400;
 const fetchTimeoutMs = 1500;
 const maxConfigurationBytes = 16_777_216;
@@ -66,8 +68,9 @@
 	async #check(now: number): Promise<void> {
 		const ahead = this.#listAhead();
 		this.#behindSince = ahead.length === 0 ? undefined : this.#behindSince ?? now;
-		const isKnown = this.#options.state.getNumber() > 0;
-		if (this.#behindSince === undefined || this.#isFetching || (isKnown && now - this.#behindSince < leadMs)) {
+		const {state, isWatching} = this.#options;
+		const leadLeftMs = state.getNumber() > 0 && isWatching() ? leadMs : 0;
+		if (this.#behindSince === undefined || this.#isFetching || now - this.#behindSince < leadLeftMs) {
 			return;
 		}
 
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -9,7 +9,7 @@
 } from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/object-store';
 import {
-	ConfigurationWatcher, ReleaseState, type ConfigurationSource,
+	ConfigurationWatcher, ReleaseState, selectWatchers, type ConfigurationSource,
 } from '@limpetbarrow/releases';
 import {EitherAsync, Right, type Either} from 'purify-ts';
 import {
@@ -56,6 +56,8 @@
 const announcementsPerLease = 6;
 /** Lines that one configuration may take to tell which of its entries can't be read. */
 const maxSkippedLines = 20;
+/** Nodes of each failure domain that watch the configuration; a change is heard of while any of the fleet's watches works. */
+const watchersPerDomain = 4;
 /** Part of the fleet's retry ratio that is used; the rest is room for requests that are counted late. */
 const usedRetryShare = 0.85;
 
@@ -143,9 +145,11 @@
 		this.#gossip = new Gossip(this.#table, [], {logger, metrics: this.#metrics});
 		this.#ingress = this.#createIngress(this.#createRouter());
 		this.#control = new ControlServer(platform.control, (call, remoteHost) => this.#handleCall(call, remoteHost));
-		this.#watcher = new ConfigurationWatcher({source: platform.source, state: this.#releases, logger});
+		this.#watcher = new ConfigurationWatcher({
+			source: platform.source, state: this.#releases, logger, isChosen: () => this.#isChosenWatcher(), countLive: () => this.#table.listLive().length,
+		});
 		this.#peers = new PeerConfigurations({
-			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), logger,
+			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#watcher.isWatching(), logger,
 		});
 	}
 
@@ -295,6 +299,14 @@
 		});
 	}
 
+	/** A node that holds no other alive chooses itself. */
+	#isChosenWatcher(): boolean {
+		const peers = this.#table.listLive().filter(({status}) => status === 'alive').map(({record}) => ({
+			id: record.id, failureDomain: record.placement.failureDomain, release: record.release, isServing: record.state === 'serving',
+		}));
+		return selectWatchers(peers, watchersPerDomain).has(this.#table.self.id);
+	}
+
 	#listServers(): NodeRecord['servers'] {
 		const servers = this.#egress.listServers();
 		return this.#isStopping ? servers.map(server => ({...server, state: 'leaving'})) : servers;
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -1,4 +1,7 @@
-/** Keeps a node's configuration up to date from a source that holds it whole. */
+/**
+ * Keeps a node's configuration up to date from a source that holds it whole. Where only some nodes watch, the others read
+ * once, hear of changes from nodes that watch, and read now and then at a rate that doesn't grow with the fleet.
+ */
 import {type Either} from 'purify-ts';
 import {type Failure, type Logger} from '@limpetbarrow/core';
 import {computeBackOff} from './back-off.js';
@@ -11,11 +14,22 @@
 	readonly state: ReleaseState;
 	readonly logger: Logger;
 	readonly random?: () => number;
+	/** True while this node is one of those that watch; all do without it. */
+	readonly isChosen?: () => boolean;
+	/** Nodes of the fleet that are alive, by which occasional reads are spread. */
+	readonly countLive?: () => number;
 };
 
 /** Pause after a change, in milliseconds: changes in quick succession come by one call, well within the time to take effect. */
 const changePauseMs = 300;
 
+/** Time between two looks whether this node is to watch, in milliseconds. */
+const standbyPeriodMs = 500;
+/** Time between two reads by nodes that don't watch, over the whole fleet, in milliseconds. */
+const fleetReadPeriodMs = 2000;
+/** Time after a start in which a node hears of the others before it takes itself for one that watches, in milliseconds. */
+const joinGraceMs = 3000;
+
 /** Reads, then watches from what it has read; reads anew after a failure. */
 export class ConfigurationWatcher {
 	readonly #options: ConfigurationWatcherOptions;
@@ -25,6 +39,8 @@
 	/** Version to watch from; undefined while the source must be read first. */
 	#version: number | undefined;
 	#isRunning = false;
+	#mayWatchAt = 0;
+	#isWatching = false;
 
 	constructor(options: ConfigurationWatcherOptions) {
 		this.#options = options;
@@ -32,6 +48,7 @@
 
 	start(): void {
 		this.#isRunning = true;
+		this.#mayWatchAt = performance.now() + (this.#options.isChosen ? joinGraceMs : 0);
 		this.#startTimer(0);
 	}
 
@@ -41,6 +58,34 @@
 		this.#abort.abort();
 	}
 
+	/** True while this node hears of changes by its own watch. */
+	isWatching(): boolean {
+		return this.#isWatching;
+	}
+
+	/** A node without a configuration watches in any case: it can't serve before it has one. */
+	#isStandby(): boolean {
+		const {isChosen = () => true, state} = this.#options;
+		return this.#version !== undefined && state.getNumber() > 0 && !(performance.now() >= this.#mayWatchAt && isChosen());
+	}
+
+	#updateWatching(isWatching: boolean): void {
+		if (isWatching !== this.#isWatching) {
+			this.#isWatching = isWatching;
+			this.#options.logger.log(isWatching ? 'watchStarted' : 'watchStopped');
+		}
+	}
+
+	#waitInStandby(): void {
+		const {random = Math.random, countLive = () => 1} = this.#options;
+		this.#updateWatching(false);
+		if (random() < standbyPeriodMs / (fleetReadPeriodMs * Math.max(1, countLive()))) {
+			this.#version = undefined;
+		}
+
+		this.#startTimer(standbyPeriodMs);
+	}
+
 	#startTimer(delayMs: number): void {
 		if (this.#isRunning) {
 			this.#timer = setTimeout(() => {
@@ -52,6 +97,12 @@
 
 	async #runStep(signal: AbortSignal): Promise<void> {
 		const {source, random = Math.random} = this.#options;
+		if (this.#isStandby()) {
+			this.#waitInStandby();
+			return;
+		}
+
+		this.#updateWatching(this.#version !== undefined);
 		const result = await (this.#version === undefined ? source.read() : source.watch(this.#version, signal)).run();
 		if (signal.aborted) {
 			return;
