--- a/deploy/rehearsal.mjs
+++ b/deploy/rehearsal.mjs
@@ -81,7 +81,7 @@
 		const chunks = await message.toArray();
 		const url = new URL(message.url, 'http://store');
 		const [kind, name] = url.pathname.replace('/-/objects/', '').split('/');
-		const {status, body} = await this.#answer(message.method, kind, name, url.searchParams, chunks.length > 0 ? JSON.parse(Buffer.concat(chunks).toString()) : undefined);
+		const {status, body} = await this.#answer(message.method, {kind, name, query: url.searchParams}, chunks.length > 0 ? JSON.parse(Buffer.concat(chunks).toString()) : undefined);
 		response.writeHead(status, {'content-type': 'application/json'});
 		response.end(JSON.stringify(body));
 	});
@@ -113,7 +113,7 @@
 		return [...this.#objects].filter(([key, {rev}]) => key.startsWith(`${kind}/`) && rev > after).map(([key]) => this.#format(key));
 	}
 
-	async #answer(method, kind, name, query, sent) {
+	async #answer(method, {kind, name, query}, sent) {
 		if (method === 'GET' && query.has('Watch')) {
 			await this.#waitForChange(kind, Number(query.get('Watch')), Number(query.get('WaitMs')));
 			return {status: 200, body: {events: this.#list(kind, Number(query.get('Watch'))).map(object => ({Object: object, Removed: false})), At: this.#rev}};
@@ -145,22 +145,44 @@
 function answerRequest(message, response, number) {
 	const headers = {'Request-Id': message.headers['request-id'] ?? '', 'Server-Signature': 's'};
 	const kind = number % 40;
-	if (kind === 7) {
-		response.writeHead(500, headers).end('failed');
-	} else if (kind === 13) {
-		response.writeHead(503, {'Not-Executed': '1'}).end();
-	} else if (kind === 19) {
-		message.socket.resetAndDestroy();
-	} else if (kind === 23) {
-		setTimeout(() => {
-			response.writeHead(200, headers).end('late');
-		}, 700);
-	} else if (kind === 29) {
-		response.writeHead(200, headers).end(largeBody);
-	} else {
-		setTimeout(() => {
-			response.writeHead(200, {...headers, 'content-length': 5}).end('whole');
-		}, 5);
+	switch (kind) {
+		case 7: {
+			response.writeHead(500, headers).end('failed');
+
+			break;
+		}
+
+		case 13: {
+			response.writeHead(503, {'Not-Executed': '1'}).end();
+
+			break;
+		}
+
+		case 19: {
+			message.socket.resetAndDestroy();
+
+			break;
+		}
+
+		case 23: {
+			setTimeout(() => {
+				response.writeHead(200, headers).end('late');
+			}, 700);
+
+			break;
+		}
+
+		case 29: {
+			response.writeHead(200, headers).end(largeBody);
+
+			break;
+		}
+
+		default: {
+			setTimeout(() => {
+				response.writeHead(200, {...headers, 'content-length': 5}).end('whole');
+			}, 5);
+		}
 	}
 }
 
@@ -191,9 +213,19 @@
 		const ports = await Promise.all(Array.from({length: 6}, async () => pickPort(host)));
 		const [ingress, readiness, announcements, metrics, link, gossip] = ports.map(port => ({host, port}));
 		const text = [
-			`NodeName=${this.#id}`, `Ip=${host}`, 'Zone=zone-a', 'Region=region', 'Service=desk', `AppAddr=${host}:${appPort}`, 'HeartbeatMs=1500',
-			`Listen.Outbound=${host}:${ingress.port}`, `Listen.Ready=${host}:${readiness.port}`, `Listen.Control=${host}:${announcements.port}`,
-			`PortRange=${link.port},${link.port}`, `Platform.Address=${hosts[0]}:${storePort}`, 'Bounds=GraceS=6,RetryBudgetRatio=0.2,BudgetWindowS=10,BudgetSlack=60',
+			`NodeName=${this.#id}`,
+			`Ip=${host}`,
+			'Zone=zone-a',
+			'Region=region',
+			'Service=desk',
+			`AppAddr=${host}:${appPort}`,
+			'HeartbeatMs=1500',
+			`Listen.Outbound=${host}:${ingress.port}`,
+			`Listen.Ready=${host}:${readiness.port}`,
+			`Listen.Control=${host}:${announcements.port}`,
+			`PortRange=${link.port},${link.port}`,
+			`Platform.Address=${hosts[0]}:${storePort}`,
+			'Bounds=GraceS=6,RetryBudgetRatio=0.2,BudgetWindowS=10,BudgetSlack=60',
 		].join('\n');
 		this.#settings = {
 			...this.#program.parsePlatformSettings(text).unsafeCoerce(), link, gossip, metrics, lameDuckMs: 50,
@@ -257,10 +289,8 @@
 	const all = hosts.map((host, index) => new RehearsalHost(program, host, index));
 	await Promise.all(all.map(async host => host.start(storePort)));
 	await waitUntilReady(all, readyBoundMs);
-	const beats = setInterval(() => {
-		all.forEach(host => {
-			void host.announce('ready');
-		});
+	const beats = setInterval(async () => {
+		await Promise.all(all.map(async host => host.announce('ready')));
 	}, 500);
 	await Array.from({length: rounds}).reduce(async (before, _, round) => {
 		await before;
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -301,7 +301,9 @@
 
 	/** A node that holds no other alive chooses itself. */
 	#isChosenWatcher(): boolean {
-		const peers = this.#table.listLive().filter(({status}) => status === 'alive').map(({record}) => ({
+		const {failureDomain} = this.#table.getSelf().placement;
+		const near = this.#table.listLive().filter(({record, status}) => status === 'alive' && record.placement.failureDomain === failureDomain);
+		const peers = near.map(({record}) => ({
 			id: record.id, failureDomain: record.placement.failureDomain, release: record.release, isServing: record.state === 'serving',
 		}));
 		return selectWatchers(peers, watchersPerDomain).has(this.#table.self.id);
