Read the store when other nodes don't give a newer configuration in time

Change: a node that doesn't watch and has been behind for 800 ms reads the store itself; it asks another node next than the one that did not answer; and one that has heard nobody for 1.5 s watches.

Ruled out: gossip, since 35 of 36 nodes had the version within 0.5 s and the node had links to most of them; the store, which answered all the while.

--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -20,6 +20,7 @@
 	readonly #membership: Membership;
 	readonly #transport: MessageTransport;
 	readonly #hasSeeds: boolean;
+	#heardAt = 0;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(table: MemberTable, seeds: readonly Address[], options: GossipOptions = {}) {
@@ -36,6 +37,7 @@
 	async start(address: Address): Promise<Address> {
 		const bound = await this.#transport.open(address);
 		this.#transport.messages.registerListener(received => {
+			this.#heardAt = performance.now();
 			this.#membership.handleMessage(received);
 		});
 		this.#timer = setInterval(() => {
@@ -44,6 +46,11 @@
 		return bound;
 	}
 
+	/** Monotonic time of the last message of another node, in milliseconds; 0 before the first. */
+	getHeardAt(): number {
+		return this.#heardAt;
+	}
+
 	/** Takes addresses of other nodes that became known after the start. */
 	addSeeds(addresses: readonly Address[]): void {
 		this.#membership.addSeeds(addresses);
--- a/packages/node/src/peer-configurations.ts
+++ b/packages/node/src/peer-configurations.ts
@@ -20,6 +20,8 @@
 	readonly findEgress: FindEgress;
 	/** True while this node hears of changes by a watch of its own. */
 	readonly isWatching: () => boolean;
+	/** Has the platform read, where no other node gives what this one lacks. */
+	readonly readPlatform: () => void;
 	readonly logger: Logger;
 };
 
@@ -28,6 +30,8 @@
 /** Time another node's lead must last before a node that watches asks it, in milliseconds; mostly its own watch comes first. */
 const leadMs = 400;
 const fetchTimeoutMs = 1500;
+/** Time for which a node stays behind others before it reads the platform itself, in milliseconds: its ways to them may be cut. */
+const maxBehindMs = 800;
 const maxConfigurationBytes = 16_777_216;
 
 /** Serves the configuration to other nodes. */
@@ -50,6 +54,8 @@
 	#timer: NodeJS.Timeout | undefined;
 	#behindSince: number | undefined;
 	#isFetching = false;
+	/** Node that failed to answer last; another one is asked next, where there is one. */
+	#failedId: string | undefined;
 
 	constructor(options: PeerConfigurationsOptions) {
 		this.#options = options;
@@ -68,14 +74,20 @@
 	async #check(now: number): Promise<void> {
 		const ahead = this.#listAhead();
 		this.#behindSince = ahead.length === 0 ? undefined : this.#behindSince ?? now;
-		const {state, isWatching} = this.#options;
+		const {state, isWatching, readPlatform} = this.#options;
+		if (this.#behindSince !== undefined && now - this.#behindSince >= maxBehindMs && !isWatching()) {
+			readPlatform();
+		}
+
 		const leadLeftMs = state.getNumber() > 0 && isWatching() ? leadMs : 0;
 		if (this.#behindSince === undefined || this.#isFetching || now - this.#behindSince < leadLeftMs) {
 			return;
 		}
 
 		this.#isFetching = true;
-		await this.#fetchFrom(ahead[Math.floor(Math.random() * ahead.length)]!);
+		const others = ahead.filter(({record}) => record.id !== this.#failedId);
+		const open = others.length > 0 ? others : ahead;
+		await this.#fetchFrom(open[Math.floor(Math.random() * open.length)]!);
 		this.#isFetching = false;
 	}
 
@@ -99,8 +111,10 @@
 			})
 			: Left<Failure, Uint8Array>(createFailure('linkUnreachable', `node ${record.id} is not known`));
 		answer.chain(body => parseConfiguration(parseJson(body))).ifRight(configuration => {
+			this.#failedId = undefined;
 			state.applyConfiguration(configuration);
 		}).ifLeft(({code, detail}) => {
+			this.#failedId = record.id;
 			logger.log('releaseFetchFailed', {node: record.id, code, detail});
 		});
 	}
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -54,6 +54,8 @@
 
 /** Announcements that may be missing in a row before a backend server counts as gone. */
 const announcementsPerLease = 6;
+/** Time without a message from any other node after which a node watches the configuration itself, in milliseconds. */
+const maxSilenceMs = 1500;
 /** Lines that one configuration may take to tell which of its entries can't be read. */
 const maxSkippedLines = 20;
 /** Nodes of each failure domain that watch the configuration; a change is heard of while any of the fleet's watches works. */
@@ -149,7 +151,9 @@
 			source: platform.source, state: this.#releases, logger, isChosen: () => this.#isChosenWatcher(), countLive: () => this.#table.listLive().length,
 		});
 		this.#peers = new PeerConfigurations({
-			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#watcher.isWatching(), logger,
+			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#watcher.isWatching(), readPlatform: () => {
+				this.#watcher.readSoon();
+			}, logger,
 		});
 	}
 
@@ -299,8 +303,12 @@
 		});
 	}
 
-	/** A node that holds no other alive chooses itself. */
+	/** A node that hears nobody, or holds no other alive, chooses itself. */
 	#isChosenWatcher(): boolean {
+		if (performance.now() - this.#gossip.getHeardAt() > maxSilenceMs) {
+			return true;
+		}
+
 		const {failureDomain} = this.#table.getSelf().placement;
 		const near = this.#table.listLive().filter(({record, status}) => status === 'alive' && record.placement.failureDomain === failureDomain);
 		const peers = near.map(({record}) => ({
--- a/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
+++ b/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
@@ -92,6 +92,17 @@
 		expect(source.reads).to.equal(1);
 	});
 
+	it('reads at once when it is asked to, and goes on without a watch', async () => {
+		watcher.start();
+		await clock.tickAsync(5000);
+		source.write(6);
+		watcher.readSoon();
+		await clock.tickAsync(10);
+		expect(state.getNumber()).to.equal(6);
+		await clock.tickAsync(5000);
+		expect({reads: source.reads, watches: source.watches}).to.deep.equal({reads: 2, watches: 0});
+	});
+
 	it('watches in any case while it has no configuration', async () => {
 		source.release = 0;
 		watcher.start();
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -41,6 +41,7 @@
 	#isRunning = false;
 	#mayWatchAt = 0;
 	#isWatching = false;
+	#isInStandby = false;
 
 	constructor(options: ConfigurationWatcherOptions) {
 		this.#options = options;
@@ -58,6 +59,15 @@
 		this.#abort.abort();
 	}
 
+	/** Reads at once, where this node doesn't watch: it has heard of a change and can't get it from another node. */
+	readSoon(): void {
+		if (this.#isRunning && this.#isInStandby) {
+			this.#version = undefined;
+			clearTimeout(this.#timer);
+			this.#startTimer(0);
+		}
+	}
+
 	/** True while this node hears of changes by its own watch. */
 	isWatching(): boolean {
 		return this.#isWatching;
@@ -78,6 +88,7 @@
 
 	#waitInStandby(): void {
 		const {random = Math.random, countLive = () => 1} = this.#options;
+		this.#isInStandby = true;
 		this.#updateWatching(false);
 		if (random() < standbyPeriodMs / (fleetReadPeriodMs * Math.max(1, countLive()))) {
 			this.#version = undefined;
@@ -102,6 +113,7 @@
 			return;
 		}
 
+		this.#isInStandby = false;
 		this.#updateWatching(this.#version !== undefined);
 		const result = await (this.#version === undefined ? source.read() : source.watch(this.#version, signal)).run();
 		if (signal.aborted) {
