Ask no backend server for a retry that others found without one to spare

Each backend server has its part of the budget, a spell of failing sends all retries to the same two near it, and a request stopped after two that had spent theirs.

First tries go there as before.

--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -280,16 +280,7 @@
 			return;
 		}
 
-		if (failure.retryAfterMs !== undefined) {
-			this.#options.loads.recordHint({
-				serverId: server.id, freeSlots: 0, queued: 0, waitMs: failure.retryAfterMs,
-			});
-		} else if (failure.name === 'serverUnwell' || failure.name === 'serverShed') {
-			this.#options.loads.recordHint({
-				serverId: server.id, freeSlots: 0, queued: 0, ...(failure.name === 'serverShed' ? {isShedding: true} : {isUnwell: true}),
-			});
-		}
-
+		this.#options.loads.recordRefusal(server.id, failure);
 		if (this.#tries.length > 0 && !isGateRefusal(failure)) {
 			return;
 		}
