Take back: ask no backend server for a retry that others found without one

Reverts, with its tests. The test is right: nearer backend servers are skipped, so the request tours those further away and finds no better.

--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -204,59 +204,6 @@
 			expect(failure).to.include({name: 'retriesSpent', ran: 'not-run'});
 		});
 
-		describe('where the nearest have spent their part of the retries', () => {
-			async function failFirst(requestId: string): Promise<void> {
-				open({requestId});
-				getHandOvers('near').at(-1)!.answer(500);
-				getHandOvers('far').at(-1)?.handler.handleFailure(createFailure('retriesSpent', 'attempt 2'));
-				await clock.tickAsync(1);
-			}
-
-			it('sends no other request\'s retry there for a second, and first tries as before', async () => {
-				await failFirst('r-1');
-				await failFirst('r-2');
-				expect(getHandOvers('near').length).to.equal(2);
-				expect(getHandOvers('far').length).to.equal(1);
-				expect(outcomes).to.deep.equal(['500', 'end', '500', 'end']);
-			});
-
-			it('asks there again after that', async () => {
-				await failFirst('r-1');
-				await clock.tickAsync(1100);
-				await failFirst('r-2');
-				expect(getHandOvers('far').length).to.equal(2);
-			});
-
-			it('finds the one with a retry to spare further away', async () => {
-				const ids = ['near', 'spent-1', 'spent-2', 'free'];
-				const asked: string[] = [];
-				const spare = new RequestRouter({
-					self,
-					directory: {listCandidates: () => ids.map((id, index) => createCandidate(id, index === 0 ? 'a' : 'b'))},
-					findEgress(nodeId) {
-						const egress = new FakeEgress();
-						asked.push(nodeId);
-						egress.refusal = nodeId.startsWith('node-spent') ? createFailure('retriesSpent', 'attempt 2') : undefined;
-						egresses = new Map([...egresses, [nodeId, egress]]);
-						return egress;
-					},
-					findLocalLoad: () => undefined,
-					metrics: new MetricRegistry(),
-					logger: new SilentLogger(),
-					pickRandom: () => 0.5,
-				});
-				router = spare;
-				await Array.from({length: 3}).reduce(async (before, _, index) => {
-					await before;
-					asked.length = 0;
-					open({requestId: `r-${index}`});
-					getHandOvers('near').at(-1)!.answer(500);
-					await clock.tickAsync(1);
-				}, Promise.resolve());
-				expect(asked).to.deep.equal(['node-near', 'node-free']);
-			});
-		});
-
 		it('says how many may have had it before, for the budget of retries', () => {
 			open();
 			expect(getHandOvers('near')[0]!.head.earlierAttempts).to.equal(0);
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -57,7 +57,7 @@
 		const {head} = request;
 		const now = performance.now();
 		const candidates = directory.listCandidates(head.service)
-			.filter(({server}) => server.state !== 'leaving' && request.isOpenTo(server.id) && !(request.countHanded() > 0 && this.#loads.isSpent(server.id)));
+			.filter(({server}) => server.state !== 'leaving' && request.isOpenTo(server.id));
 		const views = this.#selectReachable(candidates, now).map(candidate => this.#createView(candidate, request));
 		const objectiveMs = head.objectiveMs ?? head.remainingMs;
 		return chooseSpillStep(views, {
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -280,7 +280,16 @@
 			return;
 		}
 
-		this.#options.loads.recordRefusal(server.id, failure);
+		if (failure.retryAfterMs !== undefined) {
+			this.#options.loads.recordHint({
+				serverId: server.id, freeSlots: 0, queued: 0, waitMs: failure.retryAfterMs,
+			});
+		} else if (failure.name === 'serverUnwell' || failure.name === 'serverShed') {
+			this.#options.loads.recordHint({
+				serverId: server.id, freeSlots: 0, queued: 0, ...(failure.name === 'serverShed' ? {isShedding: true} : {isUnwell: true}),
+			});
+		}
+
 		if (this.#tries.length > 0 && !isGateRefusal(failure)) {
 			return;
 		}
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -12,8 +12,8 @@
 /** Steps after which a request stops looking for a place. */
 const maxSteps = 10;
 const maxLastResorts = 2;
-/** Backend servers without a retry to spare after which a request stops; those that others found so are not asked at all. */
-const maxSpentRefusals = 3;
+/** Backend servers without a retry to spare after which a request stops: the others are likely to have spent theirs too. */
+const maxSpentRefusals = 2;
 /** Bounds of the delay after which a refused caller is asked to come back, in milliseconds. */
 const minRetryAfterMs = 150;
 const maxRetryAfterMs = 1500;
