Answer every request that a planned stop finds open

Cause: at the end of a stop's time all connections were closed at once.

Change: 0.4 s before the end of the stop's time the requests still open end with a failure that is true of them (503 nodeStopping where no backend server has got the body, 504 where one may run it, the kept server error if there is one), and the answers behind them are flushed before connections are closed. A stopping node reads no further request behind one in progress.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -246,6 +246,44 @@
 			expect(received.match(/connection: close/giv)).to.have.length(1);
 		});
 
+		it('get a failure at the end of the stop if they are held, and the responses that are ready behind them follow', async () => {
+			socket.write(formatRequest('/held') + formatRequest('/ready'));
+			await hasOpened(2);
+			ingress.startStopping();
+			carrier.answer('/ready');
+			await wait(30);
+			expect(received).to.equal('');
+			ingress.failRequests();
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(received).to.match(/^HTTP\/1\.1 504/v);
+			expect(listBodies()).to.deep.equal(['/ready']);
+			expect(carrier.cancelled).to.deep.equal(['/held']);
+		});
+
+		it('are not read behind one that is in progress', async () => {
+			socket.write(formatRequest('/a'));
+			await hasOpened(1);
+			ingress.startStopping();
+			socket.write(formatRequest('/b'));
+			await wait(30);
+			expect(carrier.listPaths()).to.deep.equal(['/a']);
+			carrier.answer('/a');
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listBodies()).to.deep.equal(['/a']);
+		});
+
+		it('end a download in progress by a reset, as a complete response would hide that it is not whole', async () => {
+			socket.write(formatRequest('/download') + formatRequest('/ready'));
+			await hasOpened(2);
+			ingress.startStopping();
+			carrier.opened[0]!.handler.handleHead({status: 200, headers: ['content-length', '100']});
+			carrier.opened[0]!.handler.handleData(Buffer.from('a part'));
+			await waitUntil(() => received.endsWith('a part'));
+			ingress.failRequests();
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(received.endsWith('a part')).to.equal(true);
+		});
+
 		it('are not read once the response that closes the connection has started', async () => {
 			socket.write(formatRequest('/a'));
 			await hasOpened(1);
--- a/packages/node/src/__tests__/unit/planned-stop.test.ts
+++ b/packages/node/src/__tests__/unit/planned-stop.test.ts
@@ -1,6 +1,8 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {drainNode, handoverPropagationMs, StoppingNode} from '../../planned-stop.js';
+import {
+	drainNode, finalResponsesMs, handoverPropagationMs, StoppingNode,
+} from '../../planned-stop.js';
 
 const times = {lameDuckMs: 6000, stopTimeoutMs: 30_000};
 
@@ -8,6 +10,8 @@
 	servers = 1;
 	connections = 1;
 	inProgress = 1;
+	/** Requests whose failure can't be written, as their callers don't read. */
+	unfinished = 0;
 	readonly steps: string[] = [];
 
 	override startStopping(): void {
@@ -29,6 +33,11 @@
 	override countRequestsInProgress(): number {
 		return this.inProgress;
 	}
+
+	override failRequests(): void {
+		this.steps.push('failRequests');
+		this.inProgress = this.unfinished;
+	}
 }
 
 describe('a planned stop', () => {
@@ -82,6 +91,24 @@
 		expect(result).to.equal(true);
 	});
 
+	it('fails the requests that are left before its time limit, so that their callers get a response', async () => {
+		node.servers = 0;
+		node.connections = 0;
+		await clock.tickAsync(times.stopTimeoutMs - finalResponsesMs - 100);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopListening']);
+		await clock.tickAsync(200);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopListening', 'failRequests']);
+		expect(result).to.equal(false);
+	});
+
+	it('waits until its time limit for callers that read the last responses slowly', async () => {
+		node.unfinished = 1;
+		await clock.tickAsync(times.stopTimeoutMs - 100);
+		expect(result).to.equal(undefined);
+		await clock.tickAsync(200);
+		expect(result).to.equal(false);
+	});
+
 	it('ends at its time limit and reports that requests were in progress', async () => {
 		await clock.tickAsync(times.stopTimeoutMs + 200);
 		expect(result).to.equal(false);
--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -144,6 +144,44 @@
 		return egresses.get(`node-${id}`)!.attempts;
 	}
 
+	describe('when the node stops', () => {
+		it('fails as not run while no backend server has got its body', async () => {
+			openRequest({isRepeatable: false});
+			router.failRequests();
+			await clock.tickAsync(1);
+			expect(failure).to.include({name: 'nodeStopping', ran: 'not-run'});
+		});
+
+		it('fails as possibly run once a backend server has got its body', async () => {
+			openRequest({isRepeatable: false});
+			getAttempts('near')[0]!.accept();
+			router.failRequests();
+			await clock.tickAsync(1);
+			expect(failure).to.include({name: 'answerTimeout', ran: 'unknown'});
+			expect(getAttempts('near')[0]!.isCancelled).to.equal(true);
+		});
+
+		it('delivers a server error that was kept back for another attempt', async () => {
+			openRequest();
+			getAttempts('near')[0]!.accept();
+			getAttempts('near')[0]!.answer(500);
+			await clock.tickAsync(1);
+			router.failRequests();
+			await clock.tickAsync(1);
+			expect(outcomes).to.deep.equal(['500', 'end']);
+		});
+
+		it('does nothing to a request that has ended', async () => {
+			openRequest();
+			getAttempts('near')[0]!.accept();
+			getAttempts('near')[0]!.answer();
+			await clock.tickAsync(1);
+			router.failRequests();
+			await clock.tickAsync(1);
+			expect(failure).to.equal(undefined);
+		});
+	});
+
 	describe('on a broken path', () => {
 		it('does not end the body before the node accepts, and tries another node after the accept timeout', () => {
 			openRequest({isRepeatable: false});
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -28,10 +28,11 @@
 
 	/**
 	 * Accepts a request. Returns false, leaving it unread, if an earlier response closes the connection or too many are in
-	 * progress.
+	 * progress. A stopping node reads no request behind one in progress, whose response could come too late for it to follow.
 	 */
-	acceptRequest(response: ServerResponse): boolean {
-		if (this.#isClosing || this.#pendingResponses.length >= maxPipelinedRequests) {
+	acceptRequest(response: ServerResponse, isStopping: boolean): boolean {
+		const maxPending = isStopping ? 1 : maxPipelinedRequests;
+		if (this.#isClosing || this.#pendingResponses.length >= maxPending) {
 			this.closeAfterLastResponse();
 			return false;
 		}
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -70,6 +70,11 @@
 		}
 	}
 
+	/** Ends the exchange with a failure if its response is not complete. */
+	fail(failure: Failure): void {
+		this.#cancelWithFailure(failure);
+	}
+
 	#handleChunk(chunk: Uint8Array): void {
 		if (this.#isFinished) {
 			return;
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -116,6 +116,13 @@
 		return this.#connections.size;
 	}
 
+	/** Ends the requests in progress. Any of them may have run. */
+	failRequests(): void {
+		[...this.#exchanges].forEach(exchange => {
+			exchange.fail(createFailure('answerTimeout', 'the node stops'));
+		});
+	}
+
 	close(): void {
 		this.#server.closeAllConnections();
 		this.#server.close();
@@ -127,7 +134,7 @@
 	}
 
 	#handleRequest(message: IncomingMessage, response: ServerResponse): void {
-		if (this.#connections.get(message.socket)?.acceptRequest(response) === false) {
+		if (this.#connections.get(message.socket)?.acceptRequest(response, this.#isStopping) === false) {
 			this.#options.metrics.addCount('ingress_unread_requests_total');
 			return;
 		}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -133,11 +133,7 @@
 	 */
 	async stop(): Promise<void> {
 		this.#logger.log('nodeStopping');
-		const isDrained = await drainNode(this.#createStoppingNode(), this.#settings);
-		if (!isDrained) {
-			this.#logger.log('nodeStopForced', {requests: this.#countInProgress()});
-		}
-
+		await drainNode(this.#createStoppingNode(), this.#settings);
 		await this.close();
 		this.#logger.log('nodeStopped');
 	}
@@ -226,6 +222,10 @@
 				this.#ingress.stopListening();
 			},
 			countRequestsInProgress: () => this.#countInProgress(),
+			failRequests: () => {
+				this.#logger.log('nodeStopForced', {requests: this.#countInProgress()});
+				this.#ingress.failRequests();
+			},
 		};
 	}
 
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -16,6 +16,9 @@
 
 	/** Number of requests in progress in all parts of the node. */
 	abstract countRequestsInProgress(): number;
+
+	/** Ends the callers' requests in progress, each with a failure that says whether it may have run. */
+	abstract failRequests(): void;
 }
 
 /** Time limits of a planned stop, in milliseconds. */
@@ -27,6 +30,11 @@
 };
 
 const pollIntervalMs = 20;
+/**
+ * Time before the end of a stop at which the requests still in progress are ended, in milliseconds. It is for writing their
+ * failures, and the responses that are ready behind them on connections of callers that pipeline.
+ */
+export const finalResponsesMs = 400;
 
 /** Time allowed for other nodes to learn that the backend servers have announced themselves elsewhere, in milliseconds. */
 export const handoverPropagationMs = 1500;
@@ -45,17 +53,24 @@
 
 /**
  * Drains a node: waits until its backend servers have moved and other nodes know it, then until callers have closed their
- * connections or the lame-duck time is over, then stops listening and waits for the requests in progress. Resolves to true
- * when none is left, and to false when the stop's time limit ended the wait.
+ * connections or the lame-duck time is over, then stops listening and waits for the requests in progress. Shortly before the
+ * time limit it ends the requests that are left, so that each caller gets a response. Resolves to true when all requests had
+ * ended by themselves.
  */
 export async function drainNode(node: StoppingNode, {lameDuckMs, stopTimeoutMs}: StopTimes): Promise<boolean> {
 	const startedAt = performance.now();
-	const deadline = startedAt + stopTimeoutMs;
+	const deadline = startedAt + stopTimeoutMs - Math.min(finalResponsesMs, stopTimeoutMs / 2);
 	node.startStopping();
 	await waitUntil(() => node.countServers() === 0, deadline);
 	const propagatedAt = performance.now() + handoverPropagationMs;
 	await waitUntil(() => performance.now() >= propagatedAt, deadline);
 	await waitUntil(() => node.countConnections() === 0 || performance.now() >= startedAt + lameDuckMs, deadline);
 	node.stopListening();
-	return waitUntil(() => node.countRequestsInProgress() === 0, deadline);
+	const isDrained = await waitUntil(() => node.countRequestsInProgress() === 0, deadline);
+	if (!isDrained) {
+		node.failRequests();
+		await waitUntil(() => node.countRequestsInProgress() === 0, startedAt + stopTimeoutMs);
+	}
+
+	return isDrained;
 }
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -36,6 +36,7 @@
 	readonly #loadTracker = new LoadTracker();
 	readonly #pathHealth = new PathHealth(maxPathBackOffMs);
 	readonly #pickRandom: () => number;
+	readonly #openExchanges = new Set<RoutedExchange>();
 
 	constructor(options: RequestRouterOptions) {
 		super();
@@ -44,7 +45,7 @@
 	}
 
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
-		return new RoutedExchange(head, handler, {
+		const exchange: RoutedExchange = new RoutedExchange(head, handler, {
 			chooseNextStep: request => this.#chooseNextStep(request),
 			findEgress: this.#options.findEgress,
 			loadTracker: this.#loadTracker,
@@ -52,6 +53,18 @@
 			metrics: this.#options.metrics,
 			logger: this.#options.logger,
 			pickRandom: this.#pickRandom,
+			handleFinished: () => {
+				this.#openExchanges.delete(exchange);
+			},
+		});
+		this.#openExchanges.add(exchange);
+		return exchange;
+	}
+
+	/** Ends the requests in progress at once, each with a failure that says whether it may have run. */
+	failRequests(): void {
+		[...this.#openExchanges].forEach(exchange => {
+			exchange.failForStop();
 		});
 	}
 
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -5,10 +5,12 @@
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
 } from '@limpetbarrow/choose';
+import {acceptTimeoutsMs, pathFailures, type Attempt} from './attempt.js';
 import {BufferedResponse} from './buffered-response.js';
 import {type FindEgress} from './forwarder.js';
 import {type LoadTracker} from './load-tracker.js';
 import {replaceFramingHeaders} from './request-body.js';
+import {logRequestEnd, type RequestEndEvent} from './request-log.js';
 import {isUndelivered, RoutedRequest} from './routed-request.js';
 
 /** Dependencies of a request's attempts. */
@@ -20,16 +22,8 @@
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	readonly pickRandom: () => number;
-};
-
-type Attempt = {
-	readonly candidate: Candidate;
-	readonly exchange: Exchange;
-	readonly response: BufferedResponse;
-	/** True once the body may be sent: at once on this host, elsewhere when the egress accepts. The request can't run before. */
-	readonly isAccepted: boolean;
-	readonly acceptTimer: NodeJS.Timeout | undefined;
-	readonly hedgeTimer: NodeJS.Timeout | undefined;
+	/** Called once, when the request has an answer or a failure, or was given up. */
+	readonly handleFinished: () => void;
 };
 
 const minServerErrorStatus = 500;
@@ -37,12 +31,6 @@
 const minRemainingMs = 10;
 /** Share of the objective after which a repeatable request is also sent to a second backend server. */
 const hedgeDelayShare = 0.6;
-/** Time for a node to accept or refuse, in milliseconds, by distance: some round trips and a short stall; 0 is no limit. */
-const acceptTimeoutsMs: Readonly<Record<Tier, number>> = {
-	host: 0, failureDomain: 150, region: 150, remote: 300,
-};
-const pathFailures: ReadonlySet<string> = new Set(['linkUnreachable', 'linkLost']);
-
 /** Sends a request to a backend server and retries or hedges it on others when that is safe and attempts are left. */
 export class RoutedExchange extends Exchange {
 	readonly #request: RoutedRequest;
@@ -105,8 +93,29 @@
 	override cancel(): void {
 		if (!this.#isFinished) {
 			this.#finish();
-			this.#log('requestGivenUp', 0);
+			this.#logEnd('requestGivenUp', 0);
+		}
+	}
+
+	/**
+	 * Ends the request at once because the node stops: with a server error that was kept back, else with a failure. An attempt
+	 * whose body was not sent can't have run.
+	 */
+	failForStop(): void {
+		if (this.#isFinished) {
+			return;
 		}
+
+		if (this.#fallbackResponse) {
+			this.#forwardResponse(this.#fallbackResponse);
+			return;
+		}
+
+		const now = performance.now();
+		this.#attempts.forEach(({candidate, isAccepted}) => {
+			this.#request.recordFailure(candidate.server.id, createFailure(isAccepted ? 'answerTimeout' : 'nodeStopping', 'the node stops'), now);
+		});
+		this.#fail(this.#request.hasUnknownOutcome() ? this.#request.createFailure(this.#options.pickRandom()) : createFailure('nodeStopping', 'the node stops'));
 	}
 
 	#startAttempts(): void {
@@ -333,7 +342,7 @@
 
 	#forwardResponse(response: BufferedResponse): void {
 		this.#finish();
-		this.#log('requestAnswered', response.getStatus());
+		this.#logEnd('requestAnswered', response.getStatus());
 		response.startForwarding(this.#handler);
 		this.#handler.handleEnd();
 	}
@@ -353,7 +362,7 @@
 
 	#fail(failure: Failure): void {
 		this.#finish();
-		this.#log('requestRefused', failure.status, failure);
+		this.#logEnd('requestRefused', failure.status, failure);
 		queueMicrotask(() => {
 			this.#handler.handleFailure(failure);
 		});
@@ -364,6 +373,7 @@
 		this.#attempts.forEach(attempt => {
 			this.#cancelAttempt(attempt);
 		});
+		this.#options.handleFinished();
 	}
 
 	#cancelAttempt({candidate, exchange, response}: Attempt): void {
@@ -382,18 +392,7 @@
 		}
 	}
 
-	#log(event: 'requestAnswered' | 'requestRefused' | 'requestGivenUp', status: number, failure?: Failure): void {
-		const {requestId, route, service, isRepeatable} = this.#head;
-		this.#options.logger.log(event, {
-			request: requestId,
-			route,
-			service,
-			isRepeatable,
-			status,
-			code: failure?.code,
-			detail: failure?.detail,
-			tries: this.#request.formatTrace(),
-			ms: Math.round(this.#request.getElapsedMs(performance.now())),
-		});
+	#logEnd(event: RequestEndEvent, status: number, failure?: Failure): void {
+		logRequestEnd(this.#options.logger, event, this.#request, {status, failure});
 	}
 }
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -119,6 +119,11 @@
 		}
 	}
 
+	/** True when a backend server may have run the request without answering it. */
+	hasUnknownOutcome(): boolean {
+		return this.#firstUnknownFailure !== undefined;
+	}
+
 	recordResponse(serverId: string, status: number, now: number): void {
 		this.#trace = [...this.#trace, `${serverId}/${this.#tierLabels.get(serverId) ?? ''}:${status}@${Math.round(this.getElapsedMs(now))}`];
 	}
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -126,6 +126,7 @@
 	readonly #linkServer: LinkServer;
 	readonly #gossip: Gossip;
 	readonly #egress: HostEgress;
+	readonly #router: RequestRouter;
 	readonly #ingress: Ingress;
 	readonly #controlServer: ControlServer;
 	readonly #configurationWatcher: ConfigurationWatcher;
@@ -148,7 +149,8 @@
 		const configurations = new ConfigurationCarrier(this.#releases);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target, configurations), logger, this.#metrics);
 		this.#gossip = new Gossip(this.#table, [], {logger, metrics: this.#metrics});
-		this.#ingress = this.#createIngress(this.#createRouter());
+		this.#router = this.#createRouter();
+		this.#ingress = this.#createIngress(this.#router);
 		this.#controlServer = new ControlServer(platform.control, (call, remoteHost) => this.#handleCall(call, remoteHost));
 		this.#configurationWatcher = new ConfigurationWatcher({
 			source: platform.source, state: this.#releases, logger, isSelectedWatcher: () => this.#isChosenWatcher(), countLiveNodes: () => this.#table.listLive().length,
@@ -177,7 +179,7 @@
 	async stop(): Promise<void> {
 		const {logger, getSettings} = this.#options;
 		logger.log('nodeStopping', {requests: this.#countInProgress()});
-		const isDrained = await drainNode({
+		await drainNode({
 			startStopping: () => {
 				this.#isStopping = true;
 				this.#ingress.startStopping();
@@ -189,11 +191,11 @@
 				this.#ingress.stopListening();
 			},
 			countRequestsInProgress: () => this.#countInProgress(),
+			failRequests: () => {
+				logger.log('nodeStopForced', {requests: this.#countInProgress()});
+				this.#router.failRequests();
+			},
 		}, getSettings());
-		if (!isDrained) {
-			logger.log('nodeStopForced', {requests: this.#countInProgress()});
-		}
-
 		await this.close();
 		logger.log('nodeStopped');
 	}
