Refuse what waits for a backend server that begins to fail

And answers to requests that it had begun before the spell counted as its recovery, after which it got orders again 0.2 to 0.4 s into a spell that lasts some 8 s.

Change: after each outcome what waits is compared with the state of the backend server again and refused as not run, so that it goes on elsewhere; an answer counts as a sign of health only if its request began after the last failure; requests that run since before it don't delay a trial. Connections of a backend server moved to a file of their own.

--- a/packages/admission/src/__tests__/unit/admission-controller.test.ts
+++ b/packages/admission/src/__tests__/unit/admission-controller.test.ts
@@ -60,6 +60,29 @@
 			expect(gate.findRefusal(read, createBusy(1, 100), 200)?.name).to.equal('serverUnwell');
 		});
 
+		it('admits a trial beside requests that run since before the failure', () => {
+			const gate = createGate(['failed', 'failed']);
+			const running = [{startedAt: 15, workMs: 600}];
+			expect(gate.findRefusal(read, {...idle, running}, 200)).to.equal(undefined);
+		});
+
+		it('does not take answers to requests that began before the failure as a sign of recovery', () => {
+			const gate = createGate(['well', 'well', 'failed']);
+			Array.from({length: 7}, (_, index) => 100 + (index * 100)).forEach(now => {
+				gate.recordOutcome('well', now, 25);
+			});
+			expect(gate.findRefusal(order, idle, 800)?.name).to.equal('serverUnwell');
+			expect(gate.isFitFor(order, 800)).to.equal(false);
+		});
+
+		it('recovers by answers to requests that began after the failure', () => {
+			const gate = createGate(['well', 'well', 'failed']);
+			[100, 200, 300, 400].forEach(now => {
+				gate.recordOutcome('well', now, now - 50);
+			});
+			expect(gate.findRefusal(order, idle, 400)).to.equal(undefined);
+		});
+
 		it('admits any request again after a few good answers', () => {
 			const gate = createGate(['failed', 'failed', 'failed', 'well', 'well', 'well', 'well', 'well', 'well']);
 			expect(gate.isUnwell(100)).to.equal(false);
--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -3,7 +3,8 @@
  *
  * Only the backend server's own host sends to it, so the controller sees every outcome and the exact queue.
  *
- * - Gray failures: a failing server gets trials only, and no request that can't be retried.
+ * - Gray failures: a failing server gets trials only, and no request that can't be retried. What it answers to requests that
+ *   it had begun before it failed says nothing of its state since.
  * - Uneven load: a refusal states the expected wait at once, so that the sender can go elsewhere in time.
  * - Load shedding, by one backend server or by all of a service: nothing is refused for it. Rejected work has not run and
  *   is lost only with the last retry. So senders are told to prefer other servers, and each request still gets an attempt
@@ -64,6 +65,7 @@
 	#trialPauseMs = minTrialPauseMs;
 	#nextTrialAt = 0;
 	#isUnreachable = false;
+	#lastFailureAt = Number.NEGATIVE_INFINITY;
 
 	constructor(now: number) {
 		this.#failureState = new FailureStateFilter(now);
@@ -75,14 +77,19 @@
 		this.#coldUntil = now + coldMs;
 	}
 
-	/** Updates the health estimates and the trial interval. */
-	recordOutcome(outcome: ServerOutcome, now: number): void {
+	/** Updates the health estimates and the trial interval with the outcome of a request that began at `startedAt`. */
+	recordOutcome(outcome: ServerOutcome, now: number, startedAt = now): void {
 		this.#isUnreachable = outcome === 'unreachable';
 		this.#shedding.recordOutcome(outcome === 'shed', now);
 		if (outcome === 'shed') {
 			return;
 		}
 
+		if (outcome === 'well' && startedAt <= this.#lastFailureAt) {
+			return;
+		}
+
+		this.#lastFailureAt = outcome === 'well' ? this.#lastFailureAt : now;
 		this.#failureState.recordOutcome(outcome !== 'well', now);
 		this.#trialPauseMs = outcome === 'well' ? minTrialPauseMs : this.#trialPauseMs;
 		this.#nextTrialAt = outcome === 'well' ? now : this.#nextTrialAt;
@@ -108,6 +115,12 @@
 		return this.#isUnreachable || this.estimateFailingProbability(now) > maxFailingProbabilityRetryable;
 	}
 
+	/** True while the backend server is healthy enough for a request whose failure would, or would not, be followed by a retry. */
+	isFitFor({isRetryable}: Pick<AdmissionRequest, 'isRetryable'>, now: number): boolean {
+		const maxProbability = isRetryable ? maxFailingProbabilityRetryable : maxFailingProbabilityUnretryable;
+		return !this.#isUnreachable && this.estimateFailingProbability(now) <= maxProbability;
+	}
+
 	/** True while the backend server probably sheds load. */
 	isShedding(now: number): boolean {
 		return this.#shedding.estimateProbability(now) > sheddingProbabilityThreshold;
@@ -148,21 +161,21 @@
 
 	/**
 	 * A backend server that is failing or unreachable, or whose expected duration takes up the latency objective, gets one
-	 * trial at a time.
+	 * trial at a time. Requests that it began before its last failure don't delay a trial.
 	 */
-	#findHealthRefusal({isRetryable, objectiveMs}: AdmissionRequest, workMs: number, {running}: ServerLoad, now: number): Failure | undefined {
-		const failingProbability = this.estimateFailingProbability(now);
-		const isSlow = workMs > objectiveMs * maxObjectiveShare;
-		if (!isSlow && !this.#isUnreachable && failingProbability <= (isRetryable ? maxFailingProbabilityRetryable : maxFailingProbabilityUnretryable)) {
+	#findHealthRefusal(request: AdmissionRequest, workMs: number, {running}: ServerLoad, now: number): Failure | undefined {
+		const isSlow = workMs > request.objectiveMs * maxObjectiveShare;
+		if (!isSlow && this.isFitFor(request, now)) {
 			return undefined;
 		}
 
-		if (isRetryable && running.length === 0 && now >= this.#nextTrialAt) {
+		const isTried = running.some(({startedAt}) => startedAt > this.#lastFailureAt);
+		if (request.isRetryable && !isTried && now >= this.#nextTrialAt) {
 			this.#trialPauseMs = Math.min(maxTrialPauseMs, this.#trialPauseMs * 2);
 			this.#nextTrialAt = now + this.#trialPauseMs;
 			return undefined;
 		}
 
-		return createFailure('serverUnwell', `failing with probability ${failingProbability.toFixed(2)}, expected duration ${Math.round(workMs)} ms${this.#isUnreachable ? ', no connection' : ''}`);
+		return createFailure('serverUnwell', `failing with probability ${this.estimateFailingProbability(now).toFixed(2)}, expected duration ${Math.round(workMs)} ms${this.#isUnreachable ? ', no connection' : ''}`);
 	}
 }
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -1,7 +1,6 @@
 /** One backend server behind an admission gate: its slots, its priority queue and its connections. */
-import {Pool, type Dispatcher} from 'undici';
 import {
-	createFailure, formatAddress, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead, type ResultName,
+	createFailure, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
 import {
 	minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type ServerLoad, type ServerOutcome, type AdmissionRequest, type RunningRequest, type QueuedRequest,
@@ -10,8 +9,8 @@
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {isAcceptingConnections} from './address-probe.js';
-import {createBackendConnector} from './backend-connector.js';
 import {BackendExchange} from './backend-exchange.js';
+import {ServerConnections} from './server-connections.js';
 import {type ServerProtocol} from './server-protocol.js';
 
 /** Dependencies of a gated server. */
@@ -49,6 +48,8 @@
 
 /** A slot held for a request whose body is arriving; the timer refuses the request when the body takes too long. */
 type SlotReservation = RunningRequest & {
+	/** True when the request was admitted whatever the health of the backend server: a trial or a last resort. */
+	readonly isHealthIgnored: boolean;
 	readonly timer: NodeJS.Timeout;
 };
 
@@ -56,18 +57,10 @@
 type QueuedExchange = QueuedRequest & {
 	readonly exchange: BackendExchange;
 	readonly head: RequestHead;
+	readonly isHealthIgnored: boolean;
 	readonly timer: NodeJS.Timeout;
 };
 
-/** Time for which an idle connection is kept for repeatable requests, in milliseconds. */
-const repeatableKeepAliveMs = 4000;
-/**
- * The same for requests that must not be repeated. It is short because a request that is sent on a connection that has been
- * closed meanwhile is lost.
- */
-const unrepeatableKeepAliveMs = 400;
-/** Connect timeout, in milliseconds. It can be short because backend servers run on this node's own host. */
-const connectTimeoutMs = 1000;
 /** Priority of requests that carry none; lower numbers go first. */
 const defaultPriority = 1000;
 /** Gate outcomes of failures that mean something other than that the backend server lost work. All others count as `failed`. */
@@ -75,6 +68,11 @@
 /** Longest time for which a slot is reserved for a request whose body has not ended, in milliseconds. */
 const reservationTimeoutMs = 1000;
 
+/** True when a failure of this attempt would be followed by another one. */
+function isRetryable({isRepeatable, earlierAttempts = 0, maxAttempts = 1}: RequestHead): boolean {
+	return isRepeatable && earlierAttempts + 1 < maxAttempts;
+}
+
 /** Manages the slots of one backend server. No other object starts requests on it or decides whether a request ran. */
 export class GatedServer {
 	readonly #options: GatedServerOptions;
@@ -83,7 +81,7 @@
 	readonly #running = new Map<BackendExchange, RunningExchange>();
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
-	readonly #pools: {readonly repeatable: Pool; readonly unrepeatable: Pool};
+	readonly #connections: ServerConnections;
 	#announcement: AnnouncedServer;
 	#wasUnwell = false;
 	#wasShedding = false;
@@ -91,7 +89,7 @@
 	constructor(server: AnnouncedServer, options: GatedServerOptions) {
 		this.#options = options;
 		this.#announcement = server;
-		this.#pools = {repeatable: this.#createPool(repeatableKeepAliveMs), unrepeatable: this.#createPool(unrepeatableKeepAliveMs)};
+		this.#connections = new ServerConnections(server.address, this.#countSlots());
 		this.#gate.setCold(server.coldMs ?? 0, performance.now());
 	}
 
@@ -158,23 +156,13 @@
 	/** Refuses waiting requests, and closes the connections once the running requests have ended. */
 	async drain(): Promise<void> {
 		this.#refuseWaiting(createFailure('serverNotHere', `backend server ${this.#announcement.id} is no longer served by this node`));
-		await Promise.all(this.#listPools().map(async pool => pool.close()));
+		await this.#connections.close();
 	}
 
 	/** Refuses waiting requests, and closes the connections at once, which aborts running requests. */
 	async close(): Promise<void> {
 		this.#refuseWaiting(createFailure('serverNotHere', `backend server ${this.#announcement.id} is no longer served by this node`));
-		await Promise.all(this.#listPools().map(async pool => pool.destroy()));
-	}
-
-	#listPools(): readonly Dispatcher[] {
-		return Object.values(this.#pools);
-	}
-
-	#createPool(keepAliveMs: number): Pool {
-		return new Pool(`http://${formatAddress(this.#announcement.address)}`, {
-			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connect: createBackendConnector(connectTimeoutMs),
-		});
+		await this.#connections.destroy();
 	}
 
 	#countSlots(): number {
@@ -193,20 +181,21 @@
 		const request = {
 			route: head.route ?? '',
 			priority,
-			isRetryable: head.isRepeatable && earlierAttempts + 1 < (head.maxAttempts ?? 1),
+			isRetryable: isRetryable(head),
 			remainingMs,
 			objectiveMs: head.objectiveMs ?? remainingMs,
 			patienceMs: head.patienceMs ?? remainingMs,
 			isLastResort: head.isLastResort ?? false,
 			...(head.cause !== undefined && {cause: head.cause}),
 		};
+		const isHealthIgnored = request.isLastResort || !this.#gate.isFitFor(request, performance.now());
 		const refusal = this.#findRefusal(request, earlierAttempts);
 		if (refusal) {
 			this.#refuseExchange(exchange, head, refusal);
 			return;
 		}
 
-		this.#reserveSlot(exchange, head);
+		this.#reserveSlot(exchange, head, isHealthIgnored);
 		queueMicrotask(() => {
 			handler.handleAccepted?.();
 		});
@@ -215,11 +204,12 @@
 		}
 	}
 
-	#reserveSlot(exchange: BackendExchange, head: RequestHead): void {
+	#reserveSlot(exchange: BackendExchange, head: RequestHead, isHealthIgnored: boolean): void {
 		const startedAt = performance.now();
 		this.#reservations.set(exchange, {
 			startedAt,
 			workMs: this.#gate.estimateWork(head.route ?? '', startedAt),
+			isHealthIgnored,
 			timer: setTimeout(() => {
 				this.#removeExchange(exchange);
 				this.#refuseExchange(exchange, head, createFailure('queueDeadline', `the request body did not end within ${reservationTimeoutMs} ms`));
@@ -235,13 +225,33 @@
 
 		clearTimeout(reservation.timer);
 		this.#reservations.delete(exchange);
-		if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
+		const {isHealthIgnored} = reservation;
+		if (this.#isUnfit({head, isHealthIgnored})) {
+			this.#refuseUnfit(exchange, head);
+		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
 			this.#start(exchange, head);
 		} else {
-			this.#enqueue(exchange, head);
+			this.#enqueue(exchange, head, isHealthIgnored);
 		}
 	}
 
+	/** True when the backend server has begun to fail since the request was admitted. */
+	#isUnfit({head, isHealthIgnored}: Pick<QueuedExchange, 'head' | 'isHealthIgnored'>): boolean {
+		return !isHealthIgnored && !this.#gate.isFitFor({isRetryable: isRetryable(head)}, performance.now());
+	}
+
+	#refuseUnfit(exchange: BackendExchange, head: RequestHead): void {
+		this.#refuseExchange(exchange, head, createFailure('serverUnwell', `backend server ${this.#announcement.id} began to fail while the request waited`));
+	}
+
+	/** Refuses the queued requests that a failing backend server would lose; as they have not run, they go on elsewhere. */
+	#refuseQueuedUnfit(): void {
+		this.#queue.list().filter(queuedExchange => this.#isUnfit(queuedExchange)).forEach(queuedExchange => {
+			this.#removeQueued(queuedExchange);
+			this.#refuseUnfit(queuedExchange.exchange, queuedExchange.head);
+		});
+	}
+
 	#removeExchange(exchange: BackendExchange): void {
 		clearTimeout(this.#reservations.get(exchange)?.timer);
 		this.#reservations.delete(exchange);
@@ -270,7 +280,7 @@
 		return this.#options.retries.takeRetry(false, now) ? undefined : createFailure('retriesSpent', `the retry budget does not allow attempt ${earlierAttempts + 1}`);
 	}
 
-	#enqueue(exchange: BackendExchange, head: RequestHead): void {
+	#enqueue(exchange: BackendExchange, head: RequestHead, isHealthIgnored: boolean): void {
 		const {priority = defaultPriority} = head;
 		const remainingMs = exchange.getRemainingMs();
 		const now = performance.now();
@@ -279,6 +289,7 @@
 		const queuedExchange: QueuedExchange = {
 			exchange,
 			head,
+			isHealthIgnored,
 			priority,
 			workMs,
 			dueAt: now + (head.objectiveMs ?? remainingMs),
@@ -316,12 +327,12 @@
 		const now = performance.now();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
 		const overdueTimer = setTimeout(() => {
-			this.#recordGateOutcome('failed');
+			this.#recordGateOutcome('failed', now);
 		}, Math.max(minOverdueMs, workMs * overdueFactor));
 		this.#running.set(exchange, {
 			exchange, head, startedAt: now, workMs, overdueTimer,
 		});
-		exchange.start(head.isRepeatable ? this.#pools.repeatable : this.#pools.unrepeatable);
+		exchange.start(this.#connections.select(head.isRepeatable));
 	}
 
 	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
@@ -343,18 +354,18 @@
 	}
 
 	/** A request that was cancelled or timed out says nothing about the backend server's health. */
-	#recordOutcome({head}: RunningExchange, {kind, durationMs}: WorkOutcome, failure: Failure | undefined): void {
+	#recordOutcome({head, startedAt}: RunningExchange, {kind, durationMs}: WorkOutcome, failure: Failure | undefined): void {
 		if (kind === 'answered') {
 			this.#gate.recordWork(head.route ?? '', durationMs);
-			this.#recordGateOutcome('well');
+			this.#recordGateOutcome('well', startedAt);
 		} else if (kind === 'failed') {
-			this.#recordGateOutcome(gateOutcomesByFailure.get(failure?.name) ?? 'failed');
+			this.#recordGateOutcome(gateOutcomesByFailure.get(failure?.name) ?? 'failed', startedAt);
 		}
 	}
 
-	#recordGateOutcome(outcome: ServerOutcome): void {
+	#recordGateOutcome(outcome: ServerOutcome, startedAt: number): void {
 		const now = performance.now();
-		this.#gate.recordOutcome(outcome, now);
+		this.#gate.recordOutcome(outcome, now, startedAt);
 		const isUnwell = this.#gate.isUnwell(now);
 		if (isUnwell !== this.#wasUnwell) {
 			this.#wasUnwell = isUnwell;
@@ -366,6 +377,8 @@
 			this.#wasShedding = isShedding;
 			this.#options.reportShedding(isShedding);
 		}
+
+		this.#refuseQueuedUnfit();
 	}
 
 	#startNext(): void {
