Judge a backend server by its own failures, not by those of its calls

A view makes 1.4 calls; one whose call failed elsewhere counted against the server that answered 500 because of it, and one that waited for its call counted as stalled.

Change: the node knows the calls that its backend server makes. The server error of a request with a failed call is no evidence, nor is a long run while a call is in progress. Outcomes and calls have modules of their own.

--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -241,6 +241,50 @@
 			});
 		});
 
+		describe('that fail elsewhere', () => {
+			const answerServerError: RawResponder = (socket, text) => {
+				socket.write(formatRawResponse(text, {status: 500}));
+			};
+
+			async function sendWithCall(isServed: boolean): Promise<void> {
+				const {egress, send, backend} = fixture;
+				const count = backend.requests.length;
+				const running = send({requestId: `r-${count}`});
+				await waitFor(() => backend.requests.length > count);
+				egress.recordCallStart(`r-${count}.5f`);
+				egress.recordCallEnd(`r-${count}.5f`, isServed);
+				await running;
+			}
+
+			const delayAnswer: RawResponder = (socket, text) => {
+				setTimeout(() => {
+					answerServerError(socket, text);
+				}, 20);
+			};
+
+			it('are not held against the backend server that answers with a server error because of them', async () => {
+				const {egress} = await startFixture(delayAnswer);
+				await sendWithCall(false);
+				await sendWithCall(false);
+				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: false});
+			});
+
+			it('excuse no server error of a request whose calls were served', async () => {
+				const {egress} = await startFixture(delayAnswer);
+				await sendWithCall(true);
+				await sendWithCall(true);
+				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: true});
+			});
+
+			it('excuse no server error of another request', async () => {
+				const {egress, send} = await startFixture(delayAnswer);
+				await sendWithCall(false);
+				await send({requestId: 'other-1'});
+				await send({requestId: 'other-2'});
+				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: true});
+			});
+		});
+
 		it('are no longer recognised once the request that caused them has ended', async () => {
 			const {egress, send} = await startFixture(answerComplete);
 			await send();
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -1,9 +1,9 @@
 /** One backend server behind an admission gate: its slots, its priority queue and its connections. */
 import {
-	createFailure, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead, type ResultName,
+	createFailure, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
 } from '@limpetbarrow/core';
 import {
-	minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type ServerLoad, type ServerOutcome, type AdmissionRequest, type RunningRequest, type QueuedRequest,
+	minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type ServerLoad, type AdmissionRequest, type RunningRequest, type QueuedRequest,
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type RetryPolicy} from '@limpetbarrow/choose';
@@ -11,19 +11,16 @@
 import {isAcceptingConnections} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
 import {ServerConnections} from './server-connections.js';
+import {ServerOutcomes, type ServerStateHandler} from './server-outcomes.js';
 import {type ServerProtocol} from './server-protocol.js';
 
 /** Dependencies of a gated server. */
-export type GatedServerOptions = {
+export type GatedServerOptions = ServerStateHandler & {
 	readonly protocol: ServerProtocol;
 	/** Budget for retries to this backend server. */
 	readonly retries: RetryPolicy;
 	/** Called when a response shows that another backend server runs at the address. */
 	readonly handleReplaced: () => void;
-	/** Called when the gate's estimate of the backend server's health changes; `sickness` is a probability. */
-	readonly reportHealth: (isUnwell: boolean, sickness: number) => void;
-	/** Called when the backend server starts to reject a large part of its work, and when it accepts work again. */
-	readonly reportShedding: (isShedding: boolean) => void;
 	/** Called after each exchange with the backend server that has an outcome. */
 	readonly reportExchange: (head: RequestHead, report: ExchangeReport) => void;
 	/** Called with each request that was refused here or failed at the backend server. */
@@ -63,8 +60,6 @@
 
 /** Priority of requests that carry none; lower numbers go first. */
 const defaultPriority = 1000;
-/** Gate outcomes of failures that mean something other than that the backend server lost work. All others count as `failed`. */
-const gateOutcomesByFailure: ReadonlyMap<ResultName | undefined, ServerOutcome> = new Map([['serverRefused', 'unreachable'], ['serverShed', 'shed']]);
 /** Longest time for which a slot is reserved for a request whose body has not ended, in milliseconds. */
 const reservationTimeoutMs = 1000;
 
@@ -77,18 +72,18 @@
 export class GatedServer {
 	readonly #options: GatedServerOptions;
 	readonly #gate = new AdmissionController(performance.now());
+	readonly #outcomes: ServerOutcomes;
 	readonly #queue = new WaitQueue<QueuedExchange>();
 	readonly #running = new Map<BackendExchange, RunningExchange>();
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
 	readonly #connections: ServerConnections;
 	#announcement: AnnouncedServer;
-	#wasUnwell = false;
-	#wasShedding = false;
 
 	constructor(server: AnnouncedServer, options: GatedServerOptions) {
 		this.#options = options;
 		this.#announcement = server;
+		this.#outcomes = new ServerOutcomes(this.#gate, options);
 		this.#connections = new ServerConnections(server.address, this.#countSlots());
 		this.#gate.setCold(server.coldMs ?? 0, performance.now());
 	}
@@ -137,6 +132,22 @@
 		return [...this.#running.values()].find(({head}) => requestId.length > head.requestId.length && requestId.startsWith(head.requestId))?.head;
 	}
 
+	/** Records that the backend server began a call for one of its running requests. */
+	recordCallStart(callId: string): void {
+		const parent = this.findParentRequest(callId);
+		if (parent) {
+			this.#outcomes.calls.recordStart(parent.requestId);
+		}
+	}
+
+	/** Records that such a call ended. */
+	recordCallEnd(callId: string, isServed: boolean): void {
+		const parent = this.findParentRequest(callId);
+		if (parent) {
+			this.#outcomes.calls.recordEnd(parent.requestId, isServed);
+		}
+	}
+
 	/** Number of requests that are running, waiting, or whose body is arriving. */
 	countRequests(): number {
 		return this.#running.size + this.#queue.count() + this.#reservations.size;
@@ -327,7 +338,8 @@
 		const now = performance.now();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
 		const overdueTimer = setTimeout(() => {
-			this.#recordGateOutcome('failed', now);
+			this.#outcomes.recordOverdue({head, startedAt: now});
+			this.#refuseQueuedUnfit();
 		}, Math.max(minOverdueMs, workMs * overdueFactor));
 		this.#running.set(exchange, {
 			exchange, head, startedAt: now, workMs, overdueTimer,
@@ -346,41 +358,14 @@
 		if (failure?.name === 'serverReplaced') {
 			this.#options.handleReplaced();
 		} else if (finished && outcome) {
-			this.#recordOutcome(finished, outcome, failure);
+			this.#outcomes.recordEnd(finished, outcome, failure);
+			this.#refuseQueuedUnfit();
 			this.#options.reportExchange(finished.head, {outcome: outcome.kind, ms: Math.round(outcome.durationMs), sickness: this.#gate.estimateFailingProbability(performance.now())});
 		}
 
 		this.#startNext();
 	}
 
-	/** A request that was cancelled or timed out says nothing about the backend server's health. */
-	#recordOutcome({head, startedAt}: RunningExchange, {kind, durationMs}: WorkOutcome, failure: Failure | undefined): void {
-		if (kind === 'answered') {
-			this.#gate.recordWork(head.route ?? '', durationMs);
-			this.#recordGateOutcome('well', startedAt);
-		} else if (kind === 'failed') {
-			this.#recordGateOutcome(gateOutcomesByFailure.get(failure?.name) ?? 'failed', startedAt);
-		}
-	}
-
-	#recordGateOutcome(outcome: ServerOutcome, startedAt: number): void {
-		const now = performance.now();
-		this.#gate.recordOutcome(outcome, now, startedAt);
-		const isUnwell = this.#gate.isUnwell(now);
-		if (isUnwell !== this.#wasUnwell) {
-			this.#wasUnwell = isUnwell;
-			this.#options.reportHealth(isUnwell, this.#gate.estimateFailingProbability(now));
-		}
-
-		const isShedding = this.#gate.isShedding(now);
-		if (isShedding !== this.#wasShedding) {
-			this.#wasShedding = isShedding;
-			this.#options.reportShedding(isShedding);
-		}
-
-		this.#refuseQueuedUnfit();
-	}
-
 	#startNext(): void {
 		const now = performance.now();
 		this.#queue.removeExpired(now).forEach(queuedExchange => {
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -78,6 +78,20 @@
 		return (parent.earlierAttempts ?? 0) > 0 || parent.cause === 'repeatedCall' ? 'repeatedCall' : 'call';
 	}
 
+	/** Records that the backend server of this host began a call for a request that it runs. */
+	recordCallStart(callId: string): void {
+		this.#listAllServers().forEach(server => {
+			server.recordCallStart(callId);
+		});
+	}
+
+	/** Records that such a call ended; `isServed` is false if it failed or was given up. */
+	recordCallEnd(callId: string, isServed: boolean): void {
+		this.#listAllServers().forEach(server => {
+			server.recordCallEnd(callId, isServed);
+		});
+	}
+
 	/** Records of the backend servers, as published in the node's record. */
 	listServers(): readonly ServerRecord[] {
 		return [...this.#localServers.values()].map(({announcement}) => toServerRecord(announcement));
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -18,6 +18,9 @@
 	readonly findEgress: FindEgress;
 	/** Returns the load of a backend server on this host for a request of that priority and route. */
 	readonly findLocalLoad: (serverId: string, priority: number | undefined, route: string | undefined) => LoadHint | undefined;
+	/** Called when the backend server of this host begins a call, and when the call has ended. */
+	readonly recordCallStart?: (requestId: string) => void;
+	readonly recordCallEnd?: (requestId: string, isServed: boolean) => void;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	/** Returns a random number from 0 to below 1. */
@@ -53,11 +56,18 @@
 			metrics: this.#options.metrics,
 			logger: this.#options.logger,
 			pickRandom: this.#pickRandom,
-			handleFinished: () => {
+			handleFinished: isServed => {
 				this.#openExchanges.delete(exchange);
+				if (head.cause !== undefined) {
+					this.#options.recordCallEnd?.(head.requestId, isServed);
+				}
 			},
 		});
 		this.#openExchanges.add(exchange);
+		if (head.cause !== undefined) {
+			this.#options.recordCallStart?.(head.requestId);
+		}
+
 		return exchange;
 	}
 
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -22,8 +22,8 @@
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	readonly pickRandom: () => number;
-	/** Called once, when the request has an answer or a failure, or was given up. */
-	readonly handleFinished: () => void;
+	/** Called once, when the request has ended; `isServed` is false if it failed, was answered by a server error or given up. */
+	readonly handleFinished: (isServed: boolean) => void;
 };
 
 const minServerErrorStatus = 500;
@@ -92,7 +92,7 @@
 
 	override cancel(): void {
 		if (!this.#isFinished) {
-			this.#finish();
+			this.#finish(false);
 			this.#logEnd('requestGivenUp', 0);
 		}
 	}
@@ -341,7 +341,7 @@
 	}
 
 	#forwardResponse(response: BufferedResponse): void {
-		this.#finish();
+		this.#finish(response.getStatus() < minServerErrorStatus);
 		this.#logEnd('requestAnswered', response.getStatus());
 		response.startForwarding(this.#handler);
 		this.#handler.handleEnd();
@@ -361,19 +361,19 @@
 	}
 
 	#fail(failure: Failure): void {
-		this.#finish();
+		this.#finish(false);
 		this.#logEnd('requestRefused', failure.status, failure);
 		queueMicrotask(() => {
 			this.#handler.handleFailure(failure);
 		});
 	}
 
-	#finish(): void {
+	#finish(isServed: boolean): void {
 		this.#isFinished = true;
 		this.#attempts.forEach(attempt => {
 			this.#cancelAttempt(attempt);
 		});
-		this.#options.handleFinished();
+		this.#options.handleFinished(isServed);
 	}
 
 	#cancelAttempt({candidate, exchange, response}: Attempt): void {
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -264,6 +264,12 @@
 			directory: this.#directory,
 			findEgress: nodeId => nodeId === self.id ? this.#egress : this.#findLink(nodeId),
 			findLocalLoad: (serverId, priority, route) => this.#egress.findLoad(serverId, priority, route),
+			recordCallStart: requestId => {
+				this.#egress.recordCallStart(requestId);
+			},
+			recordCallEnd: (requestId, isServed) => {
+				this.#egress.recordCallEnd(requestId, isServed);
+			},
 			metrics: this.#metrics,
 			logger,
 		});
