Pause and ask again in place of a blind last resort

Change: a request that all servers asked have refused pauses for 0.15 s, doubling to 1 s, and asks again while half of its objective is left; the last resort comes only then. At most 256 requests of a node pause. A caller that leaves, a planned stop and too many pauses each end it, as not run.

--- a/packages/choose/src/index.ts
+++ b/packages/choose/src/index.ts
@@ -9,3 +9,4 @@
 export * from './traffic-split.js';
 export * from './windowed-retry-budget.js';
 export * from './spillover.js';
+export * from './pause.js';
--- a/packages/node/src/load-tracker.ts
+++ b/packages/node/src/load-tracker.ts
@@ -1,5 +1,5 @@
 /** Load of the backend servers as observed by this node. */
-import {type LoadHint} from '@limpetbarrow/core';
+import {type Failure, type LoadHint} from '@limpetbarrow/core';
 import {type LoadView} from '@limpetbarrow/choose';
 
 type TimedHint = {
@@ -39,6 +39,18 @@
 		}
 	}
 
+	/** Records what the refusal of a request says of the backend server's load. */
+	recordRefusal(serverId: string, {name, retryAfterMs}: Failure): void {
+		const noSlots = {serverId, freeSlots: 0, queued: 0};
+		if (retryAfterMs !== undefined) {
+			this.recordHint({...noSlots, waitMs: retryAfterMs});
+		} else if (name === 'serverUnwell') {
+			this.recordHint({...noSlots, isUnwell: true});
+		} else if (name === 'serverShed') {
+			this.recordHint({...noSlots, isShedding: true});
+		}
+	}
+
 	recordHint(hint: LoadHint): void {
 		this.#hints.delete(hint.serverId);
 		const recordedAt = performance.now();
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -7,6 +7,7 @@
 } from '@limpetbarrow/choose';
 import {type FindEgress} from './forwarder.js';
 import {LoadTracker} from './load-tracker.js';
+import {PausedRequests} from './paused-requests.js';
 import {RoutedExchange} from './routed-exchange.js';
 import {type RoutedRequest} from './routed-request.js';
 import {type ServerDirectory} from './server-directory.js';
@@ -38,21 +39,25 @@
 	readonly #options: RequestRouterOptions;
 	readonly #loadTracker = new LoadTracker();
 	readonly #pathHealth = new PathHealth(maxPathBackOffMs);
+	readonly #pausedRequests: PausedRequests;
 	readonly #pickRandom: () => number;
 	readonly #openExchanges = new Set<RoutedExchange>();
 
 	constructor(options: RequestRouterOptions) {
 		super();
 		this.#options = options;
+		this.#pausedRequests = new PausedRequests(options.metrics);
 		this.#pickRandom = options.pickRandom ?? Math.random;
 	}
 
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
 		const exchange: RoutedExchange = new RoutedExchange(head, handler, {
 			chooseNextStep: request => this.#chooseNextStep(request),
+			hasCandidate: request => this.#listCandidates(request).length > 0,
 			findEgress: this.#options.findEgress,
 			loadTracker: this.#loadTracker,
 			pathHealth: this.#pathHealth,
+			pausedRequests: this.#pausedRequests,
 			metrics: this.#options.metrics,
 			logger: this.#options.logger,
 			pickRandom: this.#pickRandom,
@@ -79,18 +84,20 @@
 	}
 
 	#chooseNextStep(request: RoutedRequest): SpilloverChoice | undefined {
-		const {directory} = this.#options;
 		const {head} = request;
 		const now = performance.now();
-		const candidates = directory.listCandidates(head.service)
-			.filter(({server}) => server.state !== 'leaving' && request.isEligible(server.id));
-		const views = this.#selectReachable(candidates, now).map(candidate => this.#createSpillView(candidate, request));
+		const views = this.#selectReachable(this.#listCandidates(request), now).map(candidate => this.#createSpillView(candidate, request));
 		const objectiveMs = head.objectiveMs ?? head.remainingMs;
 		return chooseNextServer(views, {
 			isRetryable: head.isRepeatable && request.hasAttemptLeftAfterNext(), objectiveMs, objectiveLeftMs: objectiveMs - request.getElapsedMs(now),
 		}, this.#pickRandom);
 	}
 
+	/** Lists the backend servers that may take the request, also those that can't be reached now. */
+	#listCandidates(request: RoutedRequest): readonly Candidate[] {
+		return this.#options.directory.listCandidates(request.head.service).filter(({server}) => server.state !== 'leaving' && request.isEligible(server.id));
+	}
+
 	/**
 	 * Selects the candidates on healthy paths. An isolated node uses only its own host; if all paths have failed recently, no
 	 * candidate is excluded, as none is better than another.
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -9,6 +9,7 @@
 import {BufferedResponse} from './buffered-response.js';
 import {type FindEgress} from './forwarder.js';
 import {type LoadTracker} from './load-tracker.js';
+import {type PausedRequests} from './paused-requests.js';
 import {replaceFramingHeaders} from './request-body.js';
 import {logRequestEnd, type RequestEndEvent} from './request-log.js';
 import {isUndelivered, RoutedRequest} from './routed-request.js';
@@ -16,9 +17,12 @@
 /** Dependencies of a request's attempts. */
 export type RoutedExchangeOptions = {
 	readonly chooseNextStep: (request: RoutedRequest) => SpilloverChoice | undefined;
+	/** True when a backend server is known that may still take the request, whether or not it can be reached now. */
+	readonly hasCandidate: (request: RoutedRequest) => boolean;
 	readonly findEgress: FindEgress;
 	readonly loadTracker: LoadTracker;
 	readonly pathHealth: PathHealth;
+	readonly pausedRequests: PausedRequests;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	readonly pickRandom: () => number;
@@ -45,6 +49,8 @@
 	#isFinished = false;
 	/** The attempt whose response is being streamed to the caller. */
 	#selectedAttempt: Attempt | undefined;
+	/** Ends the pause in progress. */
+	#endPause: (() => void) | undefined;
 	/** The first server error, which is forwarded if no other attempt succeeds. */
 	#fallbackResponse: BufferedResponse | undefined;
 
@@ -135,12 +141,31 @@
 		const now = performance.now();
 		const remainingMs = this.#request.getRemainingMs(now);
 		const step = remainingMs > minRemainingMs ? this.#options.chooseNextStep(this.#request) : undefined;
-		if (!step || !this.#request.hasStepLeft(step.isLastResort)) {
+		const isStepLeft = step !== undefined && this.#request.hasStepLeft(step.isLastResort);
+		if (isStepLeft && !step.isLastResort) {
+			this.#openAttempt(step, remainingMs);
+		} else if (this.#attempts.length === 0 && this.#startPause(now)) {
+			// The backend servers are asked again after the pause.
+		} else if (isStepLeft && this.#attempts.length === 0) {
+			this.#openAttempt(step, remainingMs);
+		} else {
 			this.#finishWithoutAttempts();
-			return;
+		}
+	}
+
+	/** Starts a pause if there is time for one and another attempt may follow. Returns whether it did. */
+	#startPause(now: number): boolean {
+		const mayPause = this.#isReplayable() && this.#request.hasAttemptLeft() && this.#options.hasCandidate(this.#request);
+		const pauseMs = mayPause ? this.#request.choosePause(now, this.#options.pickRandom()) : undefined;
+		if (pauseMs !== undefined) {
+			this.#endPause = this.#options.pausedRequests.start(pauseMs, () => {
+				this.#endPause = undefined;
+				this.#request.recordPause(performance.now());
+				this.#openNextAttempt();
+			});
 		}
 
-		this.#openAttempt(step, remainingMs);
+		return this.#endPause !== undefined;
 	}
 
 	#openAttempt({candidate, tier, patienceMs, isLastResort}: SpilloverChoice, remainingMs: number): void {
@@ -289,45 +314,19 @@
 			return;
 		}
 
-		if (failure.retryAfterMs !== undefined) {
-			this.#options.loadTracker.recordHint({
-				serverId: server.id, freeSlots: 0, queued: 0, waitMs: failure.retryAfterMs,
-			});
-		} else if (failure.name === 'serverUnwell' || failure.name === 'serverShed') {
-			this.#options.loadTracker.recordHint({
-				serverId: server.id, freeSlots: 0, queued: 0, ...(failure.name === 'serverShed' ? {isShedding: true} : {isUnwell: true}),
-			});
-		}
-
+		this.#options.loadTracker.recordRefusal(server.id, failure);
 		if (this.#attempts.length > 0 && !isUndelivered(failure)) {
 			return;
 		}
 
-		if (this.#takeRetry(failure)) {
+		if (this.#isReplayable() && this.#request.isRetriedAfter(failure)) {
+			this.#options.metrics.addCount('ingress_retries_total', isUndelivered(failure) ? 0 : 1);
 			this.#openNextAttempt();
 		} else {
 			this.#finishWithoutAttempts();
 		}
 	}
 
-	#takeRetry(failure: Failure): boolean {
-		if (!this.#isReplayable()) {
-			return false;
-		}
-
-		if (isUndelivered(failure)) {
-			return true;
-		}
-
-		const isSafe = failure.ran === 'not-run' || this.#head.isRepeatable;
-		const isRetried = isSafe && this.#request.hasAttemptLeft();
-		if (isRetried) {
-			this.#options.metrics.addCount('ingress_retries_total');
-		}
-
-		return isRetried;
-	}
-
 	/** Selects an attempt whose response exceeds the buffer: cancels the others and starts to stream the response. */
 	#selectAttempt(response: BufferedResponse): void {
 		const selected = this.#attempts.find(attempt => attempt.response === response);
@@ -370,6 +369,7 @@
 
 	#finish(isServed: boolean): void {
 		this.#isFinished = true;
+		this.#endPause?.();
 		this.#attempts.forEach(attempt => {
 			this.#cancelAttempt(attempt);
 		});
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -2,7 +2,7 @@
 import {
 	createFailure, type Failure, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
-import {type Tier} from '@limpetbarrow/choose';
+import {choosePause, type Tier} from '@limpetbarrow/choose';
 
 /** Failures that occur before a backend server has received the request. */
 const undeliveredFailures: ReadonlySet<ResultName> = new Set([
@@ -43,6 +43,7 @@
 	#firstUnknownFailure: Failure | undefined;
 	#lastFailure: Failure | undefined;
 	#trace: readonly string[] = [];
+	#pauseCount = 0;
 
 	constructor(head: RequestHead, now: number) {
 		this.head = head;
@@ -83,6 +84,11 @@
 		return this.#attemptedServerIds.size < (this.head.maxAttempts ?? defaultMaxAttempts);
 	}
 
+	/** True when the request may be sent again after the failure. */
+	isRetriedAfter(failure: Failure): boolean {
+		return isUndelivered(failure) || ((failure.ran === 'not-run' || this.head.isRepeatable) && this.hasAttemptLeft());
+	}
+
 	/** True when the request could be sent to yet another backend server after the next one. */
 	hasAttemptLeftAfterNext(): boolean {
 		return this.#attemptedServerIds.size + 1 < (this.head.maxAttempts ?? defaultMaxAttempts);
@@ -93,6 +99,21 @@
 		return this.#stepCount < maxSteps && this.#retriesSpentServerIds.size < maxRetriesSpentRefusals && !(isLastResort && this.#lastResortCount >= maxLastResorts);
 	}
 
+	/** Chooses the length of a pause before the backend servers are asked again; undefined if there is no time for one. */
+	choosePause(now: number, random: number): number | undefined {
+		const {objectiveMs = this.head.remainingMs} = this.head;
+		return choosePause({remainingMs: this.getRemainingMs(now), objectiveMs, pauses: this.#pauseCount}, random);
+	}
+
+	/** Records the end of a pause: refusals from before it no longer count. */
+	recordPause(now: number): void {
+		this.#pauseCount++;
+		this.#stepCount = 0;
+		this.#refusalCounts.clear();
+		this.#retriesSpentServerIds = new Set();
+		this.#trace = [...this.#trace, `pause@${Math.round(this.getElapsedMs(now))}`];
+	}
+
 	recordStep(serverId: string, tier: Tier, isLastResort: boolean): void {
 		this.#stepCount++;
 		this.#tierLabels.set(serverId, isLastResort ? `${tier}!` : tier);
