Ask each server once before a pause; take work while a stop begins

Change: six servers are asked, each once, and one again only for a wait that it has stated and the request can accept. A stopping node takes work from others for the 1.5 s in which these learn of the stop; it ends no later for that, as it serves its callers for 3 s.

--- a/packages/choose/src/spillover.ts
+++ b/packages/choose/src/spillover.ts
@@ -43,6 +43,8 @@
 	readonly objectiveMs: number;
 	/** Time left of the objective, in milliseconds; negative once the answer is late. */
 	readonly objectiveLeftMs: number;
+	/** Time left until the deadline, in milliseconds. */
+	readonly remainingMs: number;
 };
 
 /** Cost of the distance to a candidate, as a share of the objective and as a network delay in milliseconds. */
@@ -69,8 +71,8 @@
 const minPatienceShare = 0.04;
 /** Refusals by one backend server, and in total, after which only a last resort is left. */
 const maxRefusalsPerServer = 2;
-const maxRefusals = 4;
-/** Share of the time left of the objective that a request may take to wait and run. */
+const maxRefusals = 6;
+/** Share of the time left of the objective, or until the deadline for a last resort, that a request may take to wait and run. */
 const maxWaitShare = 0.9;
 /** Random spread of the costs of equal candidates, as a share of the objective, so that nodes don't all choose the same one. */
 const jitterShare = 0.02;
@@ -98,6 +100,11 @@
 	return (view.waitMs ?? assumedWaitMs) + extraWorkMs + delayMs + (objectiveMs * (share + healthShare + (view.tier === 'host' ? 0 : jitter * jitterShare)));
 }
 
+/** True for a candidate that has not refused the request, or has refused it for a wait that the request can accept by now. */
+function isWorthAsking({refusals, isUnwell, waitMs = Number.POSITIVE_INFINITY}: SpilloverCandidate, maxWaitMs: number): boolean {
+	return refusals === 0 || (refusals < maxRefusalsPerServer && !isUnwell && waitMs <= maxWaitMs);
+}
+
 /** Chooses the server for the next attempt; undefined when no candidate is left. `pickRandom` returns 0 to below 1. */
 export function chooseNextServer(views: readonly SpilloverCandidate[], request: SpilloverRequest, pickRandom: () => number): SpilloverChoice | undefined {
 	const defaults = computeEstimateDefaults(views);
@@ -105,20 +112,21 @@
 		.map(view => ({view, cost: computeCost(view, request, defaults, pickRandom())}))
 		.toSorted((a, b) => a.cost - b.cost);
 	const refusals = views.reduce((sum, view) => sum + view.refusals, 0);
-	const eligible = refusals >= maxRefusals ? [] : ranked.filter(({view}) => view.refusals < maxRefusalsPerServer && !(view.isUnwell && view.refusals > 0));
-	const [first, second] = eligible;
 	const maxWaitMs = Math.max(0, (request.objectiveLeftMs * maxWaitShare) - defaults.shortestWorkMs);
+	const eligible = refusals >= maxRefusals ? [] : ranked.filter(({view}) => isWorthAsking(view, maxWaitMs));
+	const [first, second] = eligible;
 	if (first) {
 		const waitMs = first.view.waitMs ?? defaults.assumedWaitMs;
 		const breakEvenWaitMs = second ? second.cost - first.cost + waitMs : maxWaitMs;
-		const patienceMs = Math.min(maxWaitMs, Math.max(breakEvenWaitMs, waitMs, request.objectiveMs * minPatienceShare));
+		const patienceMs = Math.min(maxWaitMs, Math.max(breakEvenWaitMs, waitMs + (request.objectiveMs * minPatienceShare)));
 		return {
 			candidate: first.view.candidate, tier: first.view.tier, patienceMs, isLastResort: false,
 		};
 	}
 
-	const lastResort = ranked.find(({view}) => view.refusals <= maxRefusalsPerServer && (view.waitMs ?? 0) <= maxWaitMs);
+	const maxLateWaitMs = Math.max(0, (request.remainingMs * maxWaitShare) - defaults.shortestWorkMs);
+	const lastResort = ranked.find(({view}) => view.refusals <= maxRefusalsPerServer && (view.waitMs ?? 0) <= maxLateWaitMs);
 	return lastResort && {
-		candidate: lastResort.view.candidate, tier: lastResort.view.tier, patienceMs: maxWaitMs, isLastResort: true,
+		candidate: lastResort.view.candidate, tier: lastResort.view.tier, patienceMs: maxLateWaitMs, isLastResort: true,
 	};
 }
--- a/packages/node/src/__tests__/host-egress-fixture.ts
+++ b/packages/node/src/__tests__/host-egress-fixture.ts
@@ -97,7 +97,7 @@
 		protocol: new VerifyingServerProtocol(testServerHeaders),
 		createRetries,
 		listFleetMarks: () => [],
-		isStopping: () => false,
+		isTakingWork: () => true,
 		metrics: new MetricRegistry(),
 		logger,
 	});
--- a/packages/node/src/__tests__/unit/planned-stop.test.ts
+++ b/packages/node/src/__tests__/unit/planned-stop.test.ts
@@ -22,6 +22,10 @@
 		return this.servers;
 	}
 
+	override stopTakingWork(): void {
+		this.steps.push('stopTakingWork');
+	}
+
 	override countConnections(): number {
 		return this.connections;
 	}
@@ -70,15 +74,23 @@
 		expect(node.steps).to.deep.equal(['startStopping']);
 		node.servers = 0;
 		await clock.tickAsync(handoverPropagationMs + 100);
-		expect(node.steps).to.deep.equal(['startStopping', 'stopListening']);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopTakingWork', 'stopListening']);
+	});
+
+	it('takes work from other nodes until they have learnt of the stop, and none after that', async () => {
+		node.servers = 0;
+		await clock.tickAsync(handoverPropagationMs - 100);
+		expect(node.steps).to.deep.equal(['startStopping']);
+		await clock.tickAsync(200);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopTakingWork']);
 	});
 
 	it('listens while callers have open connections, up to the lame-duck time', async () => {
 		node.servers = 0;
 		await clock.tickAsync(times.lameDuckMs - 100);
-		expect(node.steps).to.deep.equal(['startStopping']);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopTakingWork']);
 		await clock.tickAsync(200);
-		expect(node.steps).to.deep.equal(['startStopping', 'stopListening']);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopTakingWork', 'stopListening']);
 	});
 
 	it('ends only once no request is in progress', async () => {
@@ -95,9 +107,9 @@
 		node.servers = 0;
 		node.connections = 0;
 		await clock.tickAsync(times.stopTimeoutMs - finalResponsesMs - 100);
-		expect(node.steps).to.deep.equal(['startStopping', 'stopListening']);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopTakingWork', 'stopListening']);
 		await clock.tickAsync(200);
-		expect(node.steps).to.deep.equal(['startStopping', 'stopListening', 'failRequests']);
+		expect(node.steps).to.deep.equal(['startStopping', 'stopTakingWork', 'stopListening', 'failRequests']);
 		expect(result).to.equal(false);
 	});
 
--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -233,12 +233,17 @@
 			expect(failure?.retryAfterMs).to.be.within(150, 2250);
 		});
 
-		it('asks a backend server without retry budget only once', async () => {
+		it('asks a backend server without retry budget only once before a pause', async () => {
 			openRequest();
 			getAttempts('near')[0]!.handler.handleFailure(createFailure('serverShed', 'full'));
+			egresses.get('node-far')!.refusal = createFailure('retriesSpent', 'attempt 2');
 			getAttempts('far')[0]!.handler.handleFailure(createFailure('retriesSpent', 'attempt 2'));
-			await clock.tickAsync(1);
+			await clock.tickAsync(100);
 			expect(getAttempts('far').length).to.equal(1);
+			await clock.tickAsync(100);
+			expect(getAttempts('far').length).to.equal(2);
+			await clock.tickAsync(1800);
+			expect(getAttempts('near').length).to.equal(1);
 			expect(failure).to.include({name: 'retriesSpent', ran: 'not-run'});
 		});
 
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -17,7 +17,8 @@
 	readonly createRetries: (service: string) => RetryPolicy;
 	/** Lists the poison marks that all nodes publish. */
 	readonly listFleetMarks: () => readonly PoisonMark[];
-	readonly isStopping: () => boolean;
+	/** False once the node takes no more work for its backend server, because it stops. */
+	readonly isTakingWork: () => boolean;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 };
@@ -55,7 +56,7 @@
 			return refuseExchange(handler, createFailure('serverNotHere', `backend server ${serverId} is not served by this node`));
 		}
 
-		if (localServer.announcement.isLeaving || this.#options.isStopping()) {
+		if (localServer.announcement.isLeaving || !this.#options.isTakingWork()) {
 			return refuseExchange(handler, createFailure('serverLeaving', `backend server ${serverId} or its node is leaving`));
 		}
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -217,6 +217,9 @@
 				this.#ingress.startStopping();
 			},
 			countServers: () => this.#announcements.store.getState().servers.size,
+			stopTakingWork() {
+				// The backend servers have announced themselves to other nodes, which therefore send no more work here.
+			},
 			countConnections: () => this.#ingress.countConnections(),
 			stopListening: () => {
 				this.#ingress.stopListening();
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -8,6 +8,9 @@
 	/** Number of backend servers that have not announced themselves to another node yet. */
 	abstract countServers(): number;
 
+	/** Refuses further work from other nodes; they have known for some time that the node stops. */
+	abstract stopTakingWork(): void;
+
 	/** Number of open connections from callers. */
 	abstract countConnections(): number;
 
@@ -36,7 +39,10 @@
  */
 export const finalResponsesMs = 400;
 
-/** Time allowed for other nodes to learn that the backend servers have announced themselves elsewhere, in milliseconds. */
+/**
+ * Time allowed for other nodes to learn that the backend servers have announced themselves elsewhere, in milliseconds. Where
+ * they can't move, as on a host of their own, they take work for this time: it ends well before the stop does.
+ */
 export const handoverPropagationMs = 1500;
 
 /** Polls the condition until it holds or the deadline (monotonic time) has passed; resolves to its last value. */
@@ -52,7 +58,7 @@
 }
 
 /**
- * Drains a node: waits until its backend servers have moved and other nodes know it, then until callers have closed their
+ * Drains a node: waits until its backend servers have moved and other nodes know it, refuses further work from these, waits until callers have closed their
  * connections or the lame-duck time is over, then stops listening and waits for the requests in progress. Shortly before the
  * time limit it ends the requests that are left, so that each caller gets a response. Resolves to true when all requests had
  * ended by themselves.
@@ -64,6 +70,7 @@
 	await waitUntil(() => node.countServers() === 0, deadline);
 	const propagatedAt = performance.now() + handoverPropagationMs;
 	await waitUntil(() => performance.now() >= propagatedAt, deadline);
+	node.stopTakingWork();
 	await waitUntil(() => node.countConnections() === 0 || performance.now() >= startedAt + lameDuckMs, deadline);
 	node.stopListening();
 	const isDrained = await waitUntil(() => node.countRequestsInProgress() === 0, deadline);
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -33,6 +33,8 @@
  * slightly.
  */
 const maxPathBackOffMs = 2000;
+/** Time from its start in which a node may lack the records of other nodes, in milliseconds. */
+const joiningMs = 3000;
 
 /** Chooses backend servers and tracks load and path health across requests; each request is a `RoutedExchange`. */
 export class RequestRouter extends Carrier {
@@ -41,6 +43,7 @@
 	readonly #pathHealth = new PathHealth(maxPathBackOffMs);
 	readonly #pausedRequests: PausedRequests;
 	readonly #pickRandom: () => number;
+	readonly #startedAt = performance.now();
 	readonly #openExchanges = new Set<RoutedExchange>();
 
 	constructor(options: RequestRouterOptions) {
@@ -53,7 +56,7 @@
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
 		const exchange: RoutedExchange = new RoutedExchange(head, handler, {
 			chooseNextStep: request => this.#chooseNextStep(request),
-			hasCandidate: request => this.#listCandidates(request).length > 0,
+			hasCandidate: request => this.#hasCandidate(request),
 			findEgress: this.#options.findEgress,
 			loadTracker: this.#loadTracker,
 			pathHealth: this.#pathHealth,
@@ -86,16 +89,23 @@
 	#chooseNextStep(request: RoutedRequest): SpilloverChoice | undefined {
 		const {head} = request;
 		const now = performance.now();
-		const views = this.#selectReachable(this.#listCandidates(request), now).map(candidate => this.#createSpillView(candidate, request));
+		const views = this.#selectReachable(this.#listCandidates(request).filter(({server}) => request.isEligible(server.id)), now).map(candidate => this.#createSpillView(candidate, request));
 		const objectiveMs = head.objectiveMs ?? head.remainingMs;
 		return chooseNextServer(views, {
-			isRetryable: head.isRepeatable && request.hasAttemptLeftAfterNext(), objectiveMs, objectiveLeftMs: objectiveMs - request.getElapsedMs(now),
+			isRetryable: head.isRepeatable && request.hasAttemptLeftAfterNext(), objectiveMs, objectiveLeftMs: objectiveMs - request.getElapsedMs(now), remainingMs: request.getRemainingMs(now),
 		}, this.#pickRandom);
 	}
 
-	/** Lists the backend servers that may take the request, also those that can't be reached now. */
-	#listCandidates(request: RoutedRequest): readonly Candidate[] {
-		return this.#options.directory.listCandidates(request.head.service).filter(({server}) => server.state !== 'leaving' && request.isEligible(server.id));
+	/** Lists the backend servers of the service that aren't leaving, also those that can't be reached now. */
+	#listCandidates({head}: RoutedRequest): readonly Candidate[] {
+		return this.#options.directory.listCandidates(head.service).filter(({server}) => server.state !== 'leaving');
+	}
+
+	/** True when a backend server may take the request later. A young node may lack the records of the nodes that have one. */
+	#hasCandidate(request: RoutedRequest): boolean {
+		const candidates = this.#listCandidates(request);
+		const isJoining = candidates.length === 0 && performance.now() - this.#startedAt < joiningMs;
+		return isJoining || candidates.some(({server}) => !request.hasAttempted(server.id));
 	}
 
 	/**
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -68,7 +68,12 @@
 	 * budget.
 	 */
 	isEligible(serverId: string): boolean {
-		return !this.#attemptedServerIds.has(serverId) && !this.#retriesSpentServerIds.has(serverId);
+		return !this.hasAttempted(serverId) && !this.#retriesSpentServerIds.has(serverId);
+	}
+
+	/** True when the backend server has received the request, or may have. */
+	hasAttempted(serverId: string): boolean {
+		return this.#attemptedServerIds.has(serverId);
 	}
 
 	countAttempts(): number {
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -25,6 +25,7 @@
 import {ServerDirectory} from './server-directory.js';
 import {type ServerProtocol} from './server-protocol.js';
 import {acceptHostAnnouncement} from './host-announcement.js';
+import {createSidecarRecord} from './sidecar-record.js';
 import {type SidecarSettings} from './sidecar-settings.js';
 import {StoreDiscovery} from './store-discovery.js';
 
@@ -63,23 +64,6 @@
 /** Share of the configured retry ratio and allowance that is used; the rest is room for requests that are counted late. */
 const usedRetryShare = 0.85;
 
-function createRecord(settings: SidecarSettings, incarnation: number): NodeRecord {
-	return {
-		id: settings.id,
-		incarnation,
-		sequence: 1,
-		placement: {region: settings.region, failureDomain: settings.failureDomain},
-		linkAddress: settings.advertisedLink ?? settings.link,
-		gossipAddress: settings.advertisedGossip ?? settings.gossip,
-		ingressAddress: settings.ingress,
-		adminAddress: settings.metrics,
-		state: 'serving',
-		release: 0,
-		servers: [],
-		poison: [],
-	};
-}
-
 /** Creates the components of one sidecar node, connects them, and starts and stops them. */
 export class SidecarNode {
 	/**
@@ -134,6 +118,7 @@
 	readonly #discovery: StoreDiscovery;
 	#sweepTimer: NodeJS.Timeout | undefined;
 	#isStopping = false;
+	#isTakingWork = true;
 
 	private constructor(options: SidecarOptions, {announcements, discovery, incarnation}: StartupState) {
 		const {logger, platform} = options;
@@ -141,7 +126,7 @@
 		this.#options = options;
 		this.#discovery = discovery;
 		registerProcessGauges(this.#metrics);
-		this.#table = new MemberTable(createRecord(settings, incarnation));
+		this.#table = new MemberTable(createSidecarRecord(settings, incarnation));
 		this.#announcements = announcements;
 		this.#directory = new ServerDirectory(this.#table);
 		this.#linkPool = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
@@ -183,7 +168,11 @@
 			startStopping: () => {
 				this.#isStopping = true;
 				this.#ingress.startStopping();
-				this.#table.updateSelf(() => ({state: 'stopping', servers: this.#listServers()}));
+				this.#table.updateSelf(() => ({state: 'stopping'}));
+			},
+			stopTakingWork: () => {
+				this.#isTakingWork = false;
+				this.#table.updateSelf(() => ({servers: this.#listServers()}));
 			},
 			countServers: () => 0,
 			countConnections: () => this.#ingress.countConnections(),
@@ -242,7 +231,7 @@
 			protocol: this.#options.platform.servers,
 			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
 			createRetries: service => this.#createRetries(service),
-			isStopping: () => this.#isStopping,
+			isTakingWork: () => this.#isTakingWork,
 			metrics: this.#metrics,
 			logger: this.#options.logger,
 		});
@@ -333,7 +322,7 @@
 
 	#listServers(): NodeRecord['servers'] {
 		const servers = this.#egress.listServers();
-		return this.#isStopping ? servers.map(server => ({...server, state: 'leaving'})) : servers;
+		return this.#isTakingWork ? servers : servers.map(server => ({...server, state: 'leaving'}));
 	}
 
 	#handleCall(call: ControlCall, remoteHost: string): EitherAsync<Failure, ControlAnswer> {
