Double the trials of a server after each that succeeds

Change: a failing server gets one trial at a time, and after each success twice as many; a failure sets it back to one. Slow servers still get one.

--- a/packages/admission/src/__tests__/unit/admission-controller.test.ts
+++ b/packages/admission/src/__tests__/unit/admission-controller.test.ts
@@ -60,6 +60,22 @@
 			expect(gate.findRefusal(read, createBusy(1, 100), 200)?.name).to.equal('serverUnwell');
 		});
 
+		it('admits twice as many trials at once after each that succeeds, and one again after a failure', () => {
+			const countTrials = (gate: AdmissionController, now: number): number => {
+				const admit = (running: ServerLoad['running']): number => running.length < 7 && gate.findRefusal(read, {...idle, slots: 7, running}, now) === undefined
+					? admit([...running, {startedAt: now, workMs: 600}])
+					: running.length;
+				return admit([]);
+			};
+
+			const gate = createGate(['failed', 'failed', 'failed', 'failed']);
+			expect(countTrials(gate, 1000)).to.equal(1);
+			gate.recordOutcome('well', 1200, 1000);
+			expect(countTrials(gate, 1201)).to.equal(2);
+			gate.recordOutcome('failed', 1400, 1201);
+			expect(countTrials(gate, 3000)).to.equal(1);
+		});
+
 		it('admits a trial beside requests that run since before the failure', () => {
 			const gate = createGate(['failed', 'failed']);
 			const running = [{startedAt: 15, workMs: 600}];
--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -13,7 +13,7 @@
 import {createFailure, type Failure} from '@limpetbarrow/core';
 import {FailureStateFilter, sheddingModel} from '@limpetbarrow/detect';
 import {
-	coldFactor, maxTrialPauseMs, maxQueuedRequests, minTrialPauseMs, maxObjectiveShare, maxFailingProbabilityRetryable, sheddingProbabilityThreshold, maxFailingProbabilityUnretryable,
+	coldFactor, maxConcurrentTrials, maxTrialPauseMs, maxQueuedRequests, minTrialPauseMs, maxObjectiveShare, maxFailingProbabilityRetryable, sheddingProbabilityThreshold, maxFailingProbabilityUnretryable,
 } from './constants.js';
 import {estimateWait, type RunningRequest} from './wait-estimate.js';
 import {type QueuedRequest} from './wait-queue.js';
@@ -64,6 +64,8 @@
 	#coldUntil = 0;
 	#trialPauseMs = minTrialPauseMs;
 	#nextTrialAt = 0;
+	/** Trials that may run at once. */
+	#maxTrials = 1;
 	#isUnreachable = false;
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
 
@@ -90,6 +92,7 @@
 		}
 
 		this.#lastFailureAt = outcome === 'well' ? this.#lastFailureAt : now;
+		this.#maxTrials = outcome === 'well' ? Math.min(maxConcurrentTrials, this.#maxTrials * 2) : 1;
 		this.#failureState.recordOutcome(outcome !== 'well', now);
 		this.#trialPauseMs = outcome === 'well' ? minTrialPauseMs : this.#trialPauseMs;
 		this.#nextTrialAt = outcome === 'well' ? now : this.#nextTrialAt;
@@ -161,7 +164,8 @@
 
 	/**
 	 * A backend server that is failing or unreachable, or whose expected duration takes up the latency objective, gets one
-	 * trial at a time. Requests that it began before its last failure don't delay a trial.
+	 * trial at a time; a failing one gets twice as many after each that succeeds. Requests that it began before its last failure don't
+	 * delay a trial.
 	 */
 	#findHealthRefusal(request: AdmissionRequest, workMs: number, {running}: ServerLoad, now: number): Failure | undefined {
 		const isSlow = workMs > request.objectiveMs * maxObjectiveShare;
@@ -169,10 +173,11 @@
 			return undefined;
 		}
 
-		const isTried = running.some(({startedAt}) => startedAt > this.#lastFailureAt);
-		if (request.isRetryable && !isTried && now >= this.#nextTrialAt) {
+		const trials = running.filter(({startedAt}) => startedAt > this.#lastFailureAt).length;
+		const maxTrials = isSlow ? 1 : this.#maxTrials;
+		if (request.isRetryable && trials < maxTrials && now >= this.#nextTrialAt) {
 			this.#trialPauseMs = Math.min(maxTrialPauseMs, this.#trialPauseMs * 2);
-			this.#nextTrialAt = now + this.#trialPauseMs;
+			this.#nextTrialAt = now + (maxTrials > 1 ? 0 : this.#trialPauseMs);
 			return undefined;
 		}
 
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -25,6 +25,9 @@
 export const minTrialPauseMs = 250;
 export const maxTrialPauseMs = 1500;
 
+/** Most trials of a backend server that may run at once, however many have succeeded. */
+export const maxConcurrentTrials = 8;
+
 /** Multiple of its expected duration after which a running request indicates that the backend server has stalled. */
 export const overdueFactor = 4;
 
