--- a/packages/node/src/__tests__/unit/failing-spell.test.ts
+++ b/packages/node/src/__tests__/unit/failing-spell.test.ts
@@ -72,6 +72,7 @@
 		isFailing = true;
 		answers.get('running0')!(500);
 		await running[0];
+		expect(await fixture.send({requestId: 'trial', isRepeatable: true, maxAttempts: 2})).to.include({outcome: '500'});
 		answers.get('running1')!(200);
 		answers.get('running2')!(200);
 		await Promise.all(running);
--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -276,6 +276,14 @@
 			expect(first!.isCancelled).to.equal(true);
 		});
 
+		it('hedges into a free slot only, so that second copies hold up no other request', () => {
+			openRequest();
+			getAttempts('near')[0]!.accept();
+			clock.tick(481);
+			expect(getAttempts('near')[0]!.head.patienceMs).to.be.above(0);
+			expect(getAttempts('far')[0]!.head.patienceMs).to.equal(0);
+		});
+
 		it('does not hedge a non-repeatable request', () => {
 			openRequest({isRepeatable: false});
 			getAttempts('near')[0]!.accept();
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -143,7 +143,8 @@
 		const step = remainingMs > minRemainingMs ? this.#options.chooseNextStep(this.#request) : undefined;
 		const isStepLeft = step !== undefined && this.#request.hasStepLeft(step.isLastResort);
 		if (isStepLeft && !step.isLastResort) {
-			this.#openAttempt(step, remainingMs);
+			// A second copy of a request takes only a slot that is free: under load it would hold up other requests.
+			this.#openAttempt(this.#attempts.length > 0 ? {...step, patienceMs: 0} : step, remainingMs);
 		} else if (this.#attempts.length === 0 && this.#startPause(now)) {
 			// The backend servers are asked again after the pause.
 		} else if (isStepLeft && this.#attempts.length === 0) {
