--- a/packages/choose/src/spillover.ts
+++ b/packages/choose/src/spillover.ts
@@ -43,8 +43,6 @@
 	readonly objectiveMs: number;
 	/** Time left of the objective, in milliseconds; negative once the answer is late. */
 	readonly objectiveLeftMs: number;
-	/** Time left until the deadline, in milliseconds. */
-	readonly remainingMs: number;
 };
 
 /** Cost of the distance to a candidate, as a share of the objective and as a network delay in milliseconds. */
@@ -72,7 +70,7 @@
 /** Refusals by one backend server, and in total, after which only a last resort is left. */
 const maxRefusalsPerServer = 2;
 const maxRefusals = 6;
-/** Share of the time left of the objective, or until the deadline for a last resort, that a request may take to wait and run. */
+/** Share of the time left of the objective that a request may take to wait and run. */
 const maxWaitShare = 0.9;
 /** Random spread of the costs of equal candidates, as a share of the objective, so that nodes don't all choose the same one. */
 const jitterShare = 0.02;
@@ -124,9 +122,8 @@
 		};
 	}
 
-	const maxLateWaitMs = Math.max(0, (request.remainingMs * maxWaitShare) - defaults.shortestWorkMs);
-	const lastResort = ranked.find(({view}) => view.refusals <= maxRefusalsPerServer && (view.waitMs ?? 0) <= maxLateWaitMs);
+	const lastResort = ranked.find(({view}) => view.refusals <= maxRefusalsPerServer && (view.waitMs ?? 0) <= maxWaitMs);
 	return lastResort && {
-		candidate: lastResort.view.candidate, tier: lastResort.view.tier, patienceMs: maxLateWaitMs, isLastResort: true,
+		candidate: lastResort.view.candidate, tier: lastResort.view.tier, patienceMs: maxWaitMs, isLastResort: true,
 	};
 }
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -91,11 +91,10 @@
 		const now = performance.now();
 		const views = this.#selectReachable(this.#listCandidates(request).filter(({server}) => request.isEligible(server.id)), now).map(candidate => this.#createSpillView(candidate, request));
 		const objectiveMs = head.objectiveMs ?? head.remainingMs;
-		const remainingMs = request.getRemainingMs(now);
 		// A late call is worth as much as one in time: the request that waits for it is lost without it.
-		const objectiveLeftMs = head.cause === undefined ? objectiveMs - request.getElapsedMs(now) : remainingMs;
+		const objectiveLeftMs = head.cause === undefined ? objectiveMs - request.getElapsedMs(now) : request.getRemainingMs(now);
 		return chooseNextServer(views, {
-			isRetryable: head.isRepeatable && request.hasAttemptLeftAfterNext(), objectiveMs, objectiveLeftMs, remainingMs,
+			isRetryable: head.isRepeatable && request.hasAttemptLeftAfterNext(), objectiveMs, objectiveLeftMs,
 		}, this.#pickRandom);
 	}
 
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -8,6 +8,8 @@
 const undeliveredFailures: ReadonlySet<ResultName> = new Set([
 	'serverUnwell', 'queueFull', 'queueDeadline', 'serverLeaving', 'serverNotHere', 'serverRefused', 'linkUnreachable', 'deadlinePassed', 'retriesSpent',
 ]);
+/** Failures that say that a healthy backend server has no room in time. */
+const roomFailures: ReadonlySet<ResultName> = new Set(['queueFull', 'queueDeadline']);
 const defaultMaxAttempts = 2;
 /** Number of times that backend servers are asked for one request, at most; repeated asks of the same one count too. */
 const maxSteps = 10;
@@ -44,6 +46,9 @@
 	#lastFailure: Failure | undefined;
 	#trace: readonly string[] = [];
 	#pauseCount = 0;
+	/** Refusals since the last pause, and those among them for lack of room. */
+	#refusals = 0;
+	#roomRefusals = 0;
 
 	constructor(head: RequestHead, now: number) {
 		this.head = head;
@@ -107,7 +112,9 @@
 	/** Chooses the length of a pause before the backend servers are asked again; undefined if there is no time for one. */
 	choosePause(now: number, random: number): number | undefined {
 		const {objectiveMs = this.head.remainingMs} = this.head;
-		return choosePause({remainingMs: this.getRemainingMs(now), objectiveMs, pauses: this.#pauseCount}, random);
+		return choosePause({
+			remainingMs: this.getRemainingMs(now), objectiveMs, pauses: this.#pauseCount, refusals: this.#refusals, roomRefusals: this.#roomRefusals,
+		}, random);
 	}
 
 	/** Records the end of a pause: refusals from before it no longer count. */
@@ -115,6 +122,8 @@
 		this.#pauseCount++;
 		this.#stepCount = 0;
 		this.#refusalCounts.clear();
+		this.#refusals = 0;
+		this.#roomRefusals = 0;
 		this.#retriesSpentServerIds = new Set();
 		this.#trace = [...this.#trace, `pause@${Math.round(this.getElapsedMs(now))}`];
 	}
@@ -140,6 +149,8 @@
 
 		if (isUndelivered(failure)) {
 			this.#attemptedServerIds = new Set([...this.#attemptedServerIds].filter(id => id !== serverId));
+			this.#refusals++;
+			this.#roomRefusals += Number(roomFailures.has(failure.name));
 			this.#refusalCounts.set(serverId, this.countRefusals(serverId) + 1);
 			this.#shortestWaitMs = Math.min(this.#shortestWaitMs, failure.retryAfterMs ?? Number.POSITIVE_INFINITY);
 		}
