--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -335,6 +335,16 @@
 			expect(failure).to.include({name: 'serverUnwell', ran: 'not-run'});
 		});
 
+		it('lets a late call wait for a slot, as the request that made it is lost without it', async () => {
+			refuseAll(createFailure('serverUnwell', 'failing'));
+			openRequest({remainingMs: 3000, cause: 'call'});
+			openRequest({remainingMs: 3000});
+			await clock.tickAsync(900);
+			const asks = [...getAttempts('near'), ...getAttempts('far')].filter(({head}) => head.remainingMs < 2200 && head.isLastResort !== true);
+			expect(asks.filter(({head}) => head.cause === 'call').every(({head}) => head.patienceMs! > 500)).to.equal(true);
+			expect(asks.filter(({head}) => head.cause === undefined).every(({head}) => head.patienceMs === 0)).to.equal(true);
+		});
+
 		it('fails at once for lack of room, as a later return would find none either', async () => {
 			refuseAll(createFailure('queueFull', 'full', 5000));
 			openRequest({remainingMs: 10_000});
