Let answers to requests begun before a failure count again

Orders are 70% of the load and can't be trials, so after each failure by chance (1.2% of all requests, one in 15 s a server) and each return from a spell a server waited for repeatable requests to prove it healthy, while the others were full.

What waits is still refused when a server begins to fail, which alone keeps the queue from being lost.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -3,8 +3,7 @@
  *
  * Only the backend server's own host sends to it, so the controller sees every outcome and the exact queue.
  *
- * - Gray failures: a failing server gets trials only, and no request that can't be retried. After failures in a row, what it
- *   answers to requests that it had begun before them says nothing of its state since.
+ * - Gray failures: a failing server gets trials only, and no request that can't be retried.
  * - Uneven load: a refusal states the expected wait at once, so that the sender can go elsewhere in time.
  * - Load shedding, by one backend server or by all of a service: nothing is refused for it. Rejected work has not run and
  *   is lost only with the last retry. So senders are told to prefer other servers, and each request still gets an attempt
@@ -13,7 +12,7 @@
 import {createFailure, type Failure} from '@limpetbarrow/core';
 import {FailureStateFilter, sheddingModel} from '@limpetbarrow/detect';
 import {
-	coldFactor, maxConcurrentTrials, maxTrialPauseMs, maxQueuedRequests, minSpellFailures, minTrialPauseMs, maxObjectiveShare, maxFailingProbabilityRetryable, sheddingProbabilityThreshold, maxFailingProbabilityUnretryable,
+	coldFactor, maxConcurrentTrials, maxTrialPauseMs, maxQueuedRequests, minTrialPauseMs, maxObjectiveShare, maxFailingProbabilityRetryable, sheddingProbabilityThreshold, maxFailingProbabilityUnretryable,
 } from './constants.js';
 import {estimateWait, type RunningRequest} from './wait-estimate.js';
 import {type QueuedRequest} from './wait-queue.js';
@@ -68,7 +67,6 @@
 	#maxTrials = 1;
 	#isUnreachable = false;
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
-	#failuresInRow = 0;
 
 	constructor(now: number) {
 		this.#failureState = new FailureStateFilter(now);
@@ -80,20 +78,15 @@
 		this.#coldUntil = now + coldMs;
 	}
 
-	/** Updates the health estimates and the trial interval with the outcome of a request that began at `startedAt`. */
-	recordOutcome(outcome: ServerOutcome, now: number, startedAt = now): void {
+	/** Updates the health estimates and the trial interval. */
+	recordOutcome(outcome: ServerOutcome, now: number): void {
 		this.#isUnreachable = outcome === 'unreachable';
 		this.#shedding.recordOutcome(outcome === 'shed', now);
 		if (outcome === 'shed') {
 			return;
 		}
 
-		if (outcome === 'well' && startedAt <= this.#lastFailureAt && this.#failuresInRow >= minSpellFailures) {
-			return;
-		}
-
 		this.#lastFailureAt = outcome === 'well' ? this.#lastFailureAt : now;
-		this.#failuresInRow = outcome === 'well' ? 0 : this.#failuresInRow + 1;
 		this.#maxTrials = outcome === 'well' ? Math.min(maxConcurrentTrials, this.#maxTrials * 2) : 1;
 		this.#failureState.recordOutcome(outcome !== 'well', now);
 		this.#trialPauseMs = outcome === 'well' ? minTrialPauseMs : this.#trialPauseMs;
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -25,9 +25,6 @@
 export const minTrialPauseMs = 250;
 export const maxTrialPauseMs = 1500;
 
-/** Failures in a row that aren't taken for chance any more; each request fails by chance now and then. */
-export const minSpellFailures = 2;
-
 /** Most trials of a backend server that may run at once, however many have succeeded. */
 export const maxConcurrentTrials = 8;
 
--- a/packages/node/src/__tests__/model-server.ts
+++ b/packages/node/src/__tests__/model-server.ts
@@ -143,7 +143,7 @@
 		const isFast = now - startedAt <= 1;
 		this.#running.delete(run);
 		this.lastResortFailures += Number(isFast && !isShed && run.head.isLastResort === true);
-		this.#gate.recordOutcome(isShed ? 'shed' : (isFast ? 'failed' : 'well'), now, startedAt);
+		this.#gate.recordOutcome(isShed ? 'shed' : (isFast ? 'failed' : 'well'), now);
 		if (!isShed && !isFast) {
 			this.#gate.recordWork('', now - startedAt);
 		}
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -338,7 +338,7 @@
 		const now = performance.now();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
 		const overdueTimer = setTimeout(() => {
-			this.#outcomes.recordOverdue({head, startedAt: now});
+			this.#outcomes.recordOverdue(head);
 			this.#refuseQueuedUnfit();
 		}, Math.max(minOverdueMs, workMs * overdueFactor));
 		this.#running.set(exchange, {
@@ -358,7 +358,7 @@
 		if (failure?.name === 'serverReplaced') {
 			this.#options.handleReplaced();
 		} else if (finished && outcome) {
-			this.#outcomes.recordEnd(finished, outcome, failure);
+			this.#outcomes.recordEnd(finished.head, outcome, failure);
 			this.#refuseQueuedUnfit();
 			this.#options.reportExchange(finished.head, {outcome: outcome.kind, ms: Math.round(outcome.durationMs), sickness: this.#gate.estimateFailingProbability(performance.now())});
 		}
--- a/packages/node/src/server-outcomes.ts
+++ b/packages/node/src/server-outcomes.ts
@@ -12,12 +12,6 @@
 	readonly reportShedding: (isShedding: boolean) => void;
 };
 
-/** A request that a backend server began at a monotonic time, in milliseconds. */
-export type StartedRequest = {
-	readonly head: RequestHead;
-	readonly startedAt: number;
-};
-
 /** Gate outcomes of failures that mean something other than that the backend server lost work. All others count as `failed`. */
 const gateOutcomesByFailure: ReadonlyMap<ResultName | undefined, ServerOutcome> = new Map([['serverRefused', 'unreachable'], ['serverShed', 'shed']]);
 
@@ -39,27 +33,27 @@
 	 * Records how a request ended. Nothing follows from one that was cancelled or timed out, nor from the server error that
 	 * answers a request whose call has failed.
 	 */
-	recordEnd({head, startedAt}: StartedRequest, {kind, durationMs}: WorkOutcome, failure: Failure | undefined): void {
+	recordEnd(head: RequestHead, {kind, durationMs}: WorkOutcome, failure: Failure | undefined): void {
 		const isCallFailure = failure === undefined && this.calls.hasFailedCall(head.requestId);
 		this.calls.forget(head.requestId);
 		if (kind === 'answered') {
 			this.#gate.recordWork(head.route ?? '', durationMs);
-			this.#recordOutcome('well', startedAt);
+			this.#recordOutcome('well');
 		} else if (kind === 'failed' && !isCallFailure) {
-			this.#recordOutcome(gateOutcomesByFailure.get(failure?.name) ?? 'failed', startedAt);
+			this.#recordOutcome(gateOutcomesByFailure.get(failure?.name) ?? 'failed');
 		}
 	}
 
 	/** Records that a request takes much longer than expected. One that waits for its own call does so without fault. */
-	recordOverdue({head, startedAt}: StartedRequest): void {
+	recordOverdue(head: RequestHead): void {
 		if (!this.calls.isCalling(head.requestId)) {
-			this.#recordOutcome('failed', startedAt);
+			this.#recordOutcome('failed');
 		}
 	}
 
-	#recordOutcome(outcome: ServerOutcome, startedAt: number): void {
+	#recordOutcome(outcome: ServerOutcome): void {
 		const now = performance.now();
-		this.#gate.recordOutcome(outcome, now, startedAt);
+		this.#gate.recordOutcome(outcome, now);
 		const isUnwell = this.#gate.isUnwell(now);
 		if (isUnwell !== this.#wasUnwell) {
 			this.#wasUnwell = isUnwell;
