--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -159,8 +159,8 @@
 
 	/**
 	 * A backend server that is failing or unreachable, or whose expected duration takes up the latency objective, gets one
-	 * trial at a time; a failing one gets twice as many after each that succeeds. Requests that it began before its last failure don't
-	 * delay a trial.
+	 * trial at a time; a failing one gets twice as many after each that succeeds, so that it returns soon after a spell.
+	 * Requests that it began before its last failure are no trials and don't delay one.
 	 */
 	#findHealthRefusal(request: AdmissionRequest, workMs: number, {running}: ServerLoad, now: number): Failure | undefined {
 		const isSlow = workMs > request.objectiveMs * maxObjectiveShare;
--- /dev/null
+++ b/packages/node/src/__tests__/router-fixture.ts
@@ -0,0 +1,154 @@
+/** Test fixture: a request router on a node that can reach two backend servers, whose egresses record the attempts. */
+import {
+	Carrier, Exchange, MetricRegistry, SilentLogger, type ExchangeHandler, type Failure, type RequestHead, type ServerRecord,
+} from '@limpetbarrow/core';
+import {type Candidate} from '@limpetbarrow/choose';
+import {RequestRouter} from '../index.js';
+
+/** One attempt as seen by the egress of another node. */
+export class FakeAttempt extends Exchange {
+	isEnded = false;
+	isCancelled = false;
+	readonly head: RequestHead;
+	readonly handler: ExchangeHandler;
+
+	constructor(head: RequestHead, handler: ExchangeHandler) {
+		super();
+		this.head = head;
+		this.handler = handler;
+	}
+
+	override writeBody(): void {
+		// Request bodies are empty in these tests.
+	}
+
+	override endBody(): void {
+		this.isEnded = true;
+	}
+
+	override grantCredit(): void {
+		// Response bodies are empty in these tests.
+	}
+
+	override cancel(): void {
+		this.isCancelled = true;
+	}
+
+	accept(): void {
+		this.handler.handleAccepted?.();
+	}
+
+	answer(status = 200): void {
+		this.handler.handleHead({status, headers: []});
+		this.handler.handleEnd();
+	}
+}
+
+export class FakeEgress extends Carrier {
+	attempts: readonly FakeAttempt[] = [];
+	/** Failure for each request; requests are not refused while it is undefined. */
+	refusal: Failure | undefined;
+
+	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
+		const attempt = new FakeAttempt(head, handler);
+		this.attempts = [...this.attempts, attempt];
+		const {refusal} = this;
+		if (refusal) {
+			queueMicrotask(() => {
+				handler.handleFailure(refusal);
+			});
+		}
+
+		return attempt;
+	}
+}
+
+const self = {id: 'own', placement: {region: 'r', failureDomain: 'a'}};
+
+function createCandidate(id: string, failureDomain: string, state: ServerRecord['state'] = 'ready'): Candidate {
+	return {
+		nodeId: `node-${id}`,
+		placement: {region: 'r', failureDomain},
+		server: {
+			id, service: 'desk', slots: 3, state, generation: 1, badness: 0,
+		},
+	};
+}
+
+/** A router, and the outcome of the request that was opened last. */
+export class RouterFixture {
+	readonly egresses: ReadonlyMap<string, FakeEgress> = new Map(['near', 'far'].map(id => [`node-${id}`, new FakeEgress()]));
+	readonly router: RequestRouter;
+	outcomes: readonly string[] = [];
+	failure: Failure | undefined;
+
+	constructor() {
+		const candidates = [createCandidate('near', 'a'), createCandidate('far', 'b'), createCandidate('gone', 'a', 'leaving')];
+		this.router = new RequestRouter({
+			self,
+			directory: {listCandidates: () => candidates},
+			findEgress: nodeId => this.egresses.get(nodeId),
+			findLocalLoad: () => undefined,
+			metrics: new MetricRegistry(),
+			logger: new SilentLogger(),
+			pickRandom: () => 0.5,
+		});
+	}
+
+	/** Opens a request without a body. */
+	openRequest(fields: Partial<RequestHead> = {}): Exchange {
+		const exchange = this.router.openExchange({
+			requestId: 'r-1',
+			target: {kind: 'egress', serverId: ''},
+			service: 'desk',
+			method: 'GET',
+			path: '/',
+			headers: [],
+			remainingMs: 2000,
+			objectiveMs: 800,
+			maxAttempts: 2,
+			isRepeatable: true,
+			organisation: '',
+			...fields,
+		}, {
+			handleHead: ({status}) => {
+				this.outcomes = [...this.outcomes, String(status)];
+			},
+			handleData() {
+				// Only the response heads are checked.
+			},
+			handleCredit() {
+				// Request bodies are empty in these tests.
+			},
+			handleEnd: () => {
+				this.outcomes = [...this.outcomes, 'end'];
+			},
+			handleFailure: last => {
+				this.failure = last;
+				this.outcomes = [...this.outcomes, last.name];
+			},
+		});
+		exchange.endBody();
+		return exchange;
+	}
+
+	getAttempts(id: string): readonly FakeAttempt[] {
+		return this.egresses.get(`node-${id}`)!.attempts;
+	}
+
+	/** Number of attempts at both backend servers. */
+	countAttempts(): number {
+		return this.listAttempts().length;
+	}
+
+	listAttempts(): readonly FakeAttempt[] {
+		return [...this.getAttempts('near'), ...this.getAttempts('far')];
+	}
+
+	/** Makes both egresses refuse all requests, or none if there is no failure. */
+	refuseAll(refusal: Failure | undefined): void {
+		this.egresses.forEach(egress => {
+			egress.refusal = refusal;
+		});
+	}
+}
--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -256,28 +256,28 @@
 				await running;
 			}
 
-			const delayAnswer: RawResponder = (socket, text) => {
+			const answerWithDelay: RawResponder = (socket, text) => {
 				setTimeout(() => {
 					answerServerError(socket, text);
 				}, 20);
 			};
 
 			it('are not held against the backend server that answers with a server error because of them', async () => {
-				const {egress} = await startFixture(delayAnswer);
+				const {egress} = await startFixture(answerWithDelay);
 				await sendWithCall(false);
 				await sendWithCall(false);
 				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: false});
 			});
 
 			it('excuse no server error of a request whose calls were served', async () => {
-				const {egress} = await startFixture(delayAnswer);
+				const {egress} = await startFixture(answerWithDelay);
 				await sendWithCall(true);
 				await sendWithCall(true);
 				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: true});
 			});
 
 			it('excuse no server error of another request', async () => {
-				const {egress, send} = await startFixture(delayAnswer);
+				const {egress, send} = await startFixture(answerWithDelay);
 				await sendWithCall(false);
 				await send({requestId: 'other-1'});
 				await send({requestId: 'other-2'});
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -18,5 +18,12 @@
 export const acceptTimeoutsMs: Readonly<Record<Tier, number>> = {
 	host: 0, failureDomain: 150, region: 150, remote: 300,
 };
+
+/** Remaining time below which no further attempt is made, in milliseconds. */
+export const minRemainingMs = 10;
+
+/** Share of the objective after which a repeatable request is also sent to a second backend server. */
+export const hedgeDelayShare = 0.6;
+
 /** Failures after which the path to the node is avoided for a while. */
 export const pathFailures: ReadonlySet<ResultName> = new Set(['linkUnreachable', 'linkLost']);
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -173,7 +173,7 @@
 	/** Refuses waiting requests, and closes the connections at once, which aborts running requests. */
 	async close(): Promise<void> {
 		this.#refuseWaiting(createFailure('serverNotHere', `backend server ${this.#announcement.id} is no longer served by this node`));
-		await this.#connections.destroy();
+		await this.#connections.closeAtOnce();
 	}
 
 	#countSlots(): number {
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -58,10 +58,10 @@
 }
 
 /**
- * Drains a node: waits until its backend servers have moved and other nodes know it, refuses further work from these, waits until callers have closed their
- * connections or the lame-duck time is over, then stops listening and waits for the requests in progress. Shortly before the
- * time limit it ends the requests that are left, so that each caller gets a response. Resolves to true when all requests had
- * ended by themselves.
+ * Drains a node: waits until its backend servers have moved and other nodes know it, then refuses further work from other
+ * nodes. It goes on listening until callers have closed their connections or the lame-duck time is over, and waits for the
+ * requests in progress. Shortly before the time limit it fails the requests that are left, so that each caller gets a
+ * response. Resolves to true when all requests had ended by themselves.
  */
 export async function drainNode(node: StoppingNode, {lameDuckMs, stopTimeoutMs}: StopTimes): Promise<boolean> {
 	const startedAt = performance.now();
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -5,7 +5,9 @@
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
 } from '@limpetbarrow/choose';
-import {acceptTimeoutsMs, pathFailures, type Attempt} from './attempt.js';
+import {
+	acceptTimeoutsMs, hedgeDelayShare, minRemainingMs, pathFailures, type Attempt,
+} from './attempt.js';
 import {BufferedResponse} from './buffered-response.js';
 import {type FindEgress} from './forwarder.js';
 import {type LoadTracker} from './load-tracker.js';
@@ -31,10 +33,7 @@
 };
 
 const minServerErrorStatus = 500;
-/** Remaining time below which no further attempt is made, in milliseconds. */
-const minRemainingMs = 10;
-/** Share of the objective after which a repeatable request is also sent to a second backend server. */
-const hedgeDelayShare = 0.6;
+
 /** Sends a request to a backend server and retries or hedges it on others when that is safe and attempts are left. */
 export class RoutedExchange extends Exchange {
 	readonly #request: RoutedRequest;
@@ -145,9 +144,9 @@
 		if (isStepLeft && !step.isLastResort) {
 			// A second copy of a request takes only a slot that is free: under load it would hold up other requests.
 			this.#openAttempt(this.#attempts.length > 0 ? {...step, patienceMs: 0} : step, remainingMs);
-		} else if (this.#attempts.length === 0 && this.#startPause(now)) {
-			// The backend servers are asked again after the pause.
-		} else if (isStepLeft && this.#attempts.length === 0) {
+		} else if (this.#attempts.length > 0 || this.#startPause(now)) {
+			// Another attempt is in progress, or the backend servers are asked again after the pause.
+		} else if (isStepLeft) {
 			this.#openAttempt(step, remainingMs);
 		} else {
 			this.#finishWithoutAttempts();
--- a/packages/node/src/server-connections.ts
+++ b/packages/node/src/server-connections.ts
@@ -41,7 +41,7 @@
 	}
 
 	/** Closes the connections at once, which aborts running requests. */
-	async destroy(): Promise<void> {
+	async closeAtOnce(): Promise<void> {
 		await Promise.all([this.#repeatable.destroy(), this.#unrepeatable.destroy()]);
 	}
 }
