Let a held-back response go on when its connection ends

The HTTP client asserts that no response is paused when the backend server closes its connection, and throws outside of any request: the process ends with all that it has in progress. It takes a response without a length or with connection: close, held back for lack of credit at its last byte. Ruled out: a second signal, and an error that the log held, as the log is written later than the process ends.

Change: the end of a connection makes the server's running exchanges read on before the client learns of it; an empty part of a body no longer pauses. An uncaught error is written to standard error with its stack as well.

--- a/packages/node/src/backend-connector.ts
+++ b/packages/node/src/backend-connector.ts
@@ -43,14 +43,18 @@
  * Creates a connector for undici with a connect timeout in milliseconds. When a connection is reset during a response
  * without a length, undici treats `ECONNRESET` as the end of that response. The connector changes the error's code, so
  * that the truncated response fails instead of being taken for a complete one.
+ *
+ * `handleEnd` is called when the other side has closed a connection, before undici learns of it. No response may be paused
+ * after it: undici throws an error outside of any request when a connection ends on which a response is paused.
  */
-export function createBackendConnector(timeoutMs: number): buildConnector.connector {
+export function createBackendConnector(timeoutMs: number, handleEnd: () => void): buildConnector.connector {
 	const connect = buildConnector({timeout: timeoutMs});
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
 			if (socket) {
 				registerHeadLimit(socket);
+				socket.on('end', handleEnd);
 			}
 
 			socket?.prependListener('error', (error: Error & {code?: string}) => {
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -156,7 +156,14 @@
 
 	override grantCredit(bytes: number): void {
 		this.#responseCredit += bytes;
-		if (this.#responseCredit > 0 && this.#dispatchController?.paused) {
+		if (this.#responseCredit > 0) {
+			this.resumeReading();
+		}
+	}
+
+	/** Reads on if the response is paused for lack of credit; it is paused again at the next part of the body. */
+	resumeReading(): void {
+		if (this.#dispatchController?.paused) {
 			this.#dispatchController.resume();
 		}
 	}
@@ -197,7 +204,8 @@
 				}
 			},
 			onResponseData: (controller, chunk) => {
-				if (this.#state !== 'running') {
+				// The parser reports an empty part when it resumes with nothing to read.
+				if (this.#state !== 'running' || chunk.length === 0) {
 					return;
 				}
 
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -32,7 +32,7 @@
 	readonly #serviceTime = new ServiceTimeAverage();
 	#server: AnnouncedServer;
 	#pool: Dispatcher;
-	#runningCount = 0;
+	readonly #running = new Set<BackendExchange>();
 
 	constructor(server: AnnouncedServer, recordOutcome: RecordOutcome) {
 		this.#server = server;
@@ -45,7 +45,7 @@
 	 * of waiting requests.
 	 */
 	openExchange(head: RequestHead, handler: ExchangeHandler, queueLimit: number): Exchange {
-		const exchange = new BackendExchange(head, handler, {
+		const exchange: BackendExchange = new BackendExchange(head, handler, {
 			getLoad: () => this.getLoad(),
 			handleBodyCollected: collected => {
 				this.#collectingBodies.delete(collected);
@@ -55,7 +55,7 @@
 				this.#remove(cancelled);
 			},
 			handleFinished: (outcome, failure) => {
-				this.#handleExchangeEnd(outcome, failure);
+				this.#handleExchangeEnd(exchange, outcome, failure);
 			},
 		});
 		if (exchange.isStartableWithoutBody()) {
@@ -70,12 +70,12 @@
 	}
 
 	getLoad(): LoadHint {
-		return {serverId: this.#server.id, freeSlots: this.#countSlots() - this.#runningCount, queued: this.#queue.size};
+		return {serverId: this.#server.id, freeSlots: this.#countSlots() - this.#running.size, queued: this.#queue.size};
 	}
 
 	/** Number of requests that are running, waiting, or collecting their body. */
 	countRequests(): number {
-		return this.#runningCount + this.#queue.size + this.#collectingBodies.size;
+		return this.#running.size + this.#queue.size + this.#collectingBodies.size;
 	}
 
 	/** Applies the slots and connections of a newer announcement from the same address. */
@@ -110,7 +110,9 @@
 
 	#createPool(): Pool {
 		return new Pool(`http://${formatAddress(this.#server.address)}`, {
-			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMaxMs, connect: createBackendConnector(connectTimeoutMs),
+			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMaxMs, connect: createBackendConnector(connectTimeoutMs, () => {
+				this.#resumeReading();
+			}),
 		});
 	}
 
@@ -120,7 +122,7 @@
 	}
 
 	#admit(exchange: BackendExchange, queueLimit: number): void {
-		if (this.#runningCount < this.#countSlots() && this.#queue.size === 0) {
+		if (this.#running.size < this.#countSlots() && this.#queue.size === 0) {
 			this.#start(exchange);
 		} else if (this.#queue.size >= queueLimit) {
 			exchange.refuse(this.#createQueueFullFailure());
@@ -160,12 +162,12 @@
 	}
 
 	#start(exchange: BackendExchange): void {
-		this.#runningCount++;
+		this.#running.add(exchange);
 		exchange.start(this.#pool);
 	}
 
-	#handleExchangeEnd(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
-		this.#runningCount--;
+	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
+		this.#running.delete(exchange);
 		if (failure?.name === 'serverTimeout') {
 			this.#replacePool();
 		}
@@ -190,9 +192,15 @@
 		this.#pool = this.#createPool();
 	}
 
+	#resumeReading(): void {
+		this.#running.forEach(exchange => {
+			exchange.resumeReading();
+		});
+	}
+
 	#startNext(): void {
 		const [next] = this.#queue.keys();
-		if (!next || this.#runningCount >= this.#countSlots()) {
+		if (!next || this.#running.size >= this.#countSlots()) {
 			return;
 		}
 
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -84,7 +84,13 @@
 		this.#options = options;
 		this.#announcement = server;
 		this.#outcomes = new ServerOutcomes(this.#gate, options);
-		this.#connections = new ServerConnections(server.address, this.#countSlots());
+		this.#connections = new ServerConnections({
+			address: server.address, connections: this.#countSlots(), handleEnd: () => {
+				[...this.#running.keys()].forEach(exchange => {
+					exchange.resumeReading();
+				});
+			},
+		});
 		this.#gate.setCold(server.coldMs ?? 0, performance.now());
 	}
 
--- a/packages/node/src/run-daemon.ts
+++ b/packages/node/src/run-daemon.ts
@@ -32,6 +32,8 @@
 
 		process.on('uncaughtException', error => {
 			daemon.handleUnexpectedError?.(error);
+			// The log is written later; the process ends before.
+			process.stderr.write(`${error.stack ?? error.message}\n`);
 			process.exit(forcedExitCode);
 		});
 		process.on('SIGTERM', handleSignal);
--- a/packages/node/src/server-connections.ts
+++ b/packages/node/src/server-connections.ts
@@ -13,9 +13,18 @@
 /** Connect timeout, in milliseconds. It can be short because backend servers run on this node's own host. */
 const connectTimeoutMs = 1000;
 
-function createPool(address: Address, connections: number, keepAliveMs: number): Pool {
+/** Where the connections go, and who learns of their end. */
+export type ServerConnectionsOptions = {
+	readonly address: Address;
+	/** Largest number of connections of each kind. */
+	readonly connections: number;
+	/** Called when the backend server has closed a connection; no response may stay paused after it. */
+	readonly handleEnd: () => void;
+};
+
+function createPool({address, connections, handleEnd}: ServerConnectionsOptions, keepAliveMs: number): Pool {
 	return new Pool(`http://${formatAddress(address)}`, {
-		connections, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connect: createBackendConnector(connectTimeoutMs),
+		connections, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connect: createBackendConnector(connectTimeoutMs, handleEnd),
 	});
 }
 
@@ -24,10 +33,9 @@
 	readonly #repeatable: Pool;
 	readonly #unrepeatable: Pool;
 
-	/** `connections` is the largest number of connections of each kind. */
-	constructor(address: Address, connections: number) {
-		this.#repeatable = createPool(address, connections, repeatableKeepAliveMs);
-		this.#unrepeatable = createPool(address, connections, unrepeatableKeepAliveMs);
+	constructor(options: ServerConnectionsOptions) {
+		this.#repeatable = createPool(options, repeatableKeepAliveMs);
+		this.#unrepeatable = createPool(options, unrepeatableKeepAliveMs);
 	}
 
 	/** Selects the connections for a request. */
