--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -169,6 +169,9 @@
 
 	constructor(recordPath) {
 		this.#recordPath = recordPath;
+		process.once('exit', () => {
+			this.#endProcesses();
+		});
 	}
 
 	/** Adds a line to the record, with the seconds since the start. */
@@ -252,11 +255,15 @@
 		return readFileSync(path.join(this.#folder, `${name}.log`), 'utf8');
 	}
 
-	async close() {
-		this.#isClosing = true;
+	#endProcesses() {
 		[...this.#children.values()].forEach(child => {
 			child.kill('SIGKILL');
 		});
+	}
+
+	async close() {
+		this.#isClosing = true;
+		this.#endProcesses();
 		this.#backends.forEach(backend => {
 			backend.close();
 		});
@@ -286,6 +293,12 @@
 		}, 500).unref();
 	};
 
+	['SIGTERM', 'SIGINT'].forEach(signal => {
+		process.once(signal, () => {
+			deployment.record(`the script was ended by ${signal}`);
+			finish(2);
+		});
+	});
 	setTimeout(() => {
 		deployment.record('the case took too long');
 		finish(2);
