--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -67,7 +67,7 @@
 	}
 
 	if (isTroubled) {
-		deployment.signal(machine, 'SIGKILL');
+		deployment.kill(machine);
 	}
 
 	await waitUntil(() => client.state !== 'open', 10_000);
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -74,7 +74,7 @@
 	}
 
 	if (isTroubled) {
-		deployment.signal(large.machine, 'SIGKILL');
+		deployment.kill(large.machine);
 	}
 
 	await wait(sentAt + timeoutMs - performance.now());
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -23,6 +23,7 @@
 };
 const maxRunMs = 115_000;
 const readinessMs = 20_000;
+const restartMs = 1000;
 const bounds = 'SeedLagS=3,ReuseDelayS=2,ContactMs=4000,AckTimeoutMs=4000,CatchUpS=4,DrainTimeoutMs=2500,GraceS=6,LossSlackMs=200,ConfigApplyMs=2500,RollbackSlackMs=250,MaxSkewMs=5000,RetryBudgetRatio=0.2,BudgetWindowS=10,BudgetSlack=62,RecoveryS=15,ProbesPerS=3,FloorShare=0.7';
 
 /** True unless the script is called with TROUBLE=0. */
@@ -250,6 +251,17 @@
 		this.#children.get(name).kill(signal);
 	}
 
+	/** Kills the process of a machine and starts it again a second later, as the platform does. */
+	kill(machine) {
+		this.signal(machine, 'SIGKILL');
+		setTimeout(() => {
+			if (!this.#isClosing) {
+				this.record(`the process of ${machine.name} is started again`);
+				this.startProcess(machine);
+			}
+		}, restartMs).unref();
+	}
+
 	/** Prints the log of a machine; for whoever looks for the cause. */
 	readLog({name}) {
 		return readFileSync(path.join(this.#folder, `${name}.log`), 'utf8');
