--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -61,7 +61,7 @@
 	releaseAccepted: {number: 602, level: 'info', meaning: 'An operator\'s release was accepted.'},
 	releaseRefused: {number: 603, level: 'warn', meaning: 'An operator\'s release was refused.'},
 	releaseUnreadable: {number: 604, level: 'error', meaning: 'A stored release could not be read; the node stays at the previous one.'},
-	releaseFetchFailed: {number: 605, level: 'debug', meaning: 'Another node did not send its releases.'},
+	releaseFetchFailed: {number: 605, level: 'info', meaning: 'Another node did not send its releases.'},
 	watchStarted: {number: 606, level: 'info', meaning: 'This node watches the platform for its failure domain.'},
 	watchStopped: {number: 607, level: 'info', meaning: 'This node no longer watches the platform.'},
 	snapshotWritten: {number: 608, level: 'info', meaning: 'A snapshot of the configuration was written.'},
--- a/packages/node/src/peer-configurations.ts
+++ b/packages/node/src/peer-configurations.ts
@@ -118,7 +118,7 @@
 			: Left<Failure, Uint8Array>(createFailure('linkUnreachable', `no link to node ${record.id}: it is not a known member`));
 		answer.chain(body => parseConfiguration(parseJson(body))).ifRight(configuration => {
 			this.#failedNodeId = undefined;
-			state.applyConfiguration(configuration);
+			state.applyConfiguration(configuration, record.id);
 		}).ifLeft(({code, detail}) => {
 			this.#failedNodeId = record.id;
 			logger.log('releaseFetchFailed', {node: record.id, code, detail});
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -15,6 +15,7 @@
 import {
 	ControlServer, type ControlAnswer, type ControlCall, type ControlProtocol,
 } from './control-server.js';
+import {registerConfigurationMetrics} from './configuration-metrics.js';
 import {HostEgress} from './host-egress.js';
 import {type CallerProtocol} from './ingress-request.js';
 import {Ingress} from './ingress.js';
@@ -207,6 +208,9 @@
 		const settings = this.#options.getSettings();
 		this.#registerRecordUpdates();
 		registerInProgressGauges(this.#metrics, this.#listInProgressCounts());
+		registerConfigurationMetrics(this.#metrics, {
+			store: this.#options.platform.store, state: this.#releases, getAnswerAgeMs: () => this.#configurationWatcher.getAnswerAgeMs(),
+		});
 		this.#configurationWatcher.start();
 		await Promise.all([
 			this.#linkServer.listen(settings.link),
@@ -296,9 +300,11 @@
 		this.#announcements.store.registerListener(() => {
 			this.#table.updateSelf(() => ({servers: this.#listServers(), poison: this.#egress.listPoison()}));
 		});
-		this.#releases.store.registerListener(({after}) => {
+		this.#releases.store.registerListener(({before, after}) => {
 			const {release, routes, skipped = []} = after.configuration;
-			this.#options.logger.log('releaseInForce', {release, routes: routes.size});
+			this.#options.logger.log('releaseInForce', {
+				release, previous: before.configuration.release, routes: routes.size, source: after.source ?? '',
+			});
 			skipped.slice(0, maxSkippedLogLines).forEach(detail => {
 				this.#options.logger.log('releasePartSkipped', {release, detail});
 			});
--- a/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
+++ b/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
@@ -1,7 +1,9 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {EitherAsync, Left, Right} from 'purify-ts';
-import {createFailure, SilentLogger, type Failure} from '@limpetbarrow/core';
+import {
+	createFailure, SilentLogger, type Failure, type LogEventName, type LogFields,
+} from '@limpetbarrow/core';
 import {
 	ConfigurationSource, ConfigurationWatcher, emptyConfiguration, ReleaseState, type SourceReadResult,
 } from '../../index.js';
@@ -15,6 +17,7 @@
 	release = 3;
 	isUnavailable = false;
 	#waiters: Array<() => void> = [];
+	#watchFailure: Failure | undefined;
 
 	write(release: number): void {
 		this.release = release;
@@ -24,6 +27,11 @@
 		this.#waiters = [];
 	}
 
+	/** Makes all later watches fail. */
+	failWatches(detail: string): void {
+		this.#watchFailure = createFailure('platformUnavailable', detail);
+	}
+
 	override read(): EitherAsync<Failure, SourceReadResult> {
 		this.reads++;
 		return EitherAsync.liftEither(this.isUnavailable ? Left(createFailure('platformUnavailable', 'away')) : Right(this.#createReadResult(0)));
@@ -31,6 +39,10 @@
 
 	override watch(fromVersion: number): EitherAsync<Failure, SourceReadResult> {
 		this.watches++;
+		if (this.#watchFailure) {
+			return EitherAsync.liftEither(Left(this.#watchFailure));
+		}
+
 		return EitherAsync.fromPromise(async () => {
 			if (fromVersion >= this.release) {
 				await new Promise<void>(resolve => {
@@ -149,3 +161,45 @@
 		});
 	});
 });
+
+/** Keeps the log lines for checks. */
+class RecordingLogger extends SilentLogger {
+	lines: ReadonlyArray<{readonly event: string; readonly fields: LogFields}> = [];
+
+	override log(event: LogEventName, fields: LogFields = {}): void {
+		this.lines = [...this.lines, {event, fields}];
+	}
+}
+
+describe('the log of a configuration watcher', () => {
+	let clock: Clock;
+
+	beforeEach(() => {
+		clock = install();
+	});
+
+	afterEach(() => {
+		clock.uninstall();
+	});
+
+	it('says which call failed, from which version and after how long, and how old the last answer is', async () => {
+		const logger = new RecordingLogger();
+		const source = new CountingSource();
+		const state = new ReleaseState();
+		const watcher = new ConfigurationWatcher({source, state, logger});
+		watcher.start();
+		await clock.tickAsync(1000);
+		source.isUnavailable = true;
+		source.write(4);
+		await clock.tickAsync(200);
+		expect(state.store.getState().source).to.equal('watch');
+		source.failWatches('away');
+		await clock.tickAsync(1000);
+		watcher.stop();
+		const lost = logger.lines.find(({event}) => event === 'platformLost');
+		expect(lost?.fields).to.deep.equal({
+			call: 'watch', version: 4, ms: 0, detail: 'away',
+		});
+		expect(watcher.getAnswerAgeMs()).to.equal(1200);
+	});
+});
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -21,6 +21,13 @@
 	readonly countLiveNodes?: () => number;
 };
 
+/** A call to the source. */
+type SourceCall = {
+	readonly name: 'read' | 'watch';
+	/** Monotonic time, in milliseconds. */
+	readonly startedAt: number;
+};
+
 /** Pause after a change, in milliseconds, so that one call fetches several quick changes; short against the time in which they must take effect. */
 const changePauseMs = 300;
 
@@ -43,6 +50,7 @@
 	#watchAllowedAt = 0;
 	#isWatching = false;
 	#isInStandby = false;
+	#answeredAt = performance.now();
 
 	constructor(options: ConfigurationWatcherOptions) {
 		this.#options = options;
@@ -74,6 +82,11 @@
 		return this.#isWatching;
 	}
 
+	/** Returns the time since the source last answered this node, in milliseconds; since the start if it never has. */
+	getAnswerAgeMs(): number {
+		return performance.now() - this.#answeredAt;
+	}
+
 	/** True when this node leaves watching to others. A node without a configuration always watches, since it can't serve before it has one. */
 	#isStandby(): boolean {
 		const {isSelectedWatcher = () => true, state} = this.#options;
@@ -116,20 +129,23 @@
 
 		this.#isInStandby = false;
 		this.#updateWatching(this.#version !== undefined);
+		const call: SourceCall = {name: this.#version === undefined ? 'read' : 'watch', startedAt: performance.now()};
 		const result = await (this.#version === undefined ? source.read() : source.watch(this.#version, signal)).run();
 		if (signal.aborted) {
 			return;
 		}
 
-		this.#recordResult(result);
+		this.#recordResult(result, call);
 		const hasChanged = result.map(({configuration}) => configuration !== undefined).orDefault(false);
 		this.#startTimer(this.#failureCount === 0 ? (hasChanged ? changePauseMs : 0) : computeBackOffMs(this.#failureCount, random));
 	}
 
 	/** Records a result. `platformHistoryGone` is no outage: it adds no back-off, and the source is read again at once. */
-	#recordResult(result: Either<Failure, SourceReadResult>): void {
+	#recordResult(result: Either<Failure, SourceReadResult>, {name: call, startedAt}: SourceCall): void {
 		const {logger, state} = this.#options;
+		const fields = {call, version: this.#version ?? 0, ms: Math.round(performance.now() - startedAt)};
 		result.ifRight(({configuration, version}) => {
+			this.#answeredAt = performance.now();
 			if (this.#failureCount > 0) {
 				logger.log('platformBack', {version});
 			}
@@ -137,14 +153,14 @@
 			this.#failureCount = 0;
 			this.#version = version;
 			if (configuration) {
-				state.applyConfiguration(configuration);
+				state.applyConfiguration(configuration, call);
 			}
 		}).ifLeft(({name, detail}) => {
 			const isGone = name === 'platformHistoryGone';
 			if (isGone) {
-				logger.log('watchStopped', {detail});
+				logger.log('watchStopped', {...fields, detail});
 			} else if (this.#failureCount === 0) {
-				logger.log(name === 'releaseUnreadable' ? 'releaseUnreadable' : 'platformLost', {detail});
+				logger.log(name === 'releaseUnreadable' ? 'releaseUnreadable' : 'platformLost', {...fields, detail});
 			}
 
 			this.#failureCount += Number(!isGone);
--- a/packages/releases/src/release-state.ts
+++ b/packages/releases/src/release-state.ts
@@ -10,6 +10,8 @@
 	readonly configuration: Configuration;
 	/** The newest releases in force, oldest first and without a gap. */
 	readonly releases: readonly Release[];
+	/** How the configuration reached this node: `read` or `watch` for a call to the platform, or the id of another node. */
+	readonly source?: string;
 };
 
 const maxRetainedReleases = 500;
@@ -63,10 +65,10 @@
 		});
 	}
 
-	/** Replaces the whole configuration if the new one has a higher release number. */
-	applyConfiguration(configuration: Configuration): void {
+	/** Replaces the whole configuration if the new one has a higher release number. `source` tells how it reached this node. */
+	applyConfiguration(configuration: Configuration, source?: string): void {
 		this.store.update('applyConfiguration', snapshot => configuration.release > snapshot.configuration.release
-			? {configuration, releases: []}
+			? {configuration, releases: [], ...(source !== undefined && {source})}
 			: snapshot);
 	}
 }
