Tests that fail: a change that is not seen while the connections to the store are silent

Real processes, all of whose open connections to the store went silent 4.3 s before a change, serve it after 6.4 to 6.7 s (due 2.5 s); after a cut of 4 s in which the change was made, 6.9 to 7.0 s after its end (due 4 s). A watch on a silent connection hangs for good once its code is optimized and a full garbage collection has run.

--- a/packages/stand-ins/src/__tests__/unit/object-store.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/object-store.test.ts
@@ -1,9 +1,12 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {expect} from 'chai';
 import {foldResult, formatAddress, type Failure} from '@limpetbarrow/core';
 import {
 	HttpObjectStore, maxValueBytes, type CallKind, type ObjectStore,
 } from '@limpetbarrow/object-store';
-import {type Either} from 'purify-ts';
+import {Right, type Either} from 'purify-ts';
 import {
 	MemoryObjectStore, MemoryPlatform, PlatformStandIn, type PlatformFaults,
 } from '../../index.js';
@@ -20,12 +23,29 @@
 	['watch', async (store: ObjectStore) => store.watch('kn', 0).run()],
 ]);
 
+/** Calls after which the engine has optimized the code that makes them. */
+const callsUntilOptimized = 2000;
+
 const known = {key: 'known', version: 1, value: 'first'};
 
 function toName(result: Either<Failure, unknown>): string {
 	return foldResult(result, ({name}) => name, () => 'done');
 }
 
+/** Runs a full garbage collection. */
+function collectGarbage(): void {
+	setFlagsFromString('--expose-gc');
+	runInNewContext('gc()');
+}
+
+/** Runs an action that many times, one after the other. */
+async function repeat(action: () => Promise<unknown>, times: number): Promise<void> {
+	await Array.from({length: times}).reduce<Promise<unknown>>(async previous => {
+		await previous;
+		return action();
+	}, Promise.resolve());
+}
+
 /** The rules that each implementation keeps. */
 function checkContract(createStore: () => ObjectStore): void {
 	const cases: ReadonlyArray<{readonly name: string; readonly call: Call; readonly answer: unknown}> = [
@@ -174,5 +194,20 @@
 			expect(toName(await impatient.get('known').run())).to.equal('platformUnavailable');
 			await impatient.close();
 		});
+
+		// Guards against a watch that hangs on a silent connection for good, because a garbage collection took its time limit.
+		it('a watch on a silent connection ends at its time limit after a full garbage collection', async () => {
+			const impatient = new HttpObjectStore(origin, {timeoutMs: 200, watchMs: 300});
+			const watch = async (): Promise<Either<Failure, unknown>> => impatient.watch('kn', 0, new AbortController().signal).run();
+			await store.create('known', 'first').run();
+			// Optimized code keeps fewer objects alive across an await than code that ran for the first time.
+			await repeat(watch, callsUntilOptimized);
+			platform.setFaults({delayMs: 100_000});
+			const watched = watch();
+			await wait(100);
+			collectGarbage();
+			expect(toName(await Promise.race([watched, wait(3000, Right('hangs'))]))).to.equal('platformUnavailable');
+			await impatient.close();
+		});
 	});
 });
