Give each call to the object API a time limit that garbage collection can't take

Cause: AbortSignal.any holds its sources weakly, and a collected AbortSignal.timeout clears its timer. Optimized code keeps no other reference to it across the await. Fix: a plain timer aborts the call's own controller and is cleared when the call ends.

--- a/packages/object-store/src/http-object-store.ts
+++ b/packages/object-store/src/http-object-store.ts
@@ -144,16 +144,34 @@
 	}
 
 	async #fetch({method, path, headers = {}, body, timeoutMs = this.#timeoutMs, signal}: RequestOptions): Promise<unknown> {
-		const timeout = AbortSignal.timeout(timeoutMs);
-		const response = await this.#agent.request({
-			origin: this.#origin, path, method, headers, body: body ?? null, signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
-		});
-		const text = await readBody(response.body);
-		if (response.statusCode >= 300) {
-			throw new FailureError(createStatusFailure(response.statusCode, text));
+		const abortController = new AbortController();
+		const handleAbort = (): void => {
+			abortController.abort();
+		};
+
+		signal?.addEventListener('abort', handleAbort, {once: true});
+		if (signal?.aborted) {
+			abortController.abort();
 		}
 
-		return parseJson(text);
+		// `AbortSignal.any` holds its sources weakly: a collected `AbortSignal.timeout` would never end the call.
+		const timer = setTimeout(() => {
+			abortController.abort(new FailureError(createFailure('platformUnavailable', `no complete answer within ${timeoutMs} ms`)));
+		}, timeoutMs);
+		try {
+			const response = await this.#agent.request({
+				origin: this.#origin, path, method, headers, body: body ?? null, signal: abortController.signal,
+			});
+			const text = await readBody(response.body);
+			if (response.statusCode >= 300) {
+				throw new FailureError(createStatusFailure(response.statusCode, text));
+			}
+
+			return parseJson(text);
+		} finally {
+			clearTimeout(timer);
+			signal?.removeEventListener('abort', handleAbort);
+		}
 	}
 }
 
--- a/packages/stand-ins/src/__tests__/unit/object-store.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/object-store.test.ts
@@ -195,6 +195,12 @@
 			await impatient.close();
 		});
 
+		it('a watch that was aborted before it began ends at once', async () => {
+			const startedAt = performance.now();
+			expect(toName(await store.watch('other', 0, AbortSignal.abort()).run())).to.equal('platformUnavailable');
+			expect(performance.now() - startedAt).to.be.below(500);
+		});
+
 		// Guards against a watch that hangs on a silent connection for good, because a garbage collection took its time limit.
 		it('a watch on a silent connection ends at its time limit after a full garbage collection', async () => {
 			const impatient = new HttpObjectStore(origin, {timeoutMs: 200, watchMs: 300});
