Spread the ends of a fleet's watches, so that silent connections to the store show in time

Callers saw: for some seconds requests on all hosts were run as an older configuration allows, or refused with 404 on routes that had been added, long after the change had been acknowledged (users' record, CONFIG and DENIED). Cause: a silent connection shows only when a watch on it gets no answer in its time, 10 s and 1.5 s more. A change lets all watches of a fleet begin within 300 ms, so they all ended together and no node could tell the others earlier. The class of fault: waits that are believed for their whole length and are aligned by the event they wait for. Fix: waits scale with the number of watching nodes (one watch of the fleet ends each 500 ms on average, waits of 1 to 10 s) and the first wait after a start, a read or a change is drawn at random. A node that hears from no other counts itself alone and begins a watch that is too long for that again. After a watch without an answer the store is read at once instead of after a back-off.

release-follower.test.ts: the store watcher's random is 1 in place of 0, as 0 would now mean a first wait of 1 ms.

--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -8,9 +8,7 @@
 	announcementSweepMs, Announcements, Gossip, MemberTable, type AnnouncedServer, type LeftServers,
 } from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/object-store';
-import {
-	ConfigurationWatcher, ReleaseState, selectWatchers, type ConfigurationSource,
-} from '@limpetbarrow/releases';
+import {ConfigurationWatcher, ReleaseState, type ConfigurationSource} from '@limpetbarrow/releases';
 import {EitherAsync, Right, type Either} from 'purify-ts';
 import {
 	ControlServer, type ControlAnswer, type ControlCall, type ControlProtocol,
@@ -29,6 +27,7 @@
 import {createSidecarRecord} from './sidecar-record.js';
 import {type SidecarSettings} from './sidecar-settings.js';
 import {StoreDiscovery} from './store-discovery.js';
+import {WatcherRole} from './watcher-role.js';
 
 /** Protocols and stores of the platform that a sidecar runs on. */
 export type SidecarPlatform = {
@@ -56,12 +55,8 @@
 
 /** Announcement periods for which an announcement is valid; a backend server that misses that many in a row is dropped. */
 const announcementsPerLease = 6;
-/** Time without a gossip message from any other node after which a node watches the configuration itself, in milliseconds. */
-const maxGossipSilenceMs = 1500;
 /** Largest number of log lines about entries of one configuration that can't be read. */
 const maxSkippedLogLines = 20;
-/** Nodes of each failure domain that watch the configuration; the fleet learns of a change while any of its watches works. */
-const watchersPerDomain = 4;
 /** Share of the configured retry ratio and allowance that is used; the rest is room for requests that are counted late. */
 const usedRetryShare = 0.85;
 
@@ -138,8 +133,14 @@
 		this.#router = this.#createRouter();
 		this.#ingress = this.#createIngress(this.#router);
 		this.#controlServer = new ControlServer(platform.control, (call, remoteHost) => this.#handleCall(call, remoteHost));
+		const role = new WatcherRole(this.#table, this.#gossip);
 		this.#configurationWatcher = new ConfigurationWatcher({
-			source: platform.source, state: this.#releases, logger, isSelectedWatcher: () => this.#isChosenWatcher(), countLiveNodes: () => this.#table.listLive().length,
+			source: platform.source,
+			state: this.#releases,
+			logger,
+			isSelectedWatcher: () => role.isWatcher(),
+			countWatchers: () => role.countWatchers(),
+			countLiveNodes: () => this.#table.listLive().length,
 		});
 		this.#peerConfigurationFetcher = new PeerConfigurationFetcher({
 			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#configurationWatcher.isWatching(), readPlatform: () => {
@@ -312,20 +313,6 @@
 		});
 	}
 
-	/** Returns whether this node watches the configuration; one that hears from no other, or knows no live one, does. */
-	#isChosenWatcher(): boolean {
-		if (performance.now() - this.#gossip.getLastMessageAt() > maxGossipSilenceMs) {
-			return true;
-		}
-
-		const {failureDomain} = this.#table.getSelf().placement;
-		const sameDomainMembers = this.#table.listLive().filter(({record, status}) => status === 'alive' && record.placement.failureDomain === failureDomain);
-		const peers = sameDomainMembers.map(({record}) => ({
-			id: record.id, failureDomain: record.placement.failureDomain, release: record.release, isServing: record.state === 'serving',
-		}));
-		return selectWatchers(peers, watchersPerDomain).has(this.#table.self.id);
-	}
-
 	#listServers(): NodeRecord['servers'] {
 		const servers = this.#egress.listServers();
 		return this.#isTakingWork ? servers : servers.map(server => ({...server, state: 'leaving'}));
--- a/packages/object-store/src/http-object-store.ts
+++ b/packages/object-store/src/http-object-store.ts
@@ -12,7 +12,7 @@
 import {PlainDialect} from './plain-dialect.js';
 import {type StoreRequest, type StoreDialect} from './store-dialect.js';
 import {
-	type CallKind, type ObjectList, type StoredObject, type WatchResult,
+	type CallKind, type ObjectList, type StoredObject, type WatchOptions, type WatchResult,
 } from './types.js';
 
 type RequestOptions = StoreRequest & {
@@ -61,7 +61,7 @@
 export type HttpObjectStoreOptions = {
 	/** Timeout of a call, in milliseconds. */
 	readonly timeoutMs?: number;
-	/** Time that a watch waits for a change, in milliseconds. */
+	/** Longest time that a watch waits for a change, in milliseconds. */
 	readonly watchMs?: number;
 	readonly dialect?: StoreDialect;
 };
@@ -74,7 +74,7 @@
 	readonly #dialect: StoreDialect;
 	readonly #agent = new Agent({pipelining: 1});
 
-	/** `timeoutMs` limits each call; a watch may take `watchMs` longer. */
+	/** `timeoutMs` limits each call; a watch may take longer by its wait, which is `watchMs` at most. */
 	constructor(origin: string, {timeoutMs = callTimeoutMs, watchMs = watchWaitMs, dialect = new PlainDialect()}: HttpObjectStoreOptions = {}) {
 		super();
 		this.#origin = origin;
@@ -103,11 +103,12 @@
 		return this.#send({kind: 'delete', ...this.#dialect.formatRemove(key, version)}, () => undefined);
 	}
 
-	override watch(prefix: string, fromVersion: number, signal?: AbortSignal): EitherAsync<Failure, WatchResult> {
+	override watch(prefix: string, fromVersion: number, {waitMs = this.#watchMs, signal}: WatchOptions = {}): EitherAsync<Failure, WatchResult> {
+		const boundedWaitMs = Math.min(waitMs, this.#watchMs);
 		return this.#send({
 			kind: 'watch',
-			...this.#dialect.formatWatch(prefix, fromVersion, this.#watchMs),
-			timeoutMs: this.#watchMs + this.#timeoutMs,
+			...this.#dialect.formatWatch(prefix, fromVersion, boundedWaitMs),
+			timeoutMs: boundedWaitMs + this.#timeoutMs,
 			...(signal && {signal}),
 		}, response => this.#dialect.parseWatch(response, prefix));
 	}
--- a/packages/object-store/src/object-store.ts
+++ b/packages/object-store/src/object-store.ts
@@ -2,7 +2,7 @@
 import {type EitherAsync} from 'purify-ts';
 import {type Failure} from '@limpetbarrow/core';
 import {
-	type CallCounts, type CallKind, type ObjectList, type StoredObject, type WatchResult,
+	type CallCounts, type CallKind, type ObjectList, type StoredObject, type WatchOptions, type WatchResult,
 } from './types.js';
 
 /**
@@ -32,7 +32,7 @@
 	/** Deletes the object; fails with `platformConflict` when its version is not `version`. */
 	abstract remove(key: string, version: number): EitherAsync<Failure, void>;
 	/** Waits for changes to keys that start with `prefix` after `fromVersion`; resolves without events when the wait time is over. */
-	abstract watch(prefix: string, fromVersion: number, signal?: AbortSignal): EitherAsync<Failure, WatchResult>;
+	abstract watch(prefix: string, fromVersion: number, options?: WatchOptions): EitherAsync<Failure, WatchResult>;
 
 	protected recordCall(kind: CallKind): void {
 		this.#counts = {...this.#counts, [kind]: this.#counts[kind] + 1};
--- a/packages/object-store/src/types.ts
+++ b/packages/object-store/src/types.ts
@@ -32,3 +32,10 @@
 
 /** Number of calls made so far, by kind. */
 export type CallCounts = Readonly<Record<CallKind, number>>;
+
+/** Options of a watch. */
+export type WatchOptions = {
+	/** Time that the watch waits for a change, in milliseconds; the client's longest wait if it is longer or not given. */
+	readonly waitMs?: number;
+	readonly signal?: AbortSignal;
+};
--- a/packages/releases/src/__tests__/unit/release-follower.test.ts
+++ b/packages/releases/src/__tests__/unit/release-follower.test.ts
@@ -276,7 +276,7 @@
 			store, log, reader, state,
 		} = createOperator(platform, kind => kind === 'watch' && watchCount++ === 0 ? 'stale' : 'none');
 		const watcher = new StoreWatcher({
-			store, log, reader, state, logger: new SilentLogger(), random: () => 0,
+			store, log, reader, state, logger: new SilentLogger(), random: () => 1, countWatchers: () => 1,
 		});
 		const applyNote = async (id: string, base: number): Promise<void> => {
 			await createOperator(platform).acceptor.accept(createNote(id, base)).run();
--- a/packages/releases/src/configuration-source.ts
+++ b/packages/releases/src/configuration-source.ts
@@ -1,7 +1,7 @@
 /** Sources from which a node reads and watches the whole configuration. */
 import {EitherAsync, Right, type Either} from 'purify-ts';
 import {createFailure, type Failure} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/object-store';
+import {type ObjectStore, type WatchOptions} from '@limpetbarrow/object-store';
 import {type Configuration} from './types.js';
 
 /** Result of a read or a watch: the configuration, if there is a new one, and the version to watch from next. */
@@ -15,7 +15,7 @@
 	/** Reads the current configuration; resolves without one when the source holds none. */
 	abstract read(): EitherAsync<Failure, SourceReadResult>;
 	/** Waits for a change after `fromVersion`; resolves without a configuration when there was none within the wait time. */
-	abstract watch(fromVersion: number, signal: AbortSignal): EitherAsync<Failure, SourceReadResult>;
+	abstract watch(fromVersion: number, options: WatchOptions): EitherAsync<Failure, SourceReadResult>;
 }
 
 /** Parses text as a configuration. */
@@ -41,8 +41,8 @@
 		return this.#store.list(this.#prefix).chain(({objects, version}) => this.#createReadResult(objects, version));
 	}
 
-	override watch(fromVersion: number, signal: AbortSignal): EitherAsync<Failure, SourceReadResult> {
-		return this.#store.watch(this.#prefix, fromVersion, signal).chain(({events, version}) => this.#createReadResult(events, version));
+	override watch(fromVersion: number, options: WatchOptions): EitherAsync<Failure, SourceReadResult> {
+		return this.#store.watch(this.#prefix, fromVersion, options).chain(({events, version}) => this.#createReadResult(events, version));
 	}
 
 	#createReadResult(objects: ReadonlyArray<{readonly key: string; readonly value?: string}>, version: number): EitherAsync<Failure, SourceReadResult> {
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -8,6 +8,7 @@
 import {computeBackOffMs} from './back-off.js';
 import {type ConfigurationSource, type SourceReadResult} from './configuration-source.js';
 import {type ReleaseState} from './release-state.js';
+import {WatchSchedule} from './watch-schedule.js';
 
 /** Dependencies of a configuration watcher. */
 export type ConfigurationWatcherOptions = {
@@ -17,6 +18,8 @@
 	readonly random?: () => number;
 	/** Tells whether this node is selected to watch; without it, every node watches. */
 	readonly isSelectedWatcher?: () => boolean;
+	/** Returns the number of nodes that watch, this one included; the fewer they are, the sooner each renews its watch. */
+	readonly countWatchers?: () => number;
 	/** Returns the number of live nodes; the rate of each node's occasional reads is divided by it. */
 	readonly countLiveNodes?: () => number;
 };
@@ -26,13 +29,15 @@
 	readonly name: 'read' | 'watch';
 	/** Monotonic time, in milliseconds. */
 	readonly startedAt: number;
+	/** Time that a watch waits for a change, in milliseconds; 0 for a read. */
+	readonly waitMs: number;
 };
 
 /** Pause after a change, in milliseconds, so that one call fetches several quick changes; short against the time in which they must take effect. */
 const changePauseMs = 300;
 
-/** Period with which a node in standby checks whether it is selected to watch, in milliseconds. */
-const standbyCheckPeriodMs = 500;
+/** Period with which a node checks whether it is selected to watch, and whether its watch lasts too long, in milliseconds. */
+const checkPeriodMs = 500;
 /** Mean time between two reads by nodes that don't watch, over the whole fleet, in milliseconds. */
 const fleetReadPeriodMs = 2000;
 /** Time after the start in which a node learns of the others before it may consider itself selected, in milliseconds. */
@@ -41,6 +46,7 @@
 /** Reads the source, then watches from the version it has read; reads again after a failure. */
 export class ConfigurationWatcher {
 	readonly #options: ConfigurationWatcherOptions;
+	readonly #schedule: WatchSchedule;
 	#abortController = new AbortController();
 	#timer: NodeJS.Timeout | undefined;
 	#failureCount = 0;
@@ -53,7 +59,9 @@
 	#answeredAt = performance.now();
 
 	constructor(options: ConfigurationWatcherOptions) {
+		const {countWatchers = () => 1, random = Math.random} = options;
 		this.#options = options;
+		this.#schedule = new WatchSchedule(countWatchers, random);
 	}
 
 	start(): void {
@@ -104,11 +112,11 @@
 		const {random = Math.random, countLiveNodes = () => 1} = this.#options;
 		this.#isInStandby = true;
 		this.#updateWatching(false);
-		if (random() < standbyCheckPeriodMs / (fleetReadPeriodMs * Math.max(1, countLiveNodes()))) {
+		if (random() < checkPeriodMs / (fleetReadPeriodMs * Math.max(1, countLiveNodes()))) {
 			this.#version = undefined;
 		}
 
-		this.#startTimer(standbyCheckPeriodMs);
+		this.#startTimer(checkPeriodMs);
 	}
 
 	#startTimer(delayMs: number): void {
@@ -121,7 +129,7 @@
 	}
 
 	async #runStep(signal: AbortSignal): Promise<void> {
-		const {source, random = Math.random} = this.#options;
+		const {random = Math.random} = this.#options;
 		if (this.#isStandby()) {
 			this.#waitInStandby();
 			return;
@@ -129,15 +137,41 @@
 
 		this.#isInStandby = false;
 		this.#updateWatching(this.#version !== undefined);
-		const call: SourceCall = {name: this.#version === undefined ? 'read' : 'watch', startedAt: performance.now()};
-		const result = await (this.#version === undefined ? source.read() : source.watch(this.#version, signal)).run();
+		const call: SourceCall = {
+			name: this.#version === undefined ? 'read' : 'watch', startedAt: performance.now(), waitMs: this.#version === undefined ? 0 : this.#schedule.chooseWaitMs(),
+		};
+		const result = await this.#runCall(call, signal);
 		if (signal.aborted) {
 			return;
 		}
 
 		this.#recordResult(result, call);
 		const hasChanged = result.map(({configuration}) => configuration !== undefined).orDefault(false);
-		this.#startTimer(this.#failureCount === 0 ? (hasChanged ? changePauseMs : 0) : computeBackOffMs(this.#failureCount, random));
+		if (hasChanged || call.name === 'read') {
+			this.#schedule.markAligned();
+		}
+
+		// A watch without an answer tells of its connection, not of the platform, so the platform is read without delay.
+		const isSilent = result.isLeft() && call.name === 'watch' && performance.now() - call.startedAt >= call.waitMs;
+		const failureDelayMs = isSilent ? 0 : computeBackOffMs(this.#failureCount, random);
+		this.#startTimer(this.#failureCount === 0 ? (hasChanged ? changePauseMs : 0) : failureDelayMs);
+	}
+
+	async #runCall({startedAt, waitMs}: SourceCall, signal: AbortSignal): Promise<Either<Failure, SourceReadResult>> {
+		const {source} = this.#options;
+		if (this.#version === undefined) {
+			return source.read().run();
+		}
+
+		const check = setInterval(() => {
+			if (!signal.aborted && this.#schedule.isOverdue(waitMs, performance.now() - startedAt)) {
+				this.#abortController.abort();
+				this.#startTimer(0);
+			}
+		}, checkPeriodMs);
+		const result = await source.watch(this.#version, {waitMs, signal}).run();
+		clearInterval(check);
+		return result;
 	}
 
 	/** Records a result. `platformHistoryGone` is no outage: it adds no back-off, and the source is read again at once. */
--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -12,6 +12,7 @@
 export * from './release-acceptor.js';
 export * from './snapshot-store.js';
 export * from './select-watchers.js';
+export * from './watch-schedule.js';
 export * from './release-peers.js';
 export * from './store-watcher.js';
 export * from './release-follower.js';
--- a/packages/releases/src/release-follower.ts
+++ b/packages/releases/src/release-follower.ts
@@ -12,7 +12,7 @@
 import {type ReleasePeer, type ReleasePeers} from './release-peers.js';
 import {ReleaseReader} from './release-reader.js';
 import {type ReleaseState} from './release-state.js';
-import {selectWatchers} from './select-watchers.js';
+import {countWatchers, selectWatchers} from './select-watchers.js';
 import {SnapshotStore} from './snapshot-store.js';
 import {StoreWatcher} from './store-watcher.js';
 
@@ -55,7 +55,7 @@
 		this.#random = random;
 		this.#reader = new ReleaseReader(log, new SnapshotStore(store), state);
 		this.#watcher = new StoreWatcher({
-			store, log, reader: this.#reader, state, logger, random,
+			store, log, reader: this.#reader, state, logger, random, countWatchers: () => Math.max(1, countWatchers(peers.listLive(), options.watchersPerDomain)),
 		});
 		this.#peerFollower = new PeerFollower({
 			peers, state, logger, random,
--- a/packages/releases/src/select-watchers.ts
+++ b/packages/releases/src/select-watchers.ts
@@ -39,3 +39,9 @@
 		.slice(0, nodesPerDomain)
 		.map(({id}) => id)));
 }
+
+/** Counts the nodes that `selectWatchers` selects. */
+export function countWatchers(peers: readonly ReleasePeer[], nodesPerDomain = watchersPerDomain): number {
+	const domains = groupItems(peers.filter(({isServing}) => isServing), ({failureDomain}) => failureDomain);
+	return [...domains.values()].reduce((sum, members) => sum + Math.min(nodesPerDomain, members.length), 0);
+}
--- a/packages/releases/src/store-watcher.ts
+++ b/packages/releases/src/store-watcher.ts
@@ -1,13 +1,14 @@
 /** Watches the release log in the platform. */
 import {EitherAsync, Right, type Either} from 'purify-ts';
 import {type Failure, type Logger} from '@limpetbarrow/core';
-import {type ObjectStore} from '@limpetbarrow/object-store';
+import {type ObjectStore, type WatchOptions} from '@limpetbarrow/object-store';
 import {computeBackOffMs} from './back-off.js';
 import {releasePrefix} from './release-keys.js';
 import {type ReleaseLog} from './release-log.js';
 import {type ReleaseReader} from './release-reader.js';
 import {type ReleaseState} from './release-state.js';
 import {type Release} from './types.js';
+import {WatchSchedule} from './watch-schedule.js';
 
 /** Prefix of no object's key; listing it returns only the store's version. */
 const unusedPrefix = `${releasePrefix}none`;
@@ -20,6 +21,8 @@
 	readonly state: ReleaseState;
 	readonly logger: Logger;
 	readonly random: () => number;
+	/** Returns the number of nodes that watch, this one included. */
+	readonly countWatchers: () => number;
 };
 
 /**
@@ -28,6 +31,7 @@
  */
 export class StoreWatcher {
 	readonly #options: StoreWatcherOptions;
+	readonly #schedule: WatchSchedule;
 	#isRunning = false;
 	/** Aborts the step in progress. Each step has its own controller, so that listeners do not accumulate on one signal. */
 	#abortController = new AbortController();
@@ -38,6 +42,7 @@
 
 	constructor(options: StoreWatcherOptions) {
 		this.#options = options;
+		this.#schedule = new WatchSchedule(options.countWatchers, options.random);
 	}
 
 	isRunning(): boolean {
@@ -68,13 +73,22 @@
 	}
 
 	async #runStep(signal: AbortSignal): Promise<void> {
-		const result = await (this.#version === undefined ? this.#resume() : this.#watch(this.#version, signal)).run();
+		const startedAt = performance.now();
+		const waitMs = this.#version === undefined ? undefined : this.#schedule.chooseWaitMs();
+		const releaseBefore = this.#options.state.getNumber();
+		const result = await (this.#version === undefined ? this.#resume() : this.#watch(this.#version, {waitMs, signal})).run();
 		if (signal.aborted) {
 			return;
 		}
 
 		this.#recordResult(result);
-		this.#startTimer(this.#failureCount === 0 ? 0 : computeBackOffMs(this.#failureCount, this.#options.random));
+		if (waitMs === undefined || this.#options.state.getNumber() > releaseBefore) {
+			this.#schedule.markAligned();
+		}
+
+		// A watch without an answer tells of its connection, not of the platform, so the platform is read without delay.
+		const isSilent = result.isLeft() && waitMs !== undefined && performance.now() - startedAt >= waitMs;
+		this.#startTimer(this.#failureCount === 0 || isSilent ? 0 : computeBackOffMs(this.#failureCount, this.#options.random));
 	}
 
 	/** Gets the store's version before it reads the log, so that no change between the two is missed. */
@@ -83,9 +97,9 @@
 		return store.list(unusedPrefix).chain(({version}) => reader.readConfiguration().map(() => version));
 	}
 
-	#watch(fromVersion: number, signal: AbortSignal): EitherAsync<Failure, number> {
+	#watch(fromVersion: number, options: WatchOptions): EitherAsync<Failure, number> {
 		const {store, log, reader, state} = this.#options;
-		return store.watch(releasePrefix, fromVersion, signal).chain(({events, version}) => {
+		return store.watch(releasePrefix, fromVersion, options).chain(({events, version}) => {
 			const texts = events.map(({value}) => value).filter(value => value !== undefined);
 			return EitherAsync.sequence(texts.map(text => log.parse(text))).chain(releases => {
 				state.apply(releases);
--- a/packages/stand-ins/src/__tests__/unit/object-store.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/object-store.test.ts
@@ -33,13 +33,13 @@
 }
 
 /** Runs a full garbage collection. */
-function collectGarbage(): void {
+function runGarbageCollection(): void {
 	setFlagsFromString('--expose-gc');
 	runInNewContext('gc()');
 }
 
 /** Runs an action that many times, one after the other. */
-async function repeat(action: () => Promise<unknown>, times: number): Promise<void> {
+async function runRepeatedly(action: () => Promise<unknown>, times: number): Promise<void> {
 	await Array.from({length: times}).reduce<Promise<unknown>>(async previous => {
 		await previous;
 		return action();
@@ -86,7 +86,7 @@
 	it('watch ends when it is aborted', async () => {
 		const store = createStore();
 		const abort = new AbortController();
-		const watched = store.watch('other', 0, abort.signal).run();
+		const watched = store.watch('other', 0, {signal: abort.signal}).run();
 		abort.abort();
 		await watched;
 	});
@@ -197,21 +197,21 @@
 
 		it('a watch that was aborted before it began ends at once', async () => {
 			const startedAt = performance.now();
-			expect(toName(await store.watch('other', 0, AbortSignal.abort()).run())).to.equal('platformUnavailable');
+			expect(toName(await store.watch('other', 0, {signal: AbortSignal.abort()}).run())).to.equal('platformUnavailable');
 			expect(performance.now() - startedAt).to.be.below(500);
 		});
 
 		// Guards against a watch that hangs on a silent connection for good, because a garbage collection took its time limit.
 		it('a watch on a silent connection ends at its time limit after a full garbage collection', async () => {
 			const impatient = new HttpObjectStore(origin, {timeoutMs: 200, watchMs: 300});
-			const watch = async (): Promise<Either<Failure, unknown>> => impatient.watch('kn', 0, new AbortController().signal).run();
+			const watch = async (): Promise<Either<Failure, unknown>> => impatient.watch('kn', 0, {signal: new AbortController().signal}).run();
 			await store.create('known', 'first').run();
 			// Optimized code keeps fewer objects alive across an await than code that ran for the first time.
-			await repeat(watch, callsUntilOptimized);
+			await runRepeatedly(watch, callsUntilOptimized);
 			platform.setFaults({delayMs: 100_000});
 			const watched = watch();
 			await wait(100);
-			collectGarbage();
+			runGarbageCollection();
 			expect(toName(await Promise.race([watched, wait(3000, Right('hangs'))]))).to.equal('platformUnavailable');
 			await impatient.close();
 		});
--- a/packages/stand-ins/src/memory-object-store.ts
+++ b/packages/stand-ins/src/memory-object-store.ts
@@ -5,7 +5,7 @@
 } from 'purify-ts';
 import {createFailure, Subject, type Failure} from '@limpetbarrow/core';
 import {
-	maxValueBytes, ObjectStore, watchWaitMs, type CallKind, type ObjectEvent, type ObjectList, type StoredObject, type WatchResult,
+	maxValueBytes, ObjectStore, watchWaitMs, type CallKind, type ObjectEvent, type ObjectList, type StoredObject, type WatchOptions, type WatchResult,
 } from '@limpetbarrow/object-store';
 import {ObjectHistory} from './object-history.js';
 
@@ -90,7 +90,7 @@
 		return this.#write('delete', key, version, undefined).void();
 	}
 
-	override watch(prefix: string, fromVersion: number, signal?: AbortSignal): EitherAsync<Failure, WatchResult> {
+	override watch(prefix: string, fromVersion: number, options: WatchOptions = {}): EitherAsync<Failure, WatchResult> {
 		return EitherAsync(async ({throwE}) => {
 			this.recordCall('watch');
 			const fault = this.#chooseFault('watch');
@@ -99,7 +99,7 @@
 			}
 
 			if (this.#platform.history.selectEvents(prefix, fromVersion).length === 0) {
-				await this.#waitForWrite(prefix, signal);
+				await this.#waitForWrite(prefix, options);
 			}
 
 			return {events: fault === 'stale' ? [] : this.#platform.history.selectEvents(prefix, fromVersion), version: this.#platform.history.getVersion()};
@@ -147,7 +147,7 @@
 		});
 	}
 
-	async #waitForWrite(prefix: string, signal: AbortSignal | undefined): Promise<void> {
+	async #waitForWrite(prefix: string, {waitMs = watchWaitMs, signal}: WatchOptions): Promise<void> {
 		await new Promise<void>(resolve => {
 			const finish = (): void => {
 				clearTimeout(timer);
@@ -156,7 +156,7 @@
 				resolve();
 			};
 
-			const timer = setTimeout(finish, watchWaitMs);
+			const timer = setTimeout(finish, Math.min(waitMs, watchWaitMs));
 			const unregister = this.#platform.writes.registerListener(({key}) => {
 				if (key.startsWith(prefix)) {
 					finish();
