Close the connection after a backend server's rejection, so that a copy of it answers no later request

Callers would see: 503 'not run' for a request that a backend server runs, or such a request run at a second one, after the server sent an earlier rejection once more on a kept connection (reported by other operators; not seen by our users). Cause: a rejection left its connection in the pool. Its copy is told by the request's id, but a request that is asked of the same server again has the same id, and a rejection may have none. Evidence: broken-answers.test.ts, four cases (same id and no id, repeatable and not) gave serverShed on the code before and are answered 200 now. Fix: the connection is closed, as after a broken answer; a rejection costs a new connection.

--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -61,6 +61,31 @@
 			});
 		});
 
+		// Guards against a repeated rejection that is taken for the answer to a later request, which the backend server runs.
+		[
+			{what: 'of the same request, sent again', id: 'r-1', rejectionId: 'r-1'},
+			{what: 'without an id', id: 'r-2', rejectionId: ''},
+		].forEach(({what, id, rejectionId}) => {
+			[true, false].forEach(isRepeatable => {
+				it(`of a rejection ${what}, says nothing of a later request that ${isRepeatable ? 'may' : 'must not'} be repeated`, async () => {
+					const sockets = new Set<Socket>();
+					let isRejected = false;
+					const {send} = await startFixture((socket, text) => {
+						const formatted = formatRawResponse(text, {status: 503, headers: ['x-not-run: 1'], id: rejectionId});
+						const rejection = rejectionId === '' ? formatted.replace(/x-id: *\r\n/v, '') : formatted;
+						const isKept = sockets.has(socket);
+						sockets.add(socket);
+						socket.write(isRejected ? (isKept ? rejection : '') + formatRawResponse(text) : rejection);
+						isRejected = true;
+					});
+					expect(await send({isRepeatable})).to.include({outcome: 'serverShed'});
+					// The connection is idle again once the rejection has been read to its end.
+					await wait(20);
+					expect(await send({requestId: id, isRepeatable})).to.deep.equal({outcome: '200', body: 'whole'});
+				});
+			});
+		});
+
 		it('closes the connection when it arrives while the connection is idle', async () => {
 			const {send, backend} = await startFixture((socket, text) => {
 				socket.write(formatRawResponse(text));
@@ -75,6 +100,42 @@
 		});
 	});
 
+	// Guards against an answer that breaks off within its head and reaches the caller as a complete one.
+	describe('responses that stop within their head', () => {
+		const heads: ReadonlyArray<{readonly after: string; readonly text: (id: string) => string}> = [
+			{after: 'a part of the status line', text: () => 'HTTP/1.1 20'},
+			{after: 'the status line', text: () => 'HTTP/1.1 200 OK\r\n'},
+			{after: 'a header', text: id => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\n`},
+			{after: 'a part of a length', text: id => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\ncontent-length: 0`},
+			{after: 'a length', text: id => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\ncontent-length: 0\r\n`},
+			{after: 'connection: close', text: id => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\nconnection: close\r\n`},
+			{after: 'half of the empty line', text: id => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\nconnection: close\r\n\r`},
+			{after: 'an interim response', text: () => 'HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n'},
+			{after: 'a header behind an interim response', text: id => `HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\nHTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\n`},
+		];
+		heads.forEach(({after, text}) => {
+			[{on: 'a new connection', answersBefore: 0}, {on: 'a kept connection', answersBefore: 1}].forEach(({on, answersBefore}) => {
+				it(`fail the request as serverBroke: after ${after}, on ${on}`, async () => {
+					let count = 0;
+					const {send} = await startFixture((socket, requestText) => {
+						count++;
+						if (count <= answersBefore) {
+							socket.write(formatRawResponse(requestText));
+						} else {
+							socket.end(text(`r-${count}`));
+						}
+					});
+					if (answersBefore > 0) {
+						expect(await send({requestId: 'r-1'})).to.deep.equal({outcome: '200', body: 'whole'});
+						await wait(20);
+					}
+
+					expect(await send({requestId: `r-${answersBefore + 1}`})).to.deep.equal({outcome: 'serverBroke', body: ''});
+				});
+			});
+		});
+	});
+
 	describe('responses that never end', () => {
 		const remainingMs = 700;
 		const toleranceMs = 150;
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -238,10 +238,8 @@
 
 	#handleResponseHead(response: ResponseHead): void {
 		const failure = this.#protocol.validateResponse(this.#head, response);
-		if (failure?.ran === 'not-run') {
-			this.#finish(this.#createOutcome('failed'), failure);
-			this.#handler.handleFailure(failure);
-		} else if (failure) {
+		if (failure) {
+			// Closes the connection after a rejection too: a copy of it, sent late, would look like the answer to a later request.
 			this.#fail(failure, 'failed');
 		} else {
 			this.#responseStatus = response.status;
