Open new connections to the object API after a call that got no answer

Callers could see: each store call waits for its whole time on one of several connections that went silent together, before a new one is tried; changes of the configuration and acknowledgements of leaving servers are late by as many time limits (1.5 s each). Cause: a call without an answer closed its own connection only, and the next one took another idle connection of the same age. Evidence: object-store.test.ts, "a call after one that got no answer uses none of the connections that were open then", fails on the code before (platformUnavailable) and passes now. Fix: after such a call the pool is replaced; calls in progress on the old one end by themselves.

--- a/packages/object-store/src/http-object-store.ts
+++ b/packages/object-store/src/http-object-store.ts
@@ -42,6 +42,10 @@
 	}
 }
 
+function createAgent(): Agent {
+	return new Agent({pipelining: 1});
+}
+
 async function readBody(body: AsyncIterable<Uint8Array>): Promise<string> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
@@ -72,7 +76,9 @@
 	readonly #timeoutMs: number;
 	readonly #watchMs: number;
 	readonly #dialect: StoreDialect;
-	readonly #agent = new Agent({pipelining: 1});
+	/** Agents that finish the calls they have begun and get no new ones. */
+	readonly #retiredAgents = new Set<Agent>();
+	#agent = createAgent();
 
 	/** `timeoutMs` limits each call; a watch may take longer by its wait, which is `watchMs` at most. */
 	constructor(origin: string, {timeoutMs = callTimeoutMs, watchMs = watchWaitMs, dialect = new PlainDialect()}: HttpObjectStoreOptions = {}) {
@@ -115,7 +121,18 @@
 
 	/** Closes all connections; calls in progress fail. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		await Promise.all([this.#agent, ...this.#retiredAgents].map(async agent => agent.destroy()));
+	}
+
+	/** Makes later calls open new connections: those that are open may all have gone silent with the one that gave no answer. */
+	#replaceAgent(agent: Agent): void {
+		if (agent === this.#agent) {
+			this.#agent = createAgent();
+			this.#retiredAgents.add(agent);
+			void agent.close().finally(() => {
+				this.#retiredAgents.delete(agent);
+			});
+		}
 	}
 
 	/** Returns the first page's version for the whole list: a watch from there also delivers changes made between the pages. */
@@ -145,6 +162,7 @@
 	}
 
 	async #fetch({method, path, headers = {}, body, timeoutMs = this.#timeoutMs, signal}: RequestOptions): Promise<unknown> {
+		const agent = this.#agent;
 		const abortController = new AbortController();
 		const handleAbort = (): void => {
 			abortController.abort();
@@ -158,9 +176,10 @@
 		// `AbortSignal.any` holds its sources weakly: a collected `AbortSignal.timeout` would never end the call.
 		const timer = setTimeout(() => {
 			abortController.abort(new FailureError(createFailure('platformUnavailable', `no complete answer within ${timeoutMs} ms`)));
+			this.#replaceAgent(agent);
 		}, timeoutMs);
 		try {
-			const response = await this.#agent.request({
+			const response = await agent.request({
 				origin: this.#origin, path, method, headers, body: body ?? null, signal: abortController.signal,
 			});
 			const text = await readBody(response.body);
--- a/packages/stand-ins/src/__tests__/unit/object-store.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/object-store.test.ts
@@ -8,7 +8,7 @@
 } from '@limpetbarrow/object-store';
 import {Right, type Either} from 'purify-ts';
 import {
-	MemoryObjectStore, MemoryPlatform, PlatformStandIn, type PlatformFaults,
+	MemoryObjectStore, MemoryPlatform, PlatformStandIn, TcpRelay, type PlatformFaults,
 } from '../../index.js';
 
 type Call = (store: ObjectStore) => Promise<Either<Failure, unknown>>;
@@ -195,6 +195,21 @@
 			await impatient.close();
 		});
 
+		// Guards against calls that each wait for their whole time on one of several connections that went silent together.
+		it('a call after one that got no answer uses none of the connections that were open then', async () => {
+			const {hostname, port} = new URL(origin);
+			const relay = new TcpRelay({host: hostname, port: Number(port)});
+			const impatient = new HttpObjectStore(`http://${formatAddress(await relay.listen())}`, {timeoutMs: 100, watchMs: 300});
+			const watched = impatient.watch('other', 0).run();
+			await Promise.all(['a', 'b', 'c', 'd'].map(async key => impatient.create(key, key).run()));
+			relay.pauseConnections();
+			expect(toName(await impatient.get('a').run())).to.equal('platformUnavailable');
+			expect(toName(await impatient.get('b').run())).to.equal('done');
+			expect(toName(await watched)).to.equal('platformUnavailable');
+			await impatient.close();
+			await relay.close();
+		});
+
 		it('a watch that was aborted before it began ends at once', async () => {
 			const startedAt = performance.now();
 			expect(toName(await store.watch('other', 0, {signal: AbortSignal.abort()}).run())).to.equal('platformUnavailable');
