Let two tests of the watches fail without what they test, and close a test's relay when it fails

The test of a node out of touch now tries 20 moments (fails without isOverdue), and a new one asks for a read within 50 ms of a silent watch (fails with the back-off). The relay left open by a failing test of the object API kept plain mocha from ending.

--- a/packages/releases/src/__tests__/unit/watch-schedule.test.ts
+++ b/packages/releases/src/__tests__/unit/watch-schedule.test.ts
@@ -27,6 +27,9 @@
 class SilentSource extends ConfigurationSource {
 	release = 1;
 	calls = 0;
+	/** Monotonic times of the last read and of the last watch that failed, in milliseconds. */
+	readAt = 0;
+	failedAt = 0;
 	#silentCount = 0;
 	#waiters: ReadonlyArray<() => void> = [];
 
@@ -47,6 +50,7 @@
 
 	override read(): EitherAsync<Failure, SourceReadResult> {
 		this.calls++;
+		this.readAt = performance.now();
 		return EitherAsync.liftEither(Right(this.#createResult(0)));
 	}
 
@@ -63,6 +67,7 @@
 			}
 
 			await wait(answerTimeoutMs);
+			this.failedAt = performance.now();
 			return liftEither(Left(createFailure('platformUnavailable', 'no answer')));
 		});
 	}
@@ -167,15 +172,30 @@
 
 	// Guards against a node that is cut off from the others and waits on a silent connection as long as if they could tell it.
 	it('of a node that is out of touch begin again, so that a change reaches it', async () => {
-		const known = {watchers: 24};
-		const {source, states, stop} = startFleet(1, 5, () => known.watchers);
+		const missed = await Array.from({length: 20}, (_, index) => index).reduce<Promise<readonly number[]>>(async (before, index) => {
+			const earlier = await before;
+			const known = {watchers: 24};
+			const {source, states, stop} = startFleet(1, 5, () => known.watchers);
+			const silentAfterMs = 11_000 + (index * 500);
+			await clock.tickAsync(silentAfterMs);
+			source.pause();
+			known.watchers = 1;
+			await clock.tickAsync(contactMs);
+			source.writeNext();
+			await clock.tickAsync(applyMs);
+			stop();
+			return states.some(state => state.getNumber() === source.release) ? earlier : [...earlier, silentAfterMs];
+		}, Promise.resolve([]));
+		expect(missed).to.deep.equal([]);
+	});
+
+	it('that got no answer are followed by a read at once', async () => {
+		const {source, stop} = startFleet(1, 5);
 		await clock.tickAsync(11_000);
 		source.pause();
-		known.watchers = 1;
 		await clock.tickAsync(contactMs);
-		source.writeNext();
-		await clock.tickAsync(applyMs);
 		stop();
-		expect(states.map(state => state.getNumber())).to.deep.equal([source.release]);
+		expect(source.failedAt).to.be.above(11_000);
+		expect(source.readAt - source.failedAt).to.be.within(0, 50);
 	});
 });
--- a/packages/stand-ins/src/__tests__/unit/object-store.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/object-store.test.ts
@@ -200,14 +200,17 @@
 			const {hostname, port} = new URL(origin);
 			const relay = new TcpRelay({host: hostname, port: Number(port)});
 			const impatient = new HttpObjectStore(`http://${formatAddress(await relay.listen())}`, {timeoutMs: 100, watchMs: 300});
-			const watched = impatient.watch('other', 0).run();
-			await Promise.all(['a', 'b', 'c', 'd'].map(async key => impatient.create(key, key).run()));
-			relay.pauseConnections();
-			expect(toName(await impatient.get('a').run())).to.equal('platformUnavailable');
-			expect(toName(await impatient.get('b').run())).to.equal('done');
-			expect(toName(await watched)).to.equal('platformUnavailable');
-			await impatient.close();
-			await relay.close();
+			try {
+				const watched = impatient.watch('other', 0).run();
+				await Promise.all(['a', 'b', 'c', 'd'].map(async key => impatient.create(key, key).run()));
+				relay.pauseConnections();
+				expect(toName(await impatient.get('a').run())).to.equal('platformUnavailable');
+				expect(toName(await impatient.get('b').run())).to.equal('done');
+				expect(toName(await watched)).to.equal('platformUnavailable');
+			} finally {
+				await impatient.close();
+				await relay.close();
+			}
 		});
 
 		it('a watch that was aborted before it began ends at once', async () => {
