Fail a response without a length when its backend server has crashed

What callers saw: on the product's own node, a backend server that crashed while it sent a response without a length left a truncated response that was forwarded as a complete one.

Cause: the kernel closes a crashed process's connections in the normal way, so the end of the connection doesn't prove that the response is whole. The sidecar's egress asks whether the process still accepts connections before it takes such a response as complete; BackendServer, the egress of the product's own node, didn't ask.

Evidence: the new test in egress.test.ts got {outcome: '200', body: 'part'} before the fix and gets the failure serverBroke now. Its twin, a server that ends the connection and goes on running, passes before and after.

Why it works: checkServerRunning is no longer optional, so both egresses ask.

--- a/packages/node/src/__tests__/unit/egress.test.ts
+++ b/packages/node/src/__tests__/unit/egress.test.ts
@@ -87,6 +87,18 @@
 				return;
 			}
 
+			if (request.url?.startsWith('/unframed') === true) {
+				response.useChunkedEncodingByDefault = false;
+				response.shouldKeepAlive = false;
+				response.write('part');
+				if (request.url === '/unframed-crash') {
+					server.close();
+				}
+
+				response.end();
+				return;
+			}
+
 			response.writeHead(500);
 			response.end();
 		});
@@ -126,6 +138,15 @@
 		expect(runs).to.equal(before + 1);
 	});
 
+	// Guards against a truncated response that is taken for a complete one when the backend server's process has crashed.
+	it('fails a response without a length whose end the crash of its server may have caused', async () => {
+		expect(await sendRequest(egress, {path: '/unframed-crash'})).to.include({outcome: 'serverBroke'});
+	});
+
+	it('takes a response without a length for complete while its server runs', async () => {
+		expect(await sendRequest(egress, {path: '/unframed'})).to.deep.equal({outcome: '200', body: 'part'});
+	});
+
 	it('answers peers with summaries of servers that are not ejected', async () => {
 		const head = {target: {kind: 'egress', serverId: ''}, path: summariesPath} as const;
 		await sendRequest(egress, {});
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -19,7 +19,7 @@
 	 * Tests whether the backend server's process still runs. Called at the end of a response without a length, where
 	 * nothing else tells a complete response from a truncated one.
 	 */
-	readonly checkServerRunning?: () => Promise<boolean>;
+	readonly checkServerRunning: () => Promise<boolean>;
 	/** Called when the request body ends before the exchange is started. */
 	readonly handleBodyEnd?: (exchange: BackendExchange) => void;
 	/** Called when the exchange is cancelled before it was started. */
@@ -254,7 +254,7 @@
 	 */
 	#handleResponseEnd(): void {
 		const {checkServerRunning} = this.#owner;
-		if (this.#state !== 'running' || !this.#isResponseUnframed || !checkServerRunning) {
+		if (this.#state !== 'running' || !this.#isResponseUnframed) {
 			this.#finishResponse();
 			return;
 		}
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -5,6 +5,7 @@
 } from '@limpetbarrow/core';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
+import {isAcceptingConnections} from './address-probe.js';
 import {createBackendConnector} from './backend-connector.js';
 import {BackendExchange} from './backend-exchange.js';
 import {ServiceTimeAverage} from './service-time-average.js';
@@ -47,6 +48,7 @@
 	openExchange(head: RequestHead, handler: ExchangeHandler, queueLimit: number): Exchange {
 		const exchange: BackendExchange = new BackendExchange(head, handler, {
 			getLoad: () => this.getLoad(),
+			checkServerRunning: async () => isAcceptingConnections(this.#server.address),
 			handleBodyCollected: collected => {
 				this.#collectingBodies.delete(collected);
 				this.#admit(collected, queueLimit);
