Send responses without a length in chunks, so that a truncated one shows

Cause: the ingress switched chunked encoding off for such a response, so only the end of the caller's connection ended it. The kernel ends the connections of a killed process in the same way.

Why it works: the last chunk is written only when the egress knows that the response is complete (its backend server still runs, or failed the response), so every earlier end misses it. The connection stays open for the responses behind it. An HTTP/1.0 caller still gets a response that the end of its connection ends; such a caller has no other form.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -230,6 +230,43 @@
 		});
 	});
 
+	describe('with a response without a length', () => {
+		beforeEach(startIngressAndConnect);
+		afterEach(closeConnectionAndIngress);
+
+		function startUnframedResponse(): ExchangeHandler {
+			const {handler} = carrier.opened[0]!;
+			handler.handleHead({status: 200, headers: [], isUnframed: true});
+			handler.handleData(Buffer.from('answer to /first;'));
+			return handler;
+		}
+
+		// Guards against a response that looks complete when the process that passes it on is killed, as the kernel then
+		// closes its connections in the normal way.
+		it('get no end of the body when the connection ends before the backend server has ended it', async () => {
+			socket.write(formatRequest('/first'));
+			await hasOpened(1);
+			startUnframedResponse();
+			await waitUntil(() => listBodies().length === 1);
+			ingress.close();
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(received).to.match(/transfer-encoding: chunked/iv).and.not.match(/\r\n0\r\n\r\n$/v);
+		});
+
+		// Guards against a response whose end closes the connection and drops the responses that are ready behind it.
+		it('get the responses behind it on the same connection', async () => {
+			socket.write(formatRequest('/first') + formatRequest('/second'));
+			await hasOpened(2);
+			const handler = startUnframedResponse();
+			carrier.answer('/second');
+			handler.handleEnd();
+			expect(await waitUntil(() => listBodies().length === 2)).to.equal(true);
+			expect(listBodies()).to.deep.equal(['/first', '/second']);
+			expect(received).to.match(/\r\n0\r\n\r\nHTTP/v);
+			expect(isClosed).to.equal(false);
+		});
+	});
+
 	describe('during a planned stop', () => {
 		beforeEach(startIngressAndConnect);
 		afterEach(closeConnectionAndIngress);
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -121,17 +121,16 @@
 	}
 
 	/**
-	 * Writes the response head. A response delimited only by the end of its connection is sent to the caller without chunked
-	 * encoding too, since chunks would present a truncated body as complete.
+	 * Writes the response head. A response without a length is sent in chunks: the last one follows only when the backend
+	 * server's response is known to be complete, whereas the end of a connection looks the same when this process is killed.
 	 */
-	#handleHead({status, headers, isUnframed = false}: ResponseHead): void {
+	#handleHead({status, headers}: ResponseHead): void {
 		if (this.#isFinished) {
 			return;
 		}
 
 		this.#pauseWrites();
 		this.#options.updateConnection();
-		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
 		try {
 			this.#response.writeHead(status, [...headers]);
 		} catch (error) {
