Keep each part of a request's body until no attempt can need it

An upload whose parts add up to exactly 64 KiB got 504 at its route's timeout, on the own host as well.

Cause: RoutedExchange kept a part only while the body fitted the first flow-control window. The part that went beyond it started the attempt and was written to accepted attempts only; an attempt on another node is accepted later, so the part was neither kept nor written. The exchange then counted as not repeatable, so a refusal was final. A body of exactly one window neither went beyond it nor ended: the ingress waited for credit, the exchange for more of the body.

Why it works: ReplayBody owns the parts. It keeps all parts until an attempt has been accepted and another part arrives beyond the window, and gives an attempt the body from its beginning or not at all, whichever host it is on. The attempts start when the window is full, which is when the caller can send no more. What a second attempt reads again gives the caller no second credit.

--- a/packages/node/src/__tests__/router-fixture.ts
+++ b/packages/node/src/__tests__/router-fixture.ts
@@ -1,4 +1,5 @@
 /** Test fixture: a request router on a node that can reach two backend servers, whose egresses record the attempts. */
+import {Buffer} from 'node:buffer';
 import {
 	Carrier, Exchange, MetricRegistry, SilentLogger, type ExchangeHandler, type Failure, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
@@ -9,8 +10,12 @@
 export class FakeAttempt extends Exchange {
 	isEnded = false;
 	isCancelled = false;
+	isAccepted = false;
+	isRefused = false;
 	readonly head: RequestHead;
 	readonly handler: ExchangeHandler;
+	#bodyParts: readonly Uint8Array[] = [];
+	#consumedBytes = 0;
 
 	constructor(head: RequestHead, handler: ExchangeHandler) {
 		super();
@@ -18,8 +23,8 @@
 		this.handler = handler;
 	}
 
-	override writeBody(): void {
-		// Request bodies are empty in these tests.
+	override writeBody(chunk: Uint8Array): void {
+		this.#bodyParts = [...this.#bodyParts, chunk];
 	}
 
 	override endBody(): void {
@@ -35,9 +40,27 @@
 	}
 
 	accept(): void {
+		this.isAccepted = true;
 		this.handler.handleAccepted?.();
 	}
 
+	refuse(failure: Failure): void {
+		this.isRefused = true;
+		this.handler.handleFailure(failure);
+	}
+
+	/** The part of the request's body that has arrived. */
+	getBody(): Uint8Array {
+		return Buffer.concat(this.#bodyParts);
+	}
+
+	/** Consumes all of the body that has arrived, so that the sender gets credit for it. */
+	consumeBody(): void {
+		const bytes = this.getBody().length - this.#consumedBytes;
+		this.#consumedBytes += bytes;
+		this.handler.handleCredit(bytes);
+	}
+
 	answer(status = 200): void {
 		this.handler.handleHead({status, headers: []});
 		this.handler.handleEnd();
@@ -97,7 +120,14 @@
 
 	/** Opens a request without a body. */
 	openRequest(fields: Partial<RequestHead> = {}): Exchange {
-		const exchange = this.router.openExchange({
+		const exchange = this.openUpload(fields);
+		exchange.endBody();
+		return exchange;
+	}
+
+	/** Opens a request whose body the test sends; `handleCredit` is called with the credit that the request gets for it. */
+	openUpload(fields: Partial<RequestHead>, handleCredit: (bytes: number) => void = () => undefined): Exchange {
+		return this.router.openExchange({
 			requestId: 'r-1',
 			target: {kind: 'egress', serverId: ''},
 			service: 'desk',
@@ -117,9 +147,7 @@
 			handleData() {
 				// Only the response heads are checked.
 			},
-			handleCredit() {
-				// Request bodies are empty in these tests.
-			},
+			handleCredit,
 			handleEnd: () => {
 				this.outcomes = [...this.outcomes, 'end'];
 			},
@@ -128,8 +156,6 @@
 				this.outcomes = [...this.outcomes, last.name];
 			},
 		});
-		exchange.endBody();
-		return exchange;
 	}
 
 	getAttempts(id: string): readonly FakeAttempt[] {
@@ -145,6 +171,11 @@
 		return [...this.getAttempts('near'), ...this.getAttempts('far')];
 	}
 
+	/** Lists the attempts that were neither refused nor cancelled. */
+	listOpenAttempts(): readonly FakeAttempt[] {
+		return this.listAttempts().filter(({isCancelled, isRefused}) => !isCancelled && !isRefused);
+	}
+
 	/** Makes both egresses refuse all requests, or none if there is no failure. */
 	refuseAll(refusal: Failure | undefined): void {
 		this.egresses.forEach(egress => {
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -1,6 +1,6 @@
 /** One routed request and its attempts: sequential, or two in parallel when the first one hangs (hedging). */
 import {
-	createFailure, Exchange, exchangeWindowBytes, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
+	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
@@ -12,6 +12,7 @@
 import {type FindEgress} from './forwarder.js';
 import {type LoadTracker} from './load-tracker.js';
 import {type PausedRequests} from './paused-requests.js';
+import {ReplayBody} from './replay-body.js';
 import {replaceFramingHeaders} from './request-body.js';
 import {logRequestEnd, type RequestEndEvent} from './request-log.js';
 import {isUndelivered, RoutedRequest} from './routed-request.js';
@@ -39,11 +40,9 @@
 	readonly #request: RoutedRequest;
 	readonly #handler: ExchangeHandler;
 	readonly #options: RoutedExchangeOptions;
+	readonly #body: ReplayBody;
 	#head: RequestHead;
 	#attempts: readonly Attempt[] = [];
-	#replayChunks: readonly Uint8Array[] = [];
-	#bodyBytes = 0;
-	#isBodyEnded = false;
 	#isStarted = false;
 	#isFinished = false;
 	/** The attempt whose response is being streamed to the caller. */
@@ -59,6 +58,9 @@
 		this.#request = new RoutedRequest(head, performance.now());
 		this.#handler = handler;
 		this.#options = options;
+		this.#body = new ReplayBody(bytes => {
+			handler.handleCredit(bytes);
+		});
 	}
 
 	override writeBody(chunk: Uint8Array): void {
@@ -66,29 +68,18 @@
 			return;
 		}
 
-		this.#bodyBytes += chunk.length;
-		if (this.#isReplayable()) {
-			this.#replayChunks = [...this.#replayChunks, chunk];
-			return;
+		this.#body.write(chunk);
+		if (this.#body.isWindowFull()) {
+			this.#startAttempts();
 		}
-
-		this.#startAttempts();
-		this.#listAcceptedAttempts().forEach(({exchange}) => {
-			exchange.writeBody(chunk);
-		});
 	}
 
 	override endBody(): void {
-		this.#isBodyEnded = true;
-		if (this.#isStarted) {
-			this.#listAcceptedAttempts().forEach(({exchange}) => {
-				exchange.endBody();
-			});
-			return;
+		this.#body.end();
+		if (!this.#isStarted) {
+			this.#head = replaceFramingHeaders(this.#head, this.#body.countBytes());
+			this.#startAttempts();
 		}
-
-		this.#head = replaceFramingHeaders(this.#head, this.#bodyBytes);
-		this.#startAttempts();
 	}
 
 	override grantCredit(bytes: number): void {
@@ -117,8 +108,8 @@
 		}
 
 		const now = performance.now();
-		this.#attempts.forEach(({candidate, isAccepted}) => {
-			this.#request.recordFailure(candidate.server.id, createFailure(isAccepted ? 'answerTimeout' : 'nodeStopping', 'the node stops'), now);
+		this.#attempts.forEach(({candidate, isBodySent}) => {
+			this.#request.recordFailure(candidate.server.id, createFailure(isBodySent ? 'answerTimeout' : 'nodeStopping', 'the node stops'), now);
 		});
 		this.#fail(this.#request.hasUnknownOutcome() ? this.#request.createFailure(this.#options.pickRandom()) : createFailure('nodeStopping', 'the node stops'));
 	}
@@ -130,11 +121,6 @@
 		}
 	}
 
-	/** True while the whole body is buffered and none of it has been streamed, so that another attempt can send it. */
-	#isReplayable(): boolean {
-		return this.#bodyBytes <= exchangeWindowBytes && !(this.#isStarted && !this.#isBodyEnded);
-	}
-
 	/** Sends the request to the next backend server, or finishes it if there is none. */
 	#openNextAttempt(): void {
 		const now = performance.now();
@@ -155,7 +141,7 @@
 
 	/** Starts a pause if there is time for one and another attempt may follow. Returns whether it did. */
 	#startPause(now: number): boolean {
-		const mayPause = this.#isReplayable() && this.#request.hasAttemptLeft() && this.#options.hasCandidate(this.#request);
+		const mayPause = this.#body.isKept() && this.#request.hasAttemptLeft() && this.#options.hasCandidate(this.#request);
 		const pauseMs = mayPause ? this.#request.choosePause(now, this.#options.pickRandom()) : undefined;
 		if (pauseMs !== undefined) {
 			this.#endPause = this.#options.pausedRequests.start(pauseMs, () => {
@@ -186,32 +172,27 @@
 		};
 		const exchange = egress.openExchange(head, this.#createHandler(candidate, response));
 		this.#attempts = [...this.#attempts, {
-			candidate, exchange, response, isAccepted: false, acceptTimer: this.#startAcceptTimer(candidate, response, tier), hedgeTimer: this.#startHedgeTimer(),
+			candidate, exchange, response, isBodySent: false, acceptTimer: this.#startAcceptTimer(candidate, response, tier), hedgeTimer: this.#startHedgeTimer(),
 		}];
 		if (tier === 'host') {
 			this.#sendBody(response);
 		}
 	}
 
-	#listAcceptedAttempts(): readonly Attempt[] {
-		return this.#attempts.filter(({isAccepted}) => isAccepted);
+	#findAttempt(response: BufferedResponse): Attempt | undefined {
+		return this.#attempts.find(attempt => attempt.response === response);
 	}
 
-	/** Sends the buffered body. The egress runs the request once the body has ended. */
+	/** Starts to send the body. The egress runs the request once the body has ended. */
 	#sendBody(response: BufferedResponse): void {
-		const accepted = this.#attempts.find(attempt => attempt.response === response);
-		if (accepted === undefined || accepted.isAccepted) {
+		const accepted = this.#findAttempt(response);
+		if (accepted === undefined || accepted.isBodySent) {
 			return;
 		}
 
 		clearTimeout(accepted.acceptTimer);
-		this.#attempts = this.#attempts.map(attempt => attempt === accepted ? {...attempt, isAccepted: true} : attempt);
-		this.#replayChunks.forEach(chunk => {
-			accepted.exchange.writeBody(chunk);
-		});
-		if (this.#isBodyEnded) {
-			accepted.exchange.endBody();
-		}
+		this.#attempts = this.#attempts.map(attempt => attempt === accepted ? {...attempt, isBodySent: true} : attempt);
+		this.#body.startReading(accepted.exchange);
 	}
 
 	/** Treats the path as broken if the node does not accept in time. The request has not run, as its body was not sent. */
@@ -220,7 +201,7 @@
 		return timeoutMs === 0
 			? undefined
 			: setTimeout(() => {
-				const late = this.#attempts.find(attempt => attempt.response === response);
+				const late = this.#findAttempt(response);
 				this.#removeAttempt(response);
 				late?.exchange.cancel();
 				this.#options.pathHealth.recordFailure(candidate.nodeId, performance.now());
@@ -230,7 +211,7 @@
 
 	#startHedgeTimer(): NodeJS.Timeout | undefined {
 		const {isRepeatable, objectiveMs, remainingMs} = this.#head;
-		return isRepeatable && this.#isReplayable()
+		return isRepeatable && this.#body.isKept() && this.#body.isEnded()
 			? setTimeout(() => {
 				this.#openHedge();
 			}, (objectiveMs ?? remainingMs) * hedgeDelayShare)
@@ -263,11 +244,18 @@
 				}
 			},
 			handleCredit: bytes => {
-				this.#handler.handleCredit(bytes);
+				const attempt = this.#findAttempt(response);
+				if (attempt) {
+					this.#body.recordConsumption(attempt.exchange, bytes);
+				}
 			},
 			handleAccepted: () => {
 				pathHealth.recordSuccess(nodeId, performance.now());
 				this.#sendBody(response);
+				const attempt = this.#findAttempt(response);
+				if (attempt) {
+					this.#body.recordAcceptance(attempt.exchange);
+				}
 			},
 			handleEnd: () => {
 				this.#removeAttempt(response);
@@ -294,7 +282,7 @@
 		const isRetryable = response.getStatus() >= minServerErrorStatus && this.#head.isRepeatable && !this.#selectedAttempt;
 		if (isRetryable && this.#attempts.length > 0) {
 			this.#fallbackResponse ??= response;
-		} else if (isRetryable && this.#isReplayable() && this.#request.hasAttemptLeft()) {
+		} else if (isRetryable && this.#body.isKept() && this.#request.hasAttemptLeft()) {
 			this.#fallbackResponse ??= response;
 			this.#options.metrics.addCount('ingress_retries_total');
 			this.#openNextAttempt();
@@ -319,7 +307,7 @@
 			return;
 		}
 
-		if (this.#isReplayable() && this.#request.isRetriedAfter(failure)) {
+		if (this.#body.isKept() && this.#request.isRetriedAfter(failure)) {
 			this.#options.metrics.addCount('ingress_retries_total', isUndelivered(failure) ? 0 : 1);
 			this.#openNextAttempt();
 		} else {
@@ -329,7 +317,7 @@
 
 	/** Selects an attempt whose response exceeds the buffer: cancels the others and starts to stream the response. */
 	#selectAttempt(response: BufferedResponse): void {
-		const selected = this.#attempts.find(attempt => attempt.response === response);
+		const selected = this.#findAttempt(response);
 		if (!this.#isFinished && !this.#selectedAttempt && selected) {
 			this.#selectedAttempt = selected;
 			this.#attempts.filter(attempt => attempt !== selected).forEach(attempt => {
@@ -383,8 +371,9 @@
 	}
 
 	#removeAttempt(response: BufferedResponse): void {
-		const ended = this.#attempts.find(attempt => attempt.response === response);
+		const ended = this.#findAttempt(response);
 		if (ended) {
+			this.#body.stopReading(ended.exchange);
 			clearTimeout(ended.acceptTimer);
 			clearTimeout(ended.hedgeTimer);
 			this.#options.loadTracker.addInFlight(ended.candidate.server.id, -1);
