Hold a pipelined response until its turn, so that a failure can replace it

What callers saw: twelve pipelined requests, of which the second had a large response that broke off while it waited behind the first.

Cause: the head of a response was written as soon as it arrived, whether or not responses before it were complete. When it then failed, the exchange could only reset the connection, through response.socket, which a response that waits doesn't have yet. So nothing happened, the exchange counted as finished, and its deadline timer was cleared.

Why it works: CallerResponse writes a response once those before it are complete; CallerConnection, which knows the order, tells it when. Until then it is held, at most its flow-control window, since credit for the backend server is granted when parts are written. A response that fails while it is held is replaced by its failure, and the responses behind it are delivered on the same connection. A reset is left for a response whose head has been written, which is then the one on the wire.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -63,6 +63,20 @@
 		handler?.handleEnd();
 	}
 
+	/** Sends the head of a response of that length, and a first part of its body. */
+	startAnswer(path: string, bytes: number): void {
+		const handler = this.opened.find(one => one.path === path)?.handler;
+		handler?.handleHead({status: 200, headers: ['content-length', String(bytes)]});
+		handler?.handleData(Buffer.from(`answer to ${path};`));
+	}
+
+	/** Sends the rest of a response that was started with that length. */
+	finishAnswer(path: string, bytes: number): void {
+		const handler = this.opened.find(one => one.path === path)?.handler;
+		handler?.handleData(Buffer.alloc(bytes - `answer to ${path};`.length, '.'));
+		handler?.handleEnd();
+	}
+
 	fail(path: string): void {
 		this.opened.find(one => one.path === path)?.handler.handleFailure(createFailure('serverBroke', path));
 	}
@@ -141,6 +155,15 @@
 		return [...received.matchAll(/answer to (?<path>\/\w+);/gv)].map(match => match.groups!.path!);
 	}
 
+	/** Lists the complete responses: the status, and the path for a success. */
+	function listAnswers(): readonly string[] {
+		const heads = [...received.matchAll(/HTTP\/1\.1 (?<status>\d+).*?content-length: (?<length>\d+).*?\r\n\r\n/gisv)];
+		return heads
+			.map(({index, 0: head, groups}) => ({status: groups!.status!, length: Number(groups!.length), body: received.slice(index + head.length).slice(0, Number(groups!.length))}))
+			.filter(({body, length}) => body.length === length)
+			.map(({status, body}) => status === '200' ? `200 ${/\/\w+/v.exec(body)?.[0] ?? ''}` : status);
+	}
+
 	describe('on one connection', () => {
 		beforeEach(startIngressAndConnect);
 		afterEach(closeConnectionAndIngress);
@@ -167,6 +190,21 @@
 			expect(listBodies()).to.deep.equal(['/b']);
 		});
 
+		// Guards against requests that are never answered because a response before them failed while it waited for its turn.
+		it('behind a response that failed in the middle while it waited are answered, and it is replaced by its failure', async () => {
+			socket.write(['/slow', '/large', '/next'].map(path => formatRequest(path)).join(''));
+			await hasOpened(3);
+			carrier.startAnswer('/large', 100);
+			carrier.answer('/next');
+			carrier.fail('/large');
+			await wait(10);
+			expect(received).to.equal('');
+			carrier.answer('/slow');
+			expect(await waitUntil(() => listBodies().length === 2)).to.equal(true);
+			expect(listAnswers()).to.deep.equal(['200 /slow', '502', '200 /next']);
+			expect(isClosed).to.equal(false);
+		});
+
 		['GET', 'POST'].forEach(method => {
 			it(`behind a ${method} with "connection: close" are not read`, async () => {
 				socket.write(formatRequest('/a', method, 'connection: close') + formatRequest('/b', method));
@@ -337,6 +375,72 @@
 		});
 	});
 
+	describe('answered, started and failed in any order', () => {
+		const bytes = 60;
+		type Fate = {readonly isStarted: boolean; readonly isFailed: boolean; readonly startRank: number; readonly endRank: number};
+
+		/** Returns the answers due, and whether the connection is reset, as a caller sees it. */
+		function expectAnswers(fates: readonly Fate[]): {readonly answers: readonly string[]; readonly isReset: boolean} {
+			// The moment from which a response is written: when those before it have ended.
+			const turns = fates.map((_, index) => Math.max(-1, ...fates.slice(0, index).map(({endRank}) => endRank)));
+			const cut = fates.findIndex(({isStarted, isFailed, endRank}, index) => isFailed && isStarted && turns[index]! < endRank);
+			const answers = fates.map(({isFailed}, index) => isFailed ? '502' : `200 /p${index}`);
+			return {answers: cut === -1 ? answers : answers.slice(0, cut), isReset: cut !== -1};
+		}
+
+		function endAnswer({isStarted, isFailed}: Fate, path: string): void {
+			if (isFailed) {
+				carrier.fail(path);
+			} else if (isStarted) {
+				carrier.finishAnswer(path, bytes);
+			} else {
+				carrier.answer(path);
+			}
+		}
+
+		function listEvents(fate: Fate, path: string): ReadonlyArray<{readonly rank: number; readonly run: () => void}> {
+			const start = {
+				rank: fate.startRank, run() {
+					carrier.startAnswer(path, bytes);
+				},
+			};
+			const end = {
+				rank: fate.endRank, run() {
+					endAnswer(fate, path);
+				},
+			};
+			return fate.isStarted ? [start, end] : [end];
+		}
+
+		// Guards against responses that are lost, doubled or out of order, and against a reset that no truncated response needs.
+		it('get each its whole response, its failure, or a reset where a part of it had been sent', async function () {
+			this.timeout(60_000);
+			const fate = fc.record({
+				isStarted: fc.boolean(), isFailed: fc.boolean(), startRank: fc.integer({min: 0, max: 99}), endRank: fc.integer({min: 0, max: 99}),
+			});
+			await fc.assert(fc.asyncProperty(fc.array(fate, {minLength: 1, maxLength: 8}), async drawn => {
+				await startIngressAndConnect();
+				// Ranks are made distinct, and every start comes before its end.
+				const fates = drawn.map(({startRank, endRank, ...one}, index) => ({
+					...one, startRank: (Math.min(startRank, endRank) * 20) + index, endRank: (Math.max(startRank, endRank) * 20) + 10 + index,
+				}));
+				socket.write(fates.map((_, index) => formatRequest(`/p${index}`)).join(''));
+				await hasOpened(fates.length);
+				const events = fates.flatMap((one, index) => listEvents(one, `/p${index}`));
+				await events.toSorted((a, b) => a.rank - b.rank).reduce(async (before, {run}) => {
+					await before;
+					run();
+					await wait(2);
+				}, Promise.resolve());
+				const {answers, isReset} = expectAnswers(fates);
+				await waitUntil(() => listAnswers().length === answers.length && isClosed === isReset, 500);
+				const seen = {answers: listAnswers(), isReset: isClosed};
+				await closeConnectionAndIngress();
+				expect(seen).to.deep.equal({answers, isReset});
+			}), {numRuns: 100, seed});
+		});
+	});
+
 	describe('answered in any order and split into any segments', () => {
 		it('get their own whole responses in order, and each is forwarded exactly once', async function () {
 			this.timeout(60_000);
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -14,13 +14,18 @@
  */
 export class CallerConnection {
 	readonly #socket: Socket;
+	readonly #isStopping: () => boolean;
 	/** Responses still to be sent, in the order of their requests. */
 	#pendingResponses: readonly ServerResponse[] = [];
+	/** Callbacks of the pending responses that wait for those before them. */
+	readonly #turnHandlers = new Map<ServerResponse, () => void>();
 	/** True once the last pending response is to close the connection; later requests are left unread. */
 	#isClosing = false;
 
-	constructor(socket: Socket) {
+	/** `isStopping` tells whether a planned stop of the node has begun. */
+	constructor(socket: Socket, isStopping: () => boolean) {
 		this.#socket = socket;
+		this.#isStopping = isStopping;
 		socket.once('close', () => {
 			this.#closePendingResponses();
 		});
@@ -30,8 +35,8 @@
 	 * Accepts a request. Returns false, leaving it unread, if an earlier response closes the connection or too many are in
 	 * progress. A stopping node reads no request behind one in progress, whose response could come too late for it to follow.
 	 */
-	acceptRequest(response: ServerResponse, isStopping: boolean): boolean {
-		const maxPending = isStopping ? 1 : maxPipelinedRequests;
+	acceptRequest(response: ServerResponse): boolean {
+		const maxPending = this.#isStopping() ? 1 : maxPipelinedRequests;
 		if (this.#isClosing || this.#pendingResponses.length >= maxPending) {
 			this.closeAfterLastResponse();
 			return false;
@@ -41,14 +46,21 @@
 		this.#isClosing = !response.shouldKeepAlive;
 		response.once('close', () => {
 			this.#pendingResponses = this.#pendingResponses.filter(other => other !== response);
+			this.#startTurn();
 		});
 		return true;
 	}
 
+	/** Calls back once all responses before this one are complete, at once if they are; never after the connection has closed. */
+	waitForTurn(response: ServerResponse, handleTurn: () => void): void {
+		this.#turnHandlers.set(response, handleTurn);
+		this.#startTurn();
+	}
+
 	/** Decides whether a response closes the connection. Must be called before its head is written. */
-	updateKeepAlive(response: ServerResponse, isStopping: boolean): void {
+	updateKeepAlive(response: ServerResponse): void {
 		const isLast = this.#pendingResponses.at(-1) === response;
-		response.shouldKeepAlive &&= !(isLast && (isStopping || this.#isClosing));
+		response.shouldKeepAlive &&= !(isLast && (this.#isStopping() || this.#isClosing));
 		this.#isClosing ||= !response.shouldKeepAlive;
 	}
 
@@ -65,6 +77,15 @@
 		this.#socket.pause();
 	}
 
+	#startTurn(): void {
+		const [first] = this.#pendingResponses;
+		const handleTurn = first && !this.#socket.destroyed ? this.#turnHandlers.get(first) : undefined;
+		if (first && handleTurn) {
+			this.#turnHandlers.delete(first);
+			handleTurn();
+		}
+	}
+
 	/** Emits `close` on all pending responses: Node's `http` emits it only on the one being sent when the connection closes. */
 	#closePendingResponses(): void {
 		this.#pendingResponses.filter(({closed}) => !closed).forEach(response => {
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -1,27 +1,26 @@
 /** Connects one HTTP request of a caller to the exchange that carries it. */
 import {type Buffer} from 'node:buffer';
-import process from 'node:process';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {
 	createFailure, exchangeWindowBytes, type Carrier, type Exchange, type ExchangeHandler, type Failure, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
-import {sendFailure} from './http-responses.js';
+import {type CallerConnection} from './caller-connection.js';
+import {CallerResponse} from './caller-response.js';
 
 /** Limits and callbacks of an ingress exchange. */
 export type IngressExchangeOptions = {
+	readonly connection: CallerConnection;
 	readonly maxBodyBytes: number;
 	readonly recordFailure: (failure: Failure) => void;
-	/** Called before the head of the response is written. */
-	readonly updateConnection: () => void;
 	/** True when callers accept fractions of a second in `retry-after`. */
-	readonly hasFractionalRetryAfter?: boolean;
+	readonly hasFractionalRetryAfter?: boolean | undefined;
 };
 
 /** Streams the request and response bodies with backpressure in both directions. */
 export class IngressExchange {
 	readonly #message: IncomingMessage;
-	readonly #response: ServerResponse;
+	readonly #response: CallerResponse;
 	readonly #options: IngressExchangeOptions;
 	#exchange: Exchange | undefined;
 	#creditBytes = exchangeWindowBytes;
@@ -31,8 +30,17 @@
 
 	constructor(message: IncomingMessage, response: ServerResponse, options: IngressExchangeOptions) {
 		this.#message = message;
-		this.#response = response;
 		this.#options = options;
+		this.#response = new CallerResponse(message, response, {
+			connection: options.connection,
+			hasFractionalRetryAfter: options.hasFractionalRetryAfter,
+			handleInvalidHead: failure => {
+				this.#cancelWithFailure(failure);
+			},
+		});
+		response.once('close', () => {
+			this.#handleClose();
+		});
 	}
 
 	/** Opens the exchange and starts to forward the request's body. */
@@ -41,9 +49,6 @@
 		this.#deadlineTimer = setTimeout(() => {
 			this.#cancelWithFailure(createFailure('answerTimeout', `no complete response within ${head.remainingMs} ms`));
 		}, head.remainingMs);
-		this.#response.once('close', () => {
-			this.#handleClose();
-		});
 		this.#message.on('data', (chunk: Uint8Array) => {
 			this.#handleChunk(chunk);
 		});
@@ -121,42 +126,21 @@
 	}
 
 	/**
-	 * Writes the response head. A response without a length is sent in chunks: the last one follows only when the backend
-	 * server's response is known to be complete, whereas the end of a connection looks the same when this process is killed.
+	 * A response without a length is sent in chunks: the last one follows only when the backend server's response is known to
+	 * be complete, whereas the end of a connection looks the same when this process is killed.
 	 */
-	#handleHead({status, headers}: ResponseHead): void {
-		if (this.#isFinished) {
-			return;
-		}
-
-		this.#pauseWrites();
-		this.#options.updateConnection();
-		try {
-			this.#response.writeHead(status, [...headers]);
-		} catch (error) {
-			this.#cancelWithFailure(createFailure('serverBroke', `the response head can't be sent: ${String(error)}`));
+	#handleHead(head: ResponseHead): void {
+		if (!this.#isFinished) {
+			this.#response.writeHead(head);
 		}
 	}
 
-	/**
-	 * Corks the response until the next tick: head, body and end of a small response arrive in one turn and leave in one
-	 * write.
-	 */
-	#pauseWrites(): void {
-		this.#response.cork();
-		process.nextTick(() => {
-			this.#response.uncork();
-		});
-	}
-
 	#handleData(chunk: Uint8Array): void {
-		if (this.#isFinished) {
-			return;
+		if (!this.#isFinished) {
+			this.#response.write(chunk, () => {
+				this.#exchange?.grantCredit(chunk.length);
+			});
 		}
-
-		this.#response.write(chunk, () => {
-			this.#exchange?.grantCredit(chunk.length);
-		});
 	}
 
 	#handleFailure(failure: Failure): void {
@@ -166,12 +150,7 @@
 
 		this.#finish();
 		this.#options.recordFailure(failure);
-		if (this.#response.headersSent) {
-			this.#response.socket?.resetAndDestroy();
-		} else {
-			this.#options.updateConnection();
-			sendFailure(this.#message, this.#response, failure, this.#options.hasFractionalRetryAfter);
-		}
+		this.#response.fail(failure);
 	}
 
 	#cancelWithFailure(failure: Failure): void {
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -45,6 +45,12 @@
 	readonly findCause?: (requestId: string) => RequestCause | undefined;
 };
 
+type ReceivedRequest = {
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly connection: CallerConnection;
+};
+
 type AdmittedRequest = {
 	readonly request: IngressRequest;
 	readonly route: Route;
@@ -77,7 +83,7 @@
 			this.#handleRequest(message, response);
 		});
 		this.#server.on('connection', socket => {
-			this.#connections.set(socket, new CallerConnection(socket));
+			this.#connections.set(socket, new CallerConnection(socket, () => this.#isStopping));
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
@@ -134,7 +140,8 @@
 	}
 
 	#handleRequest(message: IncomingMessage, response: ServerResponse): void {
-		if (this.#connections.get(message.socket)?.acceptRequest(response, this.#isStopping) === false) {
+		const connection = this.#connections.get(message.socket);
+		if (connection?.acceptRequest(response) !== true) {
 			this.#options.metrics.addCount('ingress_unread_requests_total');
 			return;
 		}
@@ -154,7 +161,7 @@
 		this.#options.metrics.addCount('ingress_requests_total');
 		parseIngressRequest(message, this.#protocol)
 			.chain(request => this.#admit(request))
-			.chain(admitted => this.#openExchange(admitted, message, response))
+			.chain(admitted => this.#openExchange(admitted, {message, response, connection}))
 			.ifLeft(failure => {
 				this.#refuse(message, response, message.headers[idempotencyHeader] === undefined ? failure : replaceUnprovenFailure(message.rawHeaders, failure));
 			});
@@ -185,18 +192,16 @@
 		}
 	}
 
-	#openExchange(admitted: AdmittedRequest, message: IncomingMessage, response: ServerResponse): Either<Failure, Carrier> {
+	#openExchange(admitted: AdmittedRequest, {message, response, connection}: ReceivedRequest): Either<Failure, Carrier> {
 		const {request, route, terms} = admitted;
 		return this.#options.selectCarrier(request, terms).ifRight(carrier => {
 			const exchange = new IngressExchange(message, response, {
+				connection,
 				maxBodyBytes: route.maxBodyBytes,
 				hasFractionalRetryAfter: this.#protocol.hasFractionalRetryAfter,
 				recordFailure: failure => {
 					this.#recordFailure(failure);
 				},
-				updateConnection: () => {
-					this.#updateKeepAlive(message, response);
-				},
 			});
 			this.#exchanges.add(exchange);
 			response.once('close', () => {
@@ -216,7 +221,7 @@
 	}
 
 	#updateKeepAlive({socket}: IncomingMessage, response: ServerResponse): void {
-		this.#connections.get(socket)?.updateKeepAlive(response, this.#isStopping);
+		this.#connections.get(socket)?.updateKeepAlive(response);
 	}
 
 	#recordFailure(failure: Failure): void {
