Answer the requests before a malformed one on a connection

What callers saw: a request with a malformed body ended its connection at once, so that requests in progress before it on that connection, which may have run, got no answer.

Cause: besides failing its own exchange, the ingress ended the socket (destroySoon) without regard to the responses that came first.

Why it works: the failure of a request with an incomplete body closes the connection anyway, in its turn (connection: close), and reading has stopped.

Evidence: the new test in pipeline.test.ts saw '/a' cancelled before the fix; now it gets 200 for /a, then 400, then the end of the connection. Found while looking for other code that acts on a connection which requests share.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -205,6 +205,17 @@
 			expect(isClosed).to.equal(false);
 		});
 
+		// Guards against responses that are dropped because a later request on their connection is malformed.
+		it('before one whose body breaks the rules of HTTP are answered first', async () => {
+			socket.write(`${formatRequest('/a')}POST /b HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\nno size\r\n`);
+			await hasOpened(2);
+			await wait(30);
+			expect(carrier.cancelled).to.deep.equal(['/b']);
+			carrier.answer('/a');
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listAnswers()).to.deep.equal(['200 /a', '400']);
+		});
+
 		['GET', 'POST'].forEach(method => {
 			it(`behind a ${method} with "connection: close" are not read`, async () => {
 				socket.write(formatRequest('/a', method, 'connection: close') + formatRequest('/b', method));
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -71,7 +71,6 @@
 	failIncompleteBody(failure: Failure): void {
 		if (!this.#message.complete) {
 			this.#cancelWithFailure(failure);
-			this.#message.socket.destroySoon();
 		}
 	}
 
