Pass on no request that a planned stop would break off

Cause: nothing told a request of the stop. It paused, asked again and was passed on as if it had until its own deadline, and so did new requests.

Why it works: a stop limits each request to the time until it ends the requests in progress. While it does, an attempt or a pause before one needs as much time as an answer of the route usually takes, half more than the mean that this node has seen. Otherwise the request is refused as "not run" at once, with the time after which to try again.

Answers that take far longer than usual are still broken off at the end of a stop.

--- a/packages/node/src/__tests__/router-fixture.ts
+++ b/packages/node/src/__tests__/router-fixture.ts
@@ -78,7 +78,7 @@
 		const {refusal} = this;
 		if (refusal) {
 			queueMicrotask(() => {
-				handler.handleFailure(refusal);
+				attempt.refuse(refusal);
 			});
 		}
 
--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -126,6 +126,50 @@
 		});
 	});
 
+	describe('during a planned stop', () => {
+		const stopMs = 5200;
+		const order = {isRepeatable: false, remainingMs: 8000, objectiveMs: 1000} as const;
+
+		function startStopping(): void {
+			fixture.router.startStopping(performance.now() + stopMs);
+		}
+
+		// Guards against work that is begun when the stop leaves no time for it, and then broken off.
+		it('refuses a request that was held back as "not run" while there is still time, and never passes it on after that', async () => {
+			fixture.refuseAll(createFailure('serverUnwell', 'failing'));
+			fixture.openRequest(order);
+			startStopping();
+			await clock.tickAsync(stopMs - 300);
+			fixture.refuseAll(undefined);
+			await clock.tickAsync(300);
+			expect(fixture.listOpenAttempts().length).to.equal(0);
+			expect(fixture.failure).to.include({status: 503, ran: 'not-run'});
+			expect(fixture.failure?.retryAfterMs).to.be.greaterThan(0);
+		});
+
+		it('refuses a new request at once when answers of its route take longer than the stop', async () => {
+			fixture.openRequest(order);
+			await clock.tickAsync(100);
+			fixture.getAttempts('near')[0]!.accept();
+			await clock.tickAsync(1800);
+			fixture.getAttempts('near')[0]!.answer();
+			const attempts = fixture.countAttempts();
+			startStopping();
+			await clock.tickAsync(stopMs - 2000);
+			fixture.openRequest(order);
+			await clock.tickAsync(1);
+			expect(fixture.failure).to.include({name: 'nodeStopping', status: 503, ran: 'not-run'});
+			expect(fixture.countAttempts()).to.equal(attempts);
+		});
+
+		it('passes on a request that can be answered before the stop ends, with the time until then', () => {
+			startStopping();
+			clock.tick(stopMs - 2000);
+			fixture.openRequest(order);
+			expect(fixture.getAttempts('near')[0]!.head.remainingMs).to.be.closeTo(2000, 1);
+		});
+	});
+
 	describe('when the caller disconnects', () => {
 		it('cancels the attempt in progress', () => {
 			const exchange = fixture.openRequest();
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -8,6 +8,8 @@
 	readonly candidate: Candidate;
 	readonly exchange: Exchange;
 	readonly response: BufferedResponse;
+	/** Monotonic time, in milliseconds. */
+	readonly startedAt: number;
 	/** True once the body is sent: at once on this host, elsewhere when the egress accepts. The request can't run before. */
 	readonly isBodySent: boolean;
 	readonly acceptTimer: NodeJS.Timeout | undefined;
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -2,8 +2,11 @@
 
 /** Operations of a node that a planned stop uses. */
 export abstract class StoppingNode {
-	/** Tells members, backend servers and callers that the node is stopping; it still serves all requests. */
-	abstract startStopping(): void;
+	/**
+	 * Tells members, backend servers and callers that the node is stopping. It still serves all requests that can be answered
+	 * by `lastAnswerAt` (monotonic time, in milliseconds), when those in progress are ended.
+	 */
+	abstract startStopping(lastAnswerAt: number): void;
 
 	/** Number of backend servers that have not announced themselves to another node yet. */
 	abstract countServers(): number;
@@ -66,7 +69,7 @@
 export async function drainNode(node: StoppingNode, {lameDuckMs, stopTimeoutMs}: StopTimes): Promise<boolean> {
 	const startedAt = performance.now();
 	const deadline = startedAt + stopTimeoutMs - Math.min(finalResponsesMs, stopTimeoutMs / 2);
-	node.startStopping();
+	node.startStopping(deadline);
 	await waitUntil(() => node.countServers() === 0, deadline);
 	const propagatedAt = performance.now() + handoverPropagationMs;
 	await waitUntil(() => performance.now() >= propagatedAt, deadline);
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -5,6 +5,7 @@
 import {
 	chooseNextServer, findTier, PathHealth, type Candidate, type SpilloverChoice, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
+import {DurationEstimator} from '@limpetbarrow/admission';
 import {type FindEgress} from './forwarder.js';
 import {LoadTracker} from './load-tracker.js';
 import {PausedRequests} from './paused-requests.js';
@@ -45,6 +46,9 @@
 	readonly #pickRandom: () => number;
 	readonly #startedAt = performance.now();
 	readonly #openExchanges = new Set<RoutedExchange>();
+	readonly #answerTimes = new DurationEstimator();
+	/** Monotonic time at which a planned stop ends the requests in progress; infinite while the node doesn't stop. */
+	#lastAnswerAt = Number.POSITIVE_INFINITY;
 
 	constructor(options: RequestRouterOptions) {
 		super();
@@ -57,6 +61,8 @@
 		const exchange: RoutedExchange = new RoutedExchange(head, handler, {
 			chooseNextStep: request => this.#chooseNextStep(request),
 			hasCandidate: request => this.#hasCandidate(request),
+			getLastAnswerAt: () => this.#lastAnswerAt,
+			answerTimes: this.#answerTimes,
 			findEgress: this.#options.findEgress,
 			loadTracker: this.#loadTracker,
 			pathHealth: this.#pathHealth,
@@ -79,6 +85,14 @@
 		return exchange;
 	}
 
+	/**
+	 * Limits all requests to the time until `lastAnswerAt` (monotonic time, in milliseconds), and refuses those that can't be
+	 * answered by then instead of passing them on.
+	 */
+	startStopping(lastAnswerAt: number): void {
+		this.#lastAnswerAt = lastAnswerAt;
+	}
+
 	/** Ends the requests in progress at once, each with a failure that says whether it may have run. */
 	failRequests(): void {
 		[...this.#openExchanges].forEach(exchange => {
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -2,6 +2,7 @@
 import {
 	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
+import {type DurationEstimator} from '@limpetbarrow/admission';
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
 } from '@limpetbarrow/choose';
@@ -22,6 +23,10 @@
 	readonly chooseNextStep: (request: RoutedRequest) => SpilloverChoice | undefined;
 	/** True when a backend server is known that may still take the request, whether or not it can be reached now. */
 	readonly hasCandidate: (request: RoutedRequest) => boolean;
+	/** Returns the monotonic time at which a planned stop ends the request; infinite while the node doesn't stop. */
+	readonly getLastAnswerAt: () => number;
+	/** Time that answers of each route take from the start of their attempt. */
+	readonly answerTimes: DurationEstimator;
 	readonly findEgress: FindEgress;
 	readonly loadTracker: LoadTracker;
 	readonly pathHealth: PathHealth;
@@ -34,6 +39,8 @@
 };
 
 const minServerErrorStatus = 500;
+/** Factor on the mean time of a route's answers, which gives the time that most of them take. */
+const stopTimeFactor = 1.5;
 
 /** Sends a request to a backend server and retries or hedges it on others when that is safe and attempts are left. */
 export class RoutedExchange extends Exchange {
@@ -55,7 +62,7 @@
 	constructor(head: RequestHead, handler: ExchangeHandler, options: RoutedExchangeOptions) {
 		super();
 		this.#head = head;
-		this.#request = new RoutedRequest(head, performance.now());
+		this.#request = new RoutedRequest(head, performance.now(), options.getLastAnswerAt);
 		this.#handler = handler;
 		this.#options = options;
 		this.#body = new ReplayBody(bytes => {
@@ -125,7 +132,7 @@
 	#openNextAttempt(): void {
 		const now = performance.now();
 		const remainingMs = this.#request.getRemainingMs(now);
-		const step = remainingMs > minRemainingMs ? this.#options.chooseNextStep(this.#request) : undefined;
+		const step = remainingMs > this.#getMinAttemptMs() ? this.#options.chooseNextStep(this.#request) : undefined;
 		const isStepLeft = step !== undefined && this.#request.hasStepLeft(step.isLastResort);
 		if (isStepLeft && !step.isLastResort) {
 			// A second copy of a request takes only a slot that is free: under load it would hold up other requests.
@@ -139,11 +146,20 @@
 		}
 	}
 
+	/**
+	 * Least time that must be left for another attempt, in milliseconds. A planned stop would break the attempt off, so while
+	 * the node stops, an answer of the route has to fit in even if it takes longer than usual.
+	 */
+	#getMinAttemptMs(): number {
+		const expectedMs = this.#options.answerTimes.estimateDuration(this.#head.route ?? '');
+		return this.#request.isEndedByStop() ? Math.max(minRemainingMs, expectedMs * stopTimeFactor) : minRemainingMs;
+	}
+
 	/** Starts a pause if there is time for one and another attempt may follow. Returns whether it did. */
 	#startPause(now: number): boolean {
 		const mayPause = this.#body.isKept() && this.#request.hasAttemptLeft() && this.#options.hasCandidate(this.#request);
 		const pauseMs = mayPause ? this.#request.choosePause(now, this.#options.pickRandom()) : undefined;
-		if (pauseMs !== undefined) {
+		if (pauseMs !== undefined && this.#request.getRemainingMs(now) - pauseMs > this.#getMinAttemptMs()) {
 			this.#endPause = this.#options.pausedRequests.start(pauseMs, () => {
 				this.#endPause = undefined;
 				this.#request.recordPause(performance.now());
@@ -172,7 +188,7 @@
 		};
 		const exchange = egress.openExchange(head, this.#createHandler(candidate, response));
 		this.#attempts = [...this.#attempts, {
-			candidate, exchange, response, isBodySent: false, acceptTimer: this.#startAcceptTimer(candidate, response, tier), hedgeTimer: this.#startHedgeTimer(),
+			candidate, exchange, response, startedAt: performance.now(), isBodySent: false, acceptTimer: this.#startAcceptTimer(candidate, response, tier), hedgeTimer: this.#startHedgeTimer(),
 		}];
 		if (tier === 'host') {
 			this.#sendBody(response);
@@ -258,6 +274,7 @@
 				}
 			},
 			handleEnd: () => {
+				this.#recordAnswerTime(response);
 				this.#removeAttempt(response);
 				this.#request.recordResponse(server.id, response.getStatus(), performance.now());
 				this.#handleResponse(response);
@@ -273,6 +290,13 @@
 		};
 	}
 
+	#recordAnswerTime(response: BufferedResponse): void {
+		const attempt = this.#findAttempt(response);
+		if (attempt && response.getStatus() < minServerErrorStatus) {
+			this.#options.answerTimes.recordDuration(this.#head.route ?? '', performance.now() - attempt.startedAt);
+		}
+	}
+
 	/** Retries a server error if an attempt is left; a parallel attempt in progress is awaited first. */
 	#handleResponse(response: BufferedResponse): void {
 		if (this.#isFinished) {
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -33,6 +33,7 @@
 export class RoutedRequest {
 	readonly head: RequestHead;
 	readonly #openedAt: number;
+	readonly #getLastAnswerAt: () => number;
 	/** Backend servers that have received the request, or may have. */
 	#attemptedServerIds: ReadonlySet<string> = new Set();
 	readonly #refusalCounts = new Map<string, number>();
@@ -50,13 +51,21 @@
 	#refusals = 0;
 	#roomRefusals = 0;
 
-	constructor(head: RequestHead, now: number) {
+	/** `getLastAnswerAt` returns the time at which a planned stop ends the request, infinite while there is none. */
+	constructor(head: RequestHead, now: number, getLastAnswerAt: () => number = () => Number.POSITIVE_INFINITY) {
 		this.head = head;
 		this.#openedAt = now;
+		this.#getLastAnswerAt = getLastAnswerAt;
 	}
 
+	/** Time left until the deadline, or until a planned stop ends the request. */
 	getRemainingMs(now: number): number {
-		return this.head.remainingMs - (now - this.#openedAt);
+		return Math.min(this.#openedAt + this.head.remainingMs, this.#getLastAnswerAt()) - now;
+	}
+
+	/** True when a planned stop ends the request before its own deadline. */
+	isEndedByStop(): boolean {
+		return this.#getLastAnswerAt() < this.#openedAt + this.head.remainingMs;
 	}
 
 	getElapsedMs(now: number): number {
@@ -171,7 +180,7 @@
 	 * return at once.
 	 */
 	createFailure(random: number): Failure {
-		const failure = this.#firstUnknownFailure ?? this.#lastFailure ?? createFailure('noServer', `service ${this.head.service}`);
+		const failure = this.#firstUnknownFailure ?? this.#lastFailure ?? this.#createFailureWithoutAttempt();
 		if (failure.ran !== 'not-run') {
 			return failure;
 		}
@@ -180,4 +189,10 @@
 		const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) * (1 + (random / 2));
 		return {...failure, retryAfterMs: Math.round(retryAfterMs)};
 	}
+
+	#createFailureWithoutAttempt(): Failure {
+		return this.isEndedByStop()
+			? createFailure('nodeStopping', 'too little time is left before the node stops')
+			: createFailure('noServer', `service ${this.head.service}`);
+	}
 }
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -167,9 +167,10 @@
 		const {logger, getSettings} = this.#options;
 		logger.log('nodeStopping', {requests: this.#countInProgress()});
 		await drainNode({
-			startStopping: () => {
+			startStopping: lastAnswerAt => {
 				this.#isStopping = true;
 				this.#ingress.startStopping();
+				this.#router.startStopping(lastAnswerAt);
 				this.#table.updateSelf(() => ({state: 'stopping'}));
 			},
 			stopTakingWork: () => {
