Keep connections open whose responses are not sent yet when the node stops listening

What callers saw: in a planned stop, at the end of the lame-duck time, a ready response that its caller read slowly was cut off, and so was the answer to a request in progress behind it on the same connection.

Cause: the HTTP server's close() and closeIdleConnections() take a connection for idle as soon as its current response has been ended, also when bytes of it are still waiting for the caller, and destroy it.

Why it works: the ingress closes the connections itself, and CallerConnection knows whether responses are pending: a response is, until its last byte has been passed to the kernel.

Found while looking for what a planned stop may cut off.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -346,6 +346,30 @@
 			expect(carrier.cancelled).to.deep.equal(['/held']);
 		});
 
+		// Guards against responses that are dropped when the node stops listening, as they are ready but not yet read.
+		it('get their whole responses when the node stops listening while the caller reads slowly', async () => {
+			const largeBytes = 8_388_608;
+			socket.write(formatRequest('/large') + formatRequest('/next'));
+			await hasOpened(2);
+			ingress.startStopping();
+			socket.pause();
+			carrier.startAnswer('/large', largeBytes);
+			carrier.finishAnswer('/large', largeBytes);
+			await wait(30);
+			ingress.stopListening();
+			await wait(30);
+			carrier.answer('/next');
+			socket.resume();
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+			expect(listAnswers()).to.deep.equal(['200 /large', '200 /next']);
+		});
+
+		it('end idle connections when the node stops listening', async () => {
+			await waitUntil(() => ingress.countConnections() === 1);
+			ingress.stopListening();
+			expect(await waitUntil(() => isClosed)).to.equal(true);
+		});
+
 		it('are not read behind one that is in progress', async () => {
 			socket.write(formatRequest('/a'));
 			await hasOpened(1);
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -64,6 +64,15 @@
 		this.#isClosing ||= !response.shouldKeepAlive;
 	}
 
+	/** Closes the connection unless responses are pending; a request that arrives meanwhile is left unread. */
+	closeIfIdle(): void {
+		if (this.#pendingResponses.length === 0) {
+			this.#isClosing = true;
+			this.#socket.pause();
+			this.#socket.destroySoon();
+		}
+	}
+
 	/** Closes the connection after the last pending response and stops reading from it. */
 	closeAfterLastResponse(): void {
 		const last = this.#pendingResponses.at(-1);
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -3,7 +3,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Socket} from 'node:net';
+import {Server as TcpServer, type Socket} from 'node:net';
 import {Left, Right, type Either} from 'purify-ts';
 import {
 	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
@@ -111,10 +111,13 @@
 		this.#isStopping = true;
 	}
 
-	/** Stops accepting connections and closes idle ones; requests in progress continue. */
+	/** Stops accepting connections and closes idle ones; requests in progress and unsent responses continue. */
 	stopListening(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+		// The HTTP server's own `close` also destroys connections whose last response has ended but is not sent yet.
+		TcpServer.prototype.close.call(this.#server);
+		this.#connections.forEach(connection => {
+			connection.closeIfIdle();
+		});
 	}
 
 	/** Number of open connections of callers. */
