Hold a response until it is complete while requests wait behind it

Cause: the ingress began to stream the first response as soon as it was larger than the buffer. From then on only a reset can end it early, and a reset takes every response behind it along.

Why it works: a response at its turn is written when it is complete, if requests are behind it and memory allows: 2 MiB a response, 16 MiB a node, each part counted with 128 bytes besides its content (gauge ingress_held_response_bytes). The backend server gets credit for what is held. A failure then replaces the response, here 504 at the end of the stop, and the others follow. Beyond the limits it is streamed as before. The price is that a caller who pipelines gets the first byte of a large response later.

--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -3,11 +3,13 @@
 import process from 'node:process';
 import {createFailure, type Failure, type ResponseHead} from '@limpetbarrow/core';
 import {type CallerConnection} from './caller-connection.js';
+import {type HeldBytes} from './held-bytes.js';
 import {sendFailure} from './http-responses.js';
 
 /** Settings and callbacks of a response. */
 export type CallerResponseOptions = {
 	readonly connection: CallerConnection;
+	readonly heldBytes: HeldBytes;
 	/** Called when the head can't be written; a failure replaces the response. */
 	readonly handleInvalidHead: (failure: Failure) => void;
 	/** True when callers accept fractions of a second in `retry-after`. */
@@ -20,10 +22,17 @@
 	readonly handleWritten: () => void;
 };
 
+/** Memory that one response may take while it is held for the sake of the requests behind it, in bytes. */
+export const maxResponseHeldBytes = 2_097_152;
+/** Memory that a part takes besides its content, in bytes; it bounds the number of parts. */
+const partOverheadBytes = 128;
+
 /**
- * Writes a response once all responses before it on the connection are complete, and holds it until then. A response that
- * fails while it is held is replaced by the failure, so that the responses behind it are still delivered; one that fails
- * while it is written resets the connection, as nothing else shows the caller that it is truncated.
+ * Writes a response once all responses before it on the connection are complete, and holds it until then. If requests are
+ * behind it, it is also held until it is complete, as far as memory allows.
+ *
+ * A response that fails while it is held is replaced by the failure, so that the responses behind it are still delivered;
+ * one that fails while it is written resets the connection, as nothing else shows the caller that it is truncated.
  */
 export class CallerResponse {
 	readonly #message: IncomingMessage;
@@ -31,7 +40,10 @@
 	readonly #options: CallerResponseOptions;
 	#head: ResponseHead | undefined;
 	#failure: Failure | undefined;
-	#heldParts: readonly HeldPart[] = [];
+	#heldParts: HeldPart[] = [];
+	/** Number of held parts, from the first one, for which the backend server has got credit, and the memory reserved for them. */
+	#creditedParts = 0;
+	#reservedBytes = 0;
 	#isTurn = false;
 	#isStarted = false;
 	#isComplete = false;
@@ -44,6 +56,9 @@
 			this.#isTurn = true;
 			this.#startIfDue();
 		});
+		response.once('close', () => {
+			this.#releaseHeldParts();
+		});
 	}
 
 	writeHead(head: ResponseHead): void {
@@ -56,7 +71,8 @@
 		if (this.#isStarted) {
 			this.#response.write(chunk, handleWritten);
 		} else {
-			this.#heldParts = [...this.#heldParts, {chunk, handleWritten}];
+			this.#heldParts.push({chunk, handleWritten});
+			this.#startIfDue();
 		}
 	}
 
@@ -64,6 +80,8 @@
 		this.#isComplete = true;
 		if (this.#isStarted) {
 			this.#response.end();
+		} else {
+			this.#startIfDue();
 		}
 	}
 
@@ -78,7 +96,7 @@
 			return;
 		}
 
-		this.#heldParts = [];
+		this.#releaseHeldParts();
 		this.#failure = failure;
 		this.#startIfDue();
 	}
@@ -90,11 +108,38 @@
 
 		if (this.#failure) {
 			this.#startFailure(this.#failure);
-		} else if (this.#head) {
+		} else if (this.#head && (this.#isComplete || !this.#holdForRequestsBehind())) {
 			this.#start(this.#head);
 		}
 	}
 
+	/** Holds what has arrived and grants credit for more. Returns false if no request is behind or memory is short. */
+	#holdForRequestsBehind(): boolean {
+		if (!this.#options.connection.hasRequestsBehind(this.#response)) {
+			return false;
+		}
+
+		const newParts = this.#heldParts.slice(this.#creditedParts);
+		const newBytes = newParts.reduce((sum, {chunk}) => sum + chunk.length + partOverheadBytes, 0);
+		if (this.#reservedBytes + newBytes > maxResponseHeldBytes || !this.#options.heldBytes.reserve(newBytes)) {
+			return false;
+		}
+
+		this.#reservedBytes += newBytes;
+		this.#creditedParts = this.#heldParts.length;
+		newParts.forEach(({handleWritten}) => {
+			handleWritten();
+		});
+		return true;
+	}
+
+	#releaseHeldParts(): void {
+		this.#options.heldBytes.release(this.#reservedBytes);
+		this.#reservedBytes = 0;
+		this.#creditedParts = 0;
+		this.#heldParts = [];
+	}
+
 	#startFailure(failure: Failure): void {
 		this.#isStarted = true;
 		this.#options.connection.updateKeepAlive(this.#response);
@@ -114,10 +159,10 @@
 		}
 
 		this.#isStarted = true;
-		this.#heldParts.forEach(({chunk, handleWritten}) => {
-			this.#response.write(chunk, handleWritten);
+		this.#heldParts.forEach(({chunk, handleWritten}, index) => {
+			this.#response.write(chunk, index < this.#creditedParts ? undefined : handleWritten);
 		});
-		this.#heldParts = [];
+		this.#releaseHeldParts();
 		if (this.#isComplete) {
 			this.#response.end();
 		}
--- /dev/null
+++ b/packages/node/src/held-bytes.ts
@@ -0,0 +1,28 @@
+/** The memory of one node that holds responses back. */
+import {type MetricRegistry} from '@limpetbarrow/core';
+
+/** Largest number of bytes that all responses together may hold. */
+export const maxHeldBytes = 16_777_216;
+
+/** Counts the bytes that are held, up to a limit. */
+export class HeldBytes {
+	#bytes = 0;
+
+	constructor(metrics: MetricRegistry) {
+		metrics.registerGauge('ingress_held_response_bytes', () => this.#bytes);
+	}
+
+	/** Reserves memory for that many more bytes. Returns false, reserving none, when the limit would be exceeded. */
+	reserve(bytes: number): boolean {
+		if (this.#bytes + bytes > maxHeldBytes) {
+			return false;
+		}
+
+		this.#bytes += bytes;
+		return true;
+	}
+
+	release(bytes: number): void {
+		this.#bytes -= bytes;
+	}
+}
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -7,10 +7,12 @@
 } from '@limpetbarrow/core';
 import {type CallerConnection} from './caller-connection.js';
 import {CallerResponse} from './caller-response.js';
+import {type HeldBytes} from './held-bytes.js';
 
 /** Limits and callbacks of an ingress exchange. */
 export type IngressExchangeOptions = {
 	readonly connection: CallerConnection;
+	readonly heldBytes: HeldBytes;
 	readonly maxBodyBytes: number;
 	readonly recordFailure: (failure: Failure) => void;
 	/** True when callers accept fractions of a second in `retry-after`. */
@@ -33,6 +35,7 @@
 		this.#options = options;
 		this.#response = new CallerResponse(message, response, {
 			connection: options.connection,
+			heldBytes: options.heldBytes,
 			hasFractionalRetryAfter: options.hasFractionalRetryAfter,
 			handleInvalidHead: failure => {
 				this.#cancelWithFailure(failure);
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -12,6 +12,7 @@
 import {isRepeatable, pickService, RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
+import {HeldBytes} from './held-bytes.js';
 import {formatRawFailure, sendFailure} from './http-responses.js';
 import {CallerConnection} from './caller-connection.js';
 import {IngressExchange} from './ingress-exchange.js';
@@ -72,6 +73,7 @@
 
 	readonly #exchanges = new Set<IngressExchange>();
 	#configuration: Configuration | undefined;
+	readonly #heldBytes: HeldBytes;
 	readonly #connections = new Map<Socket, CallerConnection>();
 	#requestsInProgress = 0;
 	#isStopping = false;
@@ -79,6 +81,7 @@
 	constructor(options: IngressOptions) {
 		this.#options = options;
 		this.#protocol = options.protocol ?? defaultCallerProtocol;
+		this.#heldBytes = new HeldBytes(options.metrics);
 		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false}, (message, response) => {
 			this.#handleRequest(message, response);
 		});
@@ -200,6 +203,7 @@
 		return this.#options.selectCarrier(request, terms).ifRight(carrier => {
 			const exchange = new IngressExchange(message, response, {
 				connection,
+				heldBytes: this.#heldBytes,
 				maxBodyBytes: route.maxBodyBytes,
 				hasFractionalRetryAfter: this.#protocol.hasFractionalRetryAfter,
 				recordFailure: failure => {
--- a/packages/node/src/replay-body.ts
+++ b/packages/node/src/replay-body.ts
@@ -20,7 +20,7 @@
 export class ReplayBody {
 	readonly #handleCredit: (bytes: number) => void;
 	readonly #readers = new Map<Exchange, Reader>();
-	#keptParts: readonly Uint8Array[] = [];
+	#keptParts: Uint8Array[] = [];
 	#receivedBytes = 0;
 	#grantedBytes = 0;
 	#isKept = true;
@@ -59,7 +59,7 @@
 
 		this.#receivedBytes += part.length;
 		if (this.#isKept) {
-			this.#keptParts = [...this.#keptParts, part];
+			this.#keptParts.push(part);
 		}
 
 		[...this.#readers.keys()].forEach(exchange => {
