Go on with a planned stop when SIGTERM is repeated

What callers saw: when a process got SIGTERM again during a planned stop, it exited at once, with the requests in progress unanswered.

Cause: runDaemon took any second signal for an operator who wants the process to end now. Planned work that overlaps (a release beside a roll) and some supervisors repeat SIGTERM.

Why it works: only SIGINT, which a terminal sends, cuts a stop short. Whoever wants the end of a process can send that or SIGKILL.

Evidence: the new test in planned-stop.test.ts failed before with "other side closed" in the middle of an answer and gets all of it now. The test "end at once at the second signal" asked for the old rule with SIGTERM; it asks the same of SIGINT now, with the same bounds.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -21,7 +21,7 @@
 	nodeStarted: {number: 101, level: 'info', meaning: 'The node listens on its addresses.'},
 	nodeStopping: {number: 102, level: 'info', meaning: 'A planned stop began.'},
 	nodeStopped: {number: 103, level: 'info', meaning: 'The node has stopped.'},
-	nodeStopForced: {number: 104, level: 'warn', meaning: 'The stop was cut short by a second signal or its time limit, with requests in progress.'},
+	nodeStopForced: {number: 104, level: 'warn', meaning: 'The stop was cut short by an interrupt or its time limit, with requests in progress.'},
 	requestFailed: {number: 105, level: 'debug', meaning: 'A request was refused or failed.'},
 	unexpectedError: {number: 106, level: 'error', meaning: 'An unexpected error was caught.'},
 
--- a/packages/demo/src/__tests__/unit/planned-stop.test.ts
+++ b/packages/demo/src/__tests__/unit/planned-stop.test.ts
@@ -145,7 +145,20 @@
 		expect(await stops).to.deep.equal([0, 0, 0]);
 	});
 
-	it('end at once at the second signal', async () => {
+	// Guards against requests that are cut off because a supervisor repeats the signal to stop.
+	it('go on when the process is told to stop again', async () => {
+		const [first] = nodes;
+		await Promise.all(fleet.backends.map(async backend => setBackendFaults(backend, {answerBytes: streamedBytes})));
+		const answer = await request(`http://${formatAddress(first!.record.ingressAddress)}/payouts`);
+		const stop = stopProcess(first!.process);
+		await wait(200);
+		first!.process.child.kill('SIGTERM');
+		const chunks = await answer.body.toArray() as readonly Uint8Array[];
+		expect(chunks.reduce((sum, chunk) => sum + chunk.length, 0)).to.equal(streamedBytes);
+		expect(await stop).to.equal(0);
+	});
+
+	it('end at once at an interrupt', async () => {
 		const last = nodes[2];
 		await setBackendFaults(fleet.backends[2]!, {workMs: 20_000});
 		const ended = stopProcess(last!.process);
@@ -154,7 +167,7 @@
 			const members = await fetchJson(nodes[0]!, '/members') as ReadonlyArray<{readonly record: {readonly id: string; readonly state: string}}>;
 			return seen.length > 0 && members.some(({record}) => record.id === 'three' && record.state === 'stopping');
 		});
-		last!.process.child.kill('SIGTERM');
+		last!.process.child.kill('SIGINT');
 		expect(await ended).to.equal(1);
 	});
 });
--- a/packages/node/src/run-daemon.ts
+++ b/packages/node/src/run-daemon.ts
@@ -7,27 +7,27 @@
 export type Daemon = {
 	/** Performs a planned stop. */
 	readonly stop: () => Promise<void>;
-	/** Called when a second signal cuts the planned stop short, before the process exits. */
+	/** Called when an interrupt cuts the planned stop short, before the process exits. */
 	readonly handleForcedStop: () => void;
 	/** Called with an uncaught error, before the process exits. */
 	readonly handleUnexpectedError?: (error: Error) => void;
 };
 
 /**
- * Resolves when the planned stop that SIGTERM or SIGINT starts has finished. A second signal or an uncaught error
- * exits the process at once, with status 1.
+ * Resolves when the planned stop that SIGTERM or SIGINT starts has finished. SIGINT during a stop, or an uncaught error,
+ * exits the process at once, with status 1. SIGTERM during a stop changes nothing, as supervisors may repeat it.
  */
 export async function runDaemon(daemon: Daemon): Promise<void> {
 	await new Promise<void>(resolve => {
 		let isStopping = false;
-		const handleSignal = (): void => {
-			if (isStopping) {
+		const handleSignal = (signal: NodeJS.Signals): void => {
+			if (!isStopping) {
+				isStopping = true;
+				void daemon.stop().then(resolve);
+			} else if (signal === 'SIGINT') {
 				daemon.handleForcedStop();
 				process.exit(forcedExitCode);
 			}
-
-			isStopping = true;
-			void daemon.stop().then(resolve);
 		};
 
 		process.on('uncaughtException', error => {
