--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -28,8 +28,8 @@
 	'resetServerConnections',
 ] as const;
 
-/** What can happen in a soak run. */
-export type FaultKind = typeof plannedKinds[number] | typeof unplannedKinds[number];
+/** What can happen in a soak run; `rollNodes` stops and starts all nodes in turn, each before the one before it is back. */
+export type FaultKind = 'rollNodes' | typeof plannedKinds[number] | typeof unplannedKinds[number];
 
 /** One fault. */
 export type SoakFault = {
@@ -82,12 +82,27 @@
 		: [fault];
 }
 
+/** Share of the runs in which all nodes are restarted in turn, beside the other faults. */
+const rollShare = 0.3;
+/** Offset of the seed from which this is drawn, so that the other faults of a seed stay what they were. */
+const rollSeedOffset = 7;
+
+function createRoll({seed, spanMs}: FaultPlanOptions): readonly SoakFault[] {
+	const pick = createSeededRandom(seed + rollSeedOffset);
+	return pick() < rollShare
+		? [{
+			kind: 'rollNodes', atMs: Math.round(pick() * spanMs / 2), forMs: Math.round(minForMs + (pick() * (maxForMs - minForMs) / 2)), host: 0, strength: pick(),
+		}]
+		: [];
+}
+
 /** The faults of a run, by time; the same for the same seed. */
 export function createFaultPlan(options: FaultPlanOptions): readonly SoakFault[] {
 	const pick = createSeededRandom(options.seed);
 	const kinds = isPlannedRun(options.seed) ? plannedKinds : [...plannedKinds, ...unplannedKinds];
 	const count = minFaults + Math.floor(pick() * (maxFaults - minFaults + 1));
-	return Array.from({length: count}, () => createFault(pick, kinds, options))
-		.flatMap(fault => createSeries(pick, fault, options))
+	const faults = Array.from({length: count}, () => createFault(pick, kinds, options))
+		.flatMap(fault => createSeries(pick, fault, options));
+	return [...faults, ...createRoll(options)]
 		.toSorted((a, b) => a.atMs - b.atMs);
 }
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -58,9 +58,28 @@
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const firstRedirect = 300;
 
-/** The body of the answer to a request: long enough that a part of it shows. */
+/** Repetitions of the id in a body: of one that is held back whole on its way, and of one that is streamed. */
+const smallBodyParts = 20;
+const largeBodyParts = 12_000;
+
+/** The body of the answer to a request: long enough that a part of it shows, and for one request in ten larger than a window. */
 export function formatAnswerBody(id: string): string {
-	return `${id};`.repeat(20);
+	return `${id};`.repeat(id.endsWith('7') ? largeBodyParts : smallBodyParts);
+}
+
+/** True for the one request in ten whose answer has no length. */
+export function isAnswerUnframed(id: string): boolean {
+	return id.endsWith('3');
+}
+
+/** The body of an order; that of one in ten is sent in chunks and larger than a window. */
+export function formatOrderBody(id: string): string {
+	return isOrderLarge(id) ? `pair ${id};`.repeat(largeBodyParts) : `pair ${id}`;
+}
+
+/** True for an order that is sent in chunks. */
+export function isOrderLarge(id: string): boolean {
+	return id.endsWith('5');
 }
 
 /** Keeps all that was seen and tells what is broken as soon as it shows. */
