--- a/packages/node/src/__tests__/router-fixture.ts
+++ b/packages/node/src/__tests__/router-fixture.ts
@@ -55,7 +55,7 @@
 	}
 
 	/** Consumes all of the body that has arrived, so that the sender gets credit for it. */
-	consumeBody(): void {
+	readBody(): void {
 		const bytes = this.getBody().length - this.#consumedBytes;
 		this.#consumedBytes += bytes;
 		this.handler.handleCredit(bytes);
--- a/packages/node/src/__tests__/unit/routed-body.test.ts
+++ b/packages/node/src/__tests__/unit/routed-body.test.ts
@@ -62,7 +62,7 @@
 
 /** Answers the attempt once it has the whole body; consumes what has arrived. */
 function runAttempt(attempt: FakeAttempt): boolean {
-	attempt.consumeBody();
+	attempt.readBody();
 	if (attempt.isEnded) {
 		attempt.answer();
 	}
@@ -135,7 +135,7 @@
 		caller.send();
 		const [attempt] = fixture.getAttempts('near');
 		attempt!.accept();
-		attempt!.consumeBody();
+		attempt!.readBody();
 		caller.send();
 		attempt!.refuse(createFailure('queueDeadline', 'no slot was free'));
 		await clock.tickAsync(1);
@@ -164,7 +164,7 @@
 					if (kind === 'accept') {
 						current?.accept();
 					} else if (kind === 'consume' && current?.isAccepted) {
-						current.consumeBody();
+						current.readBody();
 					} else if (kind === 'refuse' && !current?.isEnded) {
 						current?.refuse(createFailure('queueFull', 'no room'));
 					} else if (kind === 'send') {
--- a/packages/node/src/__tests__/unit/shedding-service.test.ts
+++ b/packages/node/src/__tests__/unit/shedding-service.test.ts
@@ -4,7 +4,7 @@
  */
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {AdmissionController} from '@limpetbarrow/admission';
+import {AdmissionController, DurationEstimator} from '@limpetbarrow/admission';
 import {
 	chooseNextServer, findTier, WindowedRetryBudget, type Candidate, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
@@ -80,7 +80,7 @@
 			service: 'ledger',
 			method: 'GET', path: '/', headers: [], remainingMs: 2000, isRepeatable, organisation: '', objectiveMs, maxAttempts: 2,
 		};
-		this.#continueRequest(new RoutedRequest(head, performance.now()), origin);
+		this.#continueRequest(new RoutedRequest(head, performance.now(), {getLastAnswerAt: () => Number.POSITIVE_INFINITY, answerTimes: new DurationEstimator()}), origin);
 	}
 
 	getResult(): Result {
@@ -104,7 +104,7 @@
 		const host = this.#hosts.find(({candidate}) => candidate === step.candidate)!;
 		this.#distantAttemptCount += Number(step.tier === 'region' || step.tier === 'remote');
 		const earlierAttempts = request.countAttempts();
-		request.recordStep(step.candidate.server.id, step.tier, step.isLastResort);
+		request.recordStep(step.candidate.server.id, step, performance.now());
 		const failure = this.#runAttempt(host, {
 			request, earlierAttempts, isRetryable, isLastResort: step.isLastResort,
 		});
--- a/packages/node/src/attempt.ts
+++ b/packages/node/src/attempt.ts
@@ -8,8 +8,6 @@
 	readonly candidate: Candidate;
 	readonly exchange: Exchange;
 	readonly response: BufferedResponse;
-	/** Monotonic time, in milliseconds. */
-	readonly startedAt: number;
 	/** True once the body is sent: at once on this host, elsewhere when the egress accepts. The request can't run before. */
 	readonly isBodySent: boolean;
 	readonly acceptTimer: NodeJS.Timeout | undefined;
@@ -21,9 +19,6 @@
 	host: 0, failureDomain: 150, region: 150, remote: 300,
 };
 
-/** Remaining time below which no further attempt is made, in milliseconds. */
-export const minRemainingMs = 10;
-
 /** Share of the objective after which a repeatable request is also sent to a second backend server. */
 export const hedgeDelayShare = 0.6;
 
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -108,13 +108,13 @@
 
 		if (this.#failure) {
 			this.#startFailure(this.#failure);
-		} else if (this.#head && (this.#isComplete || !this.#holdForRequestsBehind())) {
+		} else if (this.#head && (this.#isComplete || !this.#reserveForRequestsBehind())) {
 			this.#start(this.#head);
 		}
 	}
 
-	/** Holds what has arrived and grants credit for more. Returns false if no request is behind or memory is short. */
-	#holdForRequestsBehind(): boolean {
+	/** Reserves memory for what has arrived and grants credit for more. Returns false if no request is behind or memory is short. */
+	#reserveForRequestsBehind(): boolean {
 		if (!this.#options.connection.hasRequestsBehind(this.#response)) {
 			return false;
 		}
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -10,7 +10,7 @@
 import {LoadTracker} from './load-tracker.js';
 import {PausedRequests} from './paused-requests.js';
 import {RoutedExchange} from './routed-exchange.js';
-import {type RoutedRequest} from './routed-request.js';
+import {type RequestTimeLimits, type RoutedRequest} from './routed-request.js';
 import {type ServerDirectory} from './server-directory.js';
 
 /** Dependencies of a request router. */
@@ -46,7 +46,7 @@
 	readonly #pickRandom: () => number;
 	readonly #startedAt = performance.now();
 	readonly #openExchanges = new Set<RoutedExchange>();
-	readonly #answerTimes = new DurationEstimator();
+	readonly #timeLimits: RequestTimeLimits = {getLastAnswerAt: () => this.#lastAnswerAt, answerTimes: new DurationEstimator()};
 	/** Monotonic time at which a planned stop ends the requests in progress; infinite while the node doesn't stop. */
 	#lastAnswerAt = Number.POSITIVE_INFINITY;
 
@@ -61,8 +61,7 @@
 		const exchange: RoutedExchange = new RoutedExchange(head, handler, {
 			chooseNextStep: request => this.#chooseNextStep(request),
 			hasCandidate: request => this.#hasCandidate(request),
-			getLastAnswerAt: () => this.#lastAnswerAt,
-			answerTimes: this.#answerTimes,
+			timeLimits: this.#timeLimits,
 			findEgress: this.#options.findEgress,
 			loadTracker: this.#loadTracker,
 			pathHealth: this.#pathHealth,
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -2,12 +2,11 @@
 import {
 	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
 } from '@limpetbarrow/core';
-import {type DurationEstimator} from '@limpetbarrow/admission';
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
 } from '@limpetbarrow/choose';
 import {
-	acceptTimeoutsMs, hedgeDelayShare, minRemainingMs, pathFailures, type Attempt,
+	acceptTimeoutsMs, hedgeDelayShare, pathFailures, type Attempt,
 } from './attempt.js';
 import {BufferedResponse} from './buffered-response.js';
 import {type FindEgress} from './forwarder.js';
@@ -16,17 +15,14 @@
 import {ReplayBody} from './replay-body.js';
 import {replaceFramingHeaders} from './request-body.js';
 import {logRequestEnd, type RequestEndEvent} from './request-log.js';
-import {isUndelivered, RoutedRequest} from './routed-request.js';
+import {isUndelivered, RoutedRequest, type RequestTimeLimits} from './routed-request.js';
 
 /** Dependencies of a request's attempts. */
 export type RoutedExchangeOptions = {
 	readonly chooseNextStep: (request: RoutedRequest) => SpilloverChoice | undefined;
 	/** True when a backend server is known that may still take the request, whether or not it can be reached now. */
 	readonly hasCandidate: (request: RoutedRequest) => boolean;
-	/** Returns the monotonic time at which a planned stop ends the request; infinite while the node doesn't stop. */
-	readonly getLastAnswerAt: () => number;
-	/** Time that answers of each route take from the start of their attempt. */
-	readonly answerTimes: DurationEstimator;
+	readonly timeLimits: RequestTimeLimits;
 	readonly findEgress: FindEgress;
 	readonly loadTracker: LoadTracker;
 	readonly pathHealth: PathHealth;
@@ -39,8 +35,6 @@
 };
 
 const minServerErrorStatus = 500;
-/** Factor on the mean time of a route's answers, which gives the time that most of them take. */
-const stopTimeFactor = 1.5;
 
 /** Sends a request to a backend server and retries or hedges it on others when that is safe and attempts are left. */
 export class RoutedExchange extends Exchange {
@@ -62,7 +56,7 @@
 	constructor(head: RequestHead, handler: ExchangeHandler, options: RoutedExchangeOptions) {
 		super();
 		this.#head = head;
-		this.#request = new RoutedRequest(head, performance.now(), options.getLastAnswerAt);
+		this.#request = new RoutedRequest(head, performance.now(), options.timeLimits);
 		this.#handler = handler;
 		this.#options = options;
 		this.#body = new ReplayBody(bytes => {
@@ -132,7 +126,7 @@
 	#openNextAttempt(): void {
 		const now = performance.now();
 		const remainingMs = this.#request.getRemainingMs(now);
-		const step = remainingMs > this.#getMinAttemptMs() ? this.#options.chooseNextStep(this.#request) : undefined;
+		const step = remainingMs > this.#request.getMinAttemptMs() ? this.#options.chooseNextStep(this.#request) : undefined;
 		const isStepLeft = step !== undefined && this.#request.hasStepLeft(step.isLastResort);
 		if (isStepLeft && !step.isLastResort) {
 			// A second copy of a request takes only a slot that is free: under load it would hold up other requests.
@@ -146,20 +140,11 @@
 		}
 	}
 
-	/**
-	 * Least time that must be left for another attempt, in milliseconds. A planned stop would break the attempt off, so while
-	 * the node stops, an answer of the route has to fit in even if it takes longer than usual.
-	 */
-	#getMinAttemptMs(): number {
-		const expectedMs = this.#options.answerTimes.estimateDuration(this.#head.route ?? '');
-		return this.#request.isEndedByStop() ? Math.max(minRemainingMs, expectedMs * stopTimeFactor) : minRemainingMs;
-	}
-
 	/** Starts a pause if there is time for one and another attempt may follow. Returns whether it did. */
 	#startPause(now: number): boolean {
 		const mayPause = this.#body.isKept() && this.#request.hasAttemptLeft() && this.#options.hasCandidate(this.#request);
 		const pauseMs = mayPause ? this.#request.choosePause(now, this.#options.pickRandom()) : undefined;
-		if (pauseMs !== undefined && this.#request.getRemainingMs(now) - pauseMs > this.#getMinAttemptMs()) {
+		if (pauseMs !== undefined && this.#request.getRemainingMs(now) - pauseMs > this.#request.getMinAttemptMs()) {
 			this.#endPause = this.#options.pausedRequests.start(pauseMs, () => {
 				this.#endPause = undefined;
 				this.#request.recordPause(performance.now());
@@ -173,7 +158,7 @@
 	#openAttempt({candidate, tier, patienceMs, isLastResort}: SpilloverChoice, remainingMs: number): void {
 		const {nodeId, server} = candidate;
 		const earlierAttempts = this.#request.countAttempts();
-		this.#request.recordStep(server.id, tier, isLastResort);
+		this.#request.recordStep(server.id, {tier, isLastResort}, performance.now());
 		const egress = this.#options.findEgress(nodeId);
 		if (!egress) {
 			this.#request.recordFailure(server.id, createFailure('linkUnreachable', `node ${nodeId} is not known`), performance.now());
@@ -188,7 +173,7 @@
 		};
 		const exchange = egress.openExchange(head, this.#createHandler(candidate, response));
 		this.#attempts = [...this.#attempts, {
-			candidate, exchange, response, startedAt: performance.now(), isBodySent: false, acceptTimer: this.#startAcceptTimer(candidate, response, tier), hedgeTimer: this.#startHedgeTimer(),
+			candidate, exchange, response, isBodySent: false, acceptTimer: this.#startAcceptTimer(candidate, response, tier), hedgeTimer: this.#startHedgeTimer(),
 		}];
 		if (tier === 'host') {
 			this.#sendBody(response);
@@ -274,7 +259,6 @@
 				}
 			},
 			handleEnd: () => {
-				this.#recordAnswerTime(response);
 				this.#removeAttempt(response);
 				this.#request.recordResponse(server.id, response.getStatus(), performance.now());
 				this.#handleResponse(response);
@@ -290,13 +274,6 @@
 		};
 	}
 
-	#recordAnswerTime(response: BufferedResponse): void {
-		const attempt = this.#findAttempt(response);
-		if (attempt && response.getStatus() < minServerErrorStatus) {
-			this.#options.answerTimes.recordDuration(this.#head.route ?? '', performance.now() - attempt.startedAt);
-		}
-	}
-
 	/** Retries a server error if an attempt is left; a parallel attempt in progress is awaited first. */
 	#handleResponse(response: BufferedResponse): void {
 		if (this.#isFinished) {
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -2,6 +2,7 @@
 import {
 	createFailure, type Failure, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
+import {type DurationEstimator} from '@limpetbarrow/admission';
 import {choosePause, type Tier} from '@limpetbarrow/choose';
 
 /** Failures that occur before a backend server has received the request. */
@@ -24,6 +25,20 @@
 const maxRetryAfterMs = 1500;
 const defaultRetryAfterMs = 400;
 
+/** Remaining time below which no further attempt is made, in milliseconds. */
+const minRemainingMs = 10;
+/** Factor on the mean time of a route's answers, which gives the time that most of them take. */
+const stopTimeFactor = 1.5;
+const minServerErrorStatus = 500;
+
+/** What limits the time of a request besides its deadline. */
+export type RequestTimeLimits = {
+	/** Returns the monotonic time at which a planned stop ends the request; infinite while the node doesn't stop. */
+	readonly getLastAnswerAt: () => number;
+	/** Time that answers of each route take from the start of their attempt. */
+	readonly answerTimes: DurationEstimator;
+};
+
 /** True when no backend server has received the request. */
 export function isUndelivered({name}: Failure): boolean {
 	return undeliveredFailures.has(name);
@@ -33,7 +48,8 @@
 export class RoutedRequest {
 	readonly head: RequestHead;
 	readonly #openedAt: number;
-	readonly #getLastAnswerAt: () => number;
+	readonly #timeLimits: RequestTimeLimits;
+	readonly #stepStartedAt = new Map<string, number>();
 	/** Backend servers that have received the request, or may have. */
 	#attemptedServerIds: ReadonlySet<string> = new Set();
 	readonly #refusalCounts = new Map<string, number>();
@@ -51,21 +67,29 @@
 	#refusals = 0;
 	#roomRefusals = 0;
 
-	/** `getLastAnswerAt` returns the time at which a planned stop ends the request, infinite while there is none. */
-	constructor(head: RequestHead, now: number, getLastAnswerAt: () => number = () => Number.POSITIVE_INFINITY) {
+	constructor(head: RequestHead, now: number, timeLimits: RequestTimeLimits) {
 		this.head = head;
 		this.#openedAt = now;
-		this.#getLastAnswerAt = getLastAnswerAt;
+		this.#timeLimits = timeLimits;
 	}
 
 	/** Time left until the deadline, or until a planned stop ends the request. */
 	getRemainingMs(now: number): number {
-		return Math.min(this.#openedAt + this.head.remainingMs, this.#getLastAnswerAt()) - now;
+		return Math.min(this.#openedAt + this.head.remainingMs, this.#timeLimits.getLastAnswerAt()) - now;
 	}
 
 	/** True when a planned stop ends the request before its own deadline. */
 	isEndedByStop(): boolean {
-		return this.#getLastAnswerAt() < this.#openedAt + this.head.remainingMs;
+		return this.#timeLimits.getLastAnswerAt() < this.#openedAt + this.head.remainingMs;
+	}
+
+	/**
+	 * Least time that must be left for another attempt, in milliseconds. A planned stop would break the attempt off, so while
+	 * the node stops, an answer of the route has to fit in even if it takes longer than usual.
+	 */
+	getMinAttemptMs(): number {
+		const expectedMs = this.#timeLimits.answerTimes.estimateDuration(this.head.route ?? '');
+		return this.isEndedByStop() ? Math.max(minRemainingMs, expectedMs * stopTimeFactor) : minRemainingMs;
 	}
 
 	getElapsedMs(now: number): number {
@@ -137,7 +161,8 @@
 		this.#trace = [...this.#trace, `pause@${Math.round(this.getElapsedMs(now))}`];
 	}
 
-	recordStep(serverId: string, tier: Tier, isLastResort: boolean): void {
+	recordStep(serverId: string, {tier, isLastResort}: {readonly tier: Tier; readonly isLastResort: boolean}, now: number): void {
+		this.#stepStartedAt.set(serverId, now);
 		this.#stepCount++;
 		this.#tierLabels.set(serverId, isLastResort ? `${tier}!` : tier);
 		this.#lastResortCount += Number(isLastResort);
@@ -171,6 +196,10 @@
 	}
 
 	recordResponse(serverId: string, status: number, now: number): void {
+		if (status < minServerErrorStatus) {
+			this.#timeLimits.answerTimes.recordDuration(this.head.route ?? '', now - (this.#stepStartedAt.get(serverId) ?? now));
+		}
+
 		this.#trace = [...this.#trace, `${serverId}/${this.#tierLabels.get(serverId) ?? ''}:${status}@${Math.round(this.getElapsedMs(now))}`];
 	}
 
