Refuse a request that was held back once an answer can't come in time any more

Why it works: after a pause, the mean time of the route's answers has to be left, as this node has seen it; otherwise the request is refused as "not run" at once, with the time after which to try again.

Evidence: the new test in routed-exchange.test.ts fails without the factor (no refusal 1.7 s after the start, with 1.3 s left and answers of 1.4 s) and passes with it. Also a test that a response is whole though a request behind it is left unread, which passes before and after.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -231,6 +231,26 @@
 			expect(fixture.metrics.formatReport()).to.match(/ingress_held_response_bytes 0/v);
 		});
 
+		// Guards against a reset that drops sent bytes: the kernel resets a connection that is closed with unread requests.
+		it('get the last response whole though a request behind it is left unread', async () => {
+			const largeBytes = 16_777_216;
+			fixture.socket.write(formatRequest('/large'));
+			await fixture.hasOpened(1);
+			fixture.ingress.startStopping();
+			fixture.socket.pause();
+			fixture.socket.write(formatRequest('/unread'));
+			await wait(30);
+			fixture.socket.write(formatRequest('/unread'));
+			await wait(30);
+			fixture.carrier.startAnswer('/large', largeBytes);
+			fixture.carrier.finishAnswer('/large', largeBytes);
+			await wait(50);
+			fixture.socket.resume();
+			expect(await waitUntil(() => fixture.isClosed)).to.equal(true);
+			expect(fixture.listAnswers()).to.deep.equal(['200 /large']);
+			expect(fixture.carrier.listPaths()).to.deep.equal(['/large']);
+		});
+
 		it('end idle connections when the node stops listening', async () => {
 			await waitUntil(() => fixture.ingress.countConnections() === 1);
 			fixture.ingress.stopListening();
--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -126,6 +126,28 @@
 		});
 	});
 
+	describe('that was held back until late', () => {
+		// Guards against work that is begun when an answer can't come before the deadline any more, and then broken off.
+		it('is refused as "not run" once answers of its route take longer than the time left', async () => {
+			const order = {isRepeatable: false, remainingMs: 3000, objectiveMs: 1000} as const;
+			fixture.openRequest(order);
+			fixture.getAttempts('near')[0]!.accept();
+			await clock.tickAsync(1400);
+			fixture.getAttempts('near')[0]!.answer();
+			fixture.refuseAll(createFailure('serverUnwell', 'failing'));
+			fixture.openRequest(order);
+			await Array.from({length: 17}).reduce<Promise<unknown>>(async before => {
+				await before;
+				return clock.tickAsync(100);
+			}, Promise.resolve());
+			fixture.refuseAll(undefined);
+			await clock.tickAsync(1);
+			expect(fixture.failure).to.include({name: 'serverUnwell', ran: 'not-run'});
+			expect(fixture.failure?.retryAfterMs).to.be.greaterThan(0);
+			expect(fixture.listOpenAttempts().filter(({isEnded}) => !isEnded).length).to.equal(0);
+		});
+	});
+
 	describe('during a planned stop', () => {
 		const stopMs = 5200;
 		const order = {isRepeatable: false, remainingMs: 8000, objectiveMs: 1000} as const;
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -144,7 +144,7 @@
 	#startPause(now: number): boolean {
 		const mayPause = this.#body.isKept() && this.#request.hasAttemptLeft() && this.#options.hasCandidate(this.#request);
 		const pauseMs = mayPause ? this.#request.choosePause(now, this.#options.pickRandom()) : undefined;
-		if (pauseMs !== undefined && this.#request.getRemainingMs(now) - pauseMs > this.#request.getMinAttemptMs()) {
+		if (pauseMs !== undefined && this.#request.getRemainingMs(now) - pauseMs > this.#request.getMinAttemptMs(true)) {
 			this.#endPause = this.#options.pausedRequests.start(pauseMs, () => {
 				this.#endPause = undefined;
 				this.#request.recordPause(performance.now());
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -84,12 +84,13 @@
 	}
 
 	/**
-	 * Least time that must be left for another attempt, in milliseconds. A planned stop would break the attempt off, so while
-	 * the node stops, an answer of the route has to fit in even if it takes longer than usual.
+	 * Least time that must be left for another attempt, in milliseconds. After a pause, an answer of the route has to fit in,
+	 * else the attempt would be broken off at the deadline; while the node stops, even if it takes longer than usual.
 	 */
-	getMinAttemptMs(): number {
+	getMinAttemptMs(isPaused = this.#pauseCount > 0): number {
 		const expectedMs = this.#timeLimits.answerTimes.estimateDuration(this.head.route ?? '');
-		return this.isEndedByStop() ? Math.max(minRemainingMs, expectedMs * stopTimeFactor) : minRemainingMs;
+		const factor = this.isEndedByStop() ? stopTimeFactor : Number(isPaused);
+		return Math.max(minRemainingMs, expectedMs * factor);
 	}
 
 	getElapsedMs(now: number): number {
