Hold a response without a length instead of sending it in chunks

Cause: nothing proves that a response without a length is whole. The check that the backend server's process still runs finds a crash, not a server that breaks off and goes on. So chunks and a length both claim too much, and only the unframed form is true; the kernel gives it the same end when this process is killed.

Why it works: the response keeps its form, but is held until its backend server has ended it (2 MiB a response, 16 MiB a node), so a kill before that leaves none of it. From its head on no later request of the connection is read. If requests are behind it already, a 502 replaces it, and they get their responses.

--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -142,7 +142,7 @@
 export type ResponseHead = {
 	readonly status: number;
 	readonly headers: RawHeaders;
-	/** True if only the end of the backend server's connection ends the answer. Sent for nodes of earlier releases, which read it. */
+	/** True if only the close of its connection ended the answer, which does not prove that the answer is complete. */
 	readonly isUnframed?: boolean;
 	readonly load?: LoadHint;
 };
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -68,6 +68,11 @@
 		this.#isClosing ||= !response.shouldKeepAlive;
 	}
 
+	/** Makes the last pending response close the connection: later requests are left unread. */
+	markLastResponse(): void {
+		this.#isClosing = true;
+	}
+
 	/** Closes the connection unless responses are pending; a request that arrives meanwhile is left unread. */
 	closeIfIdle(): void {
 		if (this.#pendingResponses.length === 0) {
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -10,8 +10,8 @@
 export type CallerResponseOptions = {
 	readonly connection: CallerConnection;
 	readonly heldBytes: HeldBytes;
-	/** Called when the head can't be written; a failure replaces the response. */
-	readonly handleInvalidHead: (failure: Failure) => void;
+	/** Called when the response can't be sent; the failure replaces it. */
+	readonly handleUnsendable: (failure: Failure) => void;
 	/** True when callers accept fractions of a second in `retry-after`. */
 	readonly hasFractionalRetryAfter?: boolean | undefined;
 };
@@ -22,7 +22,7 @@
 	readonly handleWritten: () => void;
 };
 
-/** Memory that one response may take while it is held for the sake of the requests behind it, in bytes. */
+/** Memory that one response may take while it is held until it is complete, in bytes. */
 export const maxResponseHeldBytes = 2_097_152;
 /** Memory that a part takes besides its content, in bytes; it bounds the number of parts. */
 const partOverheadBytes = 128;
@@ -31,6 +31,10 @@
  * Writes a response once all responses before it on the connection are complete, and holds it until then. If requests are
  * behind it, it is also held until it is complete, as far as memory allows.
  *
+ * A response without a length is passed on in that form, as nothing proves that it is whole: its backend server may have
+ * ended it early, so neither chunks nor a length would be true. The end of its connection ends it, which a killed process
+ * causes too. So it is held as well, and no request behind it is read; with requests behind it, a failure replaces it.
+ *
  * A response that fails while it is held is replaced by the failure, so that the responses behind it are still delivered;
  * one that fails while it is written resets the connection, as nothing else shows the caller that it is truncated.
  */
@@ -63,7 +67,14 @@
 
 	writeHead(head: ResponseHead): void {
 		this.#head = head;
-		this.#startIfDue();
+		if (head.isUnframed !== true) {
+			this.#startIfDue();
+		} else if (this.#options.connection.hasRequestsBehind(this.#response)) {
+			this.#replace(createFailure('serverBroke', 'a response without a length can\'t be sent before the responses to later requests'));
+		} else {
+			this.#options.connection.markLastResponse();
+			this.#startIfDue();
+		}
 	}
 
 	/** Writes a part of the body; `handleWritten` is called when it has left. */
@@ -108,17 +119,18 @@
 
 		if (this.#failure) {
 			this.#startFailure(this.#failure);
-		} else if (this.#head && (this.#isComplete || !this.#reserveForRequestsBehind())) {
+		} else if (this.#head && (this.#isComplete || !this.#isHeldBack(this.#head) || !this.#reserveHeldParts())) {
 			this.#start(this.#head);
 		}
 	}
 
-	/** Reserves memory for what has arrived and grants credit for more. Returns false if no request is behind or memory is short. */
-	#reserveForRequestsBehind(): boolean {
-		if (!this.#options.connection.hasRequestsBehind(this.#response)) {
-			return false;
-		}
+	/** True when the response should be complete before it is written. */
+	#isHeldBack({isUnframed = false}: ResponseHead): boolean {
+		return isUnframed || this.#options.connection.hasRequestsBehind(this.#response);
+	}
 
+	/** Reserves memory for what has arrived and grants credit for more. Returns false if memory is short. */
+	#reserveHeldParts(): boolean {
 		const newParts = this.#heldParts.slice(this.#creditedParts);
 		const newBytes = newParts.reduce((sum, {chunk}) => sum + chunk.length + partOverheadBytes, 0);
 		if (this.#reservedBytes + newBytes > maxResponseHeldBytes || !this.#options.heldBytes.reserve(newBytes)) {
@@ -146,15 +158,20 @@
 		sendFailure(this.#message, this.#response, failure, this.#options.hasFractionalRetryAfter);
 	}
 
-	#start({status, headers}: ResponseHead): void {
+	/** Replaces a response that can't be sent. */
+	#replace(failure: Failure): void {
+		this.#options.handleUnsendable(failure);
+		this.fail(failure);
+	}
+
+	#start({status, headers, isUnframed = false}: ResponseHead): void {
 		this.#pauseWrites();
+		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
 		this.#options.connection.updateKeepAlive(this.#response);
 		try {
 			this.#response.writeHead(status, [...headers]);
 		} catch (error) {
-			const failure = createFailure('serverBroke', `the response head can't be sent: ${String(error)}`);
-			this.#options.handleInvalidHead(failure);
-			this.fail(failure);
+			this.#replace(createFailure('serverBroke', `the response head can't be sent: ${String(error)}`));
 			return;
 		}
 
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -37,8 +37,8 @@
 			connection: options.connection,
 			heldBytes: options.heldBytes,
 			hasFractionalRetryAfter: options.hasFractionalRetryAfter,
-			handleInvalidHead: failure => {
-				this.#cancelWithFailure(failure);
+			handleUnsendable: failure => {
+				this.#handleUnsendable(failure);
 			},
 		});
 		response.once('close', () => {
@@ -127,10 +127,6 @@
 		};
 	}
 
-	/**
-	 * A response without a length is sent in chunks: the last one follows only when the backend server's response is known to
-	 * be complete, whereas the end of a connection looks the same when this process is killed.
-	 */
 	#handleHead(head: ResponseHead): void {
 		if (!this.#isFinished) {
 			this.#response.writeHead(head);
@@ -155,6 +151,15 @@
 		this.#response.fail(failure);
 	}
 
+	/** A response may turn out to be unsendable after its exchange has ended. */
+	#handleUnsendable(failure: Failure): void {
+		if (this.#isFinished) {
+			this.#options.recordFailure(failure);
+		} else {
+			this.#cancelWithFailure(failure);
+		}
+	}
+
 	#cancelWithFailure(failure: Failure): void {
 		if (!this.#isFinished) {
 			this.#exchange?.cancel();
