--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -64,7 +64,12 @@
 
 /** The body of the answer to a request: long enough that a part of it shows, and for one request in ten larger than a window. */
 export function formatAnswerBody(id: string): string {
-	return `${id};`.repeat(id.endsWith('7') ? largeBodyParts : smallBodyParts);
+	return `${id};`.repeat(isAnswerLarge(id) ? largeBodyParts : smallBodyParts);
+}
+
+/** True for the one request in ten whose answer is streamed. */
+export function isAnswerLarge(id: string): boolean {
+	return id.endsWith('7');
 }
 
 /** True for the one request in ten whose answer has no length. */
