Keep the connection after a response to HEAD that has no length

What callers saw: a response to HEAD without content-length closed its connection; since responses without a length are held, one with requests behind it would have become a 502.

Cause: the egress took every such head for that of a body that the end of the connection ends. A response to HEAD has no body.

Evidence: the new test in http-shapes.test.ts got one of three responses before the fix and gets all three now.

--- a/packages/node/src/__tests__/unit/http-shapes.test.ts
+++ b/packages/node/src/__tests__/unit/http-shapes.test.ts
@@ -154,6 +154,18 @@
 		});
 	});
 
+	// Guards against a response to HEAD that is treated like a body without a length, which ends with its connection.
+	it('keeps the connection after a response to HEAD that has no length', async () => {
+		fixture.handleBackendRequest = (_request, response) => {
+			response.writeHead(200, {'x-kept': '1'});
+			response.end();
+		};
+
+		const requests = ['keep-alive', 'keep-alive', 'close'].map(connection => formatLines('HEAD /desk HTTP/1.1', 'host: h', `connection: ${connection}`, '', ''));
+		const answer = await fixture.sendRaw(requests.join(''));
+		expect(answer.match(/^HTTP\/1\.1 200 /gmv)).to.have.length(3);
+	});
+
 	it('forwards non-ASCII bytes in headers unchanged', async () => {
 		fixture.handleBackendRequest = (request, response) => {
 			response.writeHead(200, {'x-name': String(request.headers['x-name'])});
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -44,9 +44,9 @@
 }
 
 /** True when the response body has neither a content-length nor a transfer coding, so it ends with the connection. */
-function isUnframed(status: number, headers: RawHeaders): boolean {
-	const isFramed = findHeader(headers, 'content-length') !== undefined || findHeader(headers, 'transfer-encoding') !== undefined;
-	return !isFramed && status !== noContentStatus && status !== notModifiedStatus;
+function isUnframed(method: string, status: number, headers: RawHeaders): boolean {
+	const hasBody = method !== 'HEAD' && status !== noContentStatus && status !== notModifiedStatus;
+	return hasBody && findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined;
 }
 
 /** Sends one request to a backend server and passes its response to the handler. Fails the request at its deadline. */
@@ -199,7 +199,7 @@
 					this.#handleInterimResponse();
 				} else if (this.#state === 'running') {
 					const headers = decodeHeaders(controller.rawHeaders);
-					this.#isResponseUnframed = isUnframed(status, headers);
+					this.#isResponseUnframed = isUnframed(this.#head.method, status, headers);
 					this.#handleResponseHead({status, headers: selectResponseHeaders(headers)});
 				}
 			},
