--- a/packages/node/src/__tests__/unit/pipeline-order.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline-order.test.ts
@@ -19,6 +19,7 @@
 
 	describe('answered, started and failed in any order', () => {
 		const bytes = 60;
+		/** What becomes of a response, and when its events happen, by rank: with `isStarted`, a part of it comes first. */
 		type Fate = {readonly isStarted: boolean; readonly isFailed: boolean; readonly startRank: number; readonly endRank: number};
 
 		/** Returns the answers due, and whether the connection is reset, as a caller sees it. */
