Let pending responses end a connection on which a CONNECT arrives

A caller who pipelines a CONNECT behind a request that is in progress got the refusal of the CONNECT, 400 "not run", as the response to that request, which ran; its own response was lost. Found by reading what else writes to a caller's connection.

A parse error looked at the exchanges of the connection first, a CONNECT didn't; and responses of the node itself are no exchanges. Both now ask the connection, which knows all pending responses: they end it, and nothing else is written. A second place, the check of an unsupported expectation, writes through Node's queue and was right already.

The new test of pipeline.test.ts got the 400 before ("expected 'HTTP/1.1 400 Refused' to equal ''") and gets the response after.

--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -123,6 +123,17 @@
 			expect(fixture.listBodies()).to.deep.equal(['/a', '/b']);
 		});
 
+		// Guards against a refusal that the caller takes for the response to an earlier request, as "not run" though it runs.
+		it('before a CONNECT are answered, then the connection closes', async () => {
+			fixture.socket.write(`${formatRequest('/a')}CONNECT h:1 HTTP/1.1\r\nhost: h\r\n\r\n`);
+			await fixture.hasOpened(1);
+			await wait(30);
+			expect(fixture.received).to.equal('');
+			fixture.carrier.answer('/a');
+			expect(await waitUntil(() => fixture.isClosed)).to.equal(true);
+			expect(fixture.listAnswers()).to.deep.equal(['200 /a']);
+		});
+
 		it('are cancelled when the caller disconnects', async () => {
 			fixture.socket.write(formatRequest('/a') + formatRequest('/b'));
 			await fixture.hasOpened(2);
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -57,6 +57,10 @@
 		this.#startTurn();
 	}
 
+	hasPendingResponses(): boolean {
+		return this.#pendingResponses.length > 0;
+	}
+
 	/** True when a request after that of the response has been accepted. */
 	hasRequestsBehind(response: ServerResponse): boolean {
 		return this.#pendingResponses.at(-1) !== response;
@@ -75,7 +79,7 @@
 
 	/** Closes the connection unless responses are pending; a request that arrives meanwhile is left unread. */
 	closeIfIdle(): void {
-		if (this.#pendingResponses.length === 0) {
+		if (!this.hasPendingResponses()) {
 			this.#isClosing = true;
 			this.#socket.pause();
 			this.#socket.destroySoon();
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -236,21 +236,25 @@
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
 	}
 
-	/** Handles a parse error. "Not run" can't be reported for requests on this connection that were already forwarded. */
+	/** Handles a parse error, after which nothing more can be read from the connection. */
 	#handleClientError(error: Error & {readonly code?: string}, socket: Socket): void {
-		const exchanges = [...this.#exchanges].filter(exchange => exchange.isOnSocket(socket));
-		if (exchanges.length > 0) {
-			exchanges.forEach(exchange => {
-				exchange.failIncompleteBody(createFailure('bodyBroken', error.message));
-			});
-			this.#connections.get(socket)?.closeAfterLastResponse();
-			return;
-		}
-
+		[...this.#exchanges].filter(exchange => exchange.isOnSocket(socket)).forEach(exchange => {
+			exchange.failIncompleteBody(createFailure('bodyBroken', error.message));
+		});
 		this.#refuseSocket(socket, createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message));
 	}
 
+	/**
+	 * Refuses bytes for which there is no `ServerResponse`, and closes the connection. While responses are pending they end it
+	 * instead: the caller would take the refusal, which says "not run", for the response to its first pending request.
+	 */
 	#refuseSocket(socket: Socket, failure: Failure): void {
+		const connection = this.#connections.get(socket);
+		if (connection?.hasPendingResponses() === true) {
+			connection.closeAfterLastResponse();
+			return;
+		}
+
 		this.#recordFailure(failure);
 		if (!socket.writable) {
 			socket.destroy();
