Give a response a length when its caller knows only HTTP/1.0

It is now held until it is whole, up to the same bounds, and leaves with a content-length. If it is too large, it is passed on as before, as the last response of its connection, and a failure replaces it if requests are already behind it.

--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -5,7 +5,7 @@
 	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
-import {selectResponseHeaders} from './headers.js';
+import {hasResponseBody, selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
 import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
 
@@ -34,7 +34,6 @@
 const minServerErrorStatus = 500;
 /** Largest number of interim responses (1xx) that a backend server may send for one request. */
 const maxInterimResponses = 16;
-const noContentStatus = 204;
 const notModifiedStatus = 304;
 /** The HTTP client's error for a 304 whose content-length names a body that is not sent, which HTTP allows. */
 const contentLengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
@@ -45,8 +44,7 @@
 
 /** True when the response body has neither a content-length nor a transfer coding, so it ends with the connection. */
 function isUnframed(method: string, status: number, headers: RawHeaders): boolean {
-	const hasBody = method !== 'HEAD' && status !== noContentStatus && status !== notModifiedStatus;
-	return hasBody && findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined;
+	return hasResponseBody(method, status) && findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined;
 }
 
 /** Sends one request to a backend server and passes its response to the handler. Fails the request at its deadline. */
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -1,9 +1,12 @@
 /** The response to one request of a caller's connection. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import process from 'node:process';
-import {createFailure, type Failure, type ResponseHead} from '@limpetbarrow/core';
+import {
+	createFailure, findHeader, type Failure, type ResponseHead,
+} from '@limpetbarrow/core';
 import {type CallerConnection} from './caller-connection.js';
 import {type HeldBytes} from './held-bytes.js';
+import {hasResponseBody} from './headers.js';
 import {sendFailure} from './http-responses.js';
 
 /** Settings and callbacks of a response. */
@@ -34,6 +37,7 @@
  * A response without a length is passed on in that form, as nothing proves that it is whole: its backend server may have
  * ended it early, so neither chunks nor a length would be true. The end of its connection ends it, which a killed process
  * causes too. So it is held as well, and no request behind it is read; with requests behind it, a failure replaces it.
+ * A response in chunks to a caller who knows only HTTP/1.0 is held too, and gets a length once it is whole.
  *
  * A response that fails while it is held is replaced by the failure, so that the responses behind it are still delivered;
  * one that fails while it is written resets the connection, as nothing else shows the caller that it is truncated.
@@ -67,12 +71,7 @@
 
 	writeHead(head: ResponseHead): void {
 		this.#head = head;
-		if (head.isUnframed !== true) {
-			this.#startIfDue();
-		} else if (this.#options.connection.hasRequestsBehind(this.#response)) {
-			this.#replace(createFailure('serverBroke', 'a response without a length can\'t be sent before the responses to later requests'));
-		} else {
-			this.#options.connection.markLastResponse();
+		if (head.isUnframed !== true || this.#makeLast()) {
 			this.#startIfDue();
 		}
 	}
@@ -125,8 +124,25 @@
 	}
 
 	/** True when the response should be complete before it is written. */
-	#isHeldBack({isUnframed = false}: ResponseHead): boolean {
-		return isUnframed || this.#options.connection.hasRequestsBehind(this.#response);
+	#isHeldBack(head: ResponseHead): boolean {
+		return head.isUnframed === true || this.#needsLength(head) || this.#options.connection.hasRequestsBehind(this.#response);
+	}
+
+	/** True when the caller can't tell the end of the body without a length, which the head doesn't give: HTTP/1.0 has no chunks. */
+	#needsLength({status, headers, isUnframed = false}: ResponseHead): boolean {
+		const {httpVersion, method = ''} = this.#message;
+		return httpVersion === '1.0' && !isUnframed && hasResponseBody(method, status) && findHeader(headers, 'content-length') === undefined;
+	}
+
+	/** Lets the end of the connection end the response. Returns false if requests are behind it, whose responses it would drop. */
+	#makeLast(): boolean {
+		if (this.#options.connection.hasRequestsBehind(this.#response)) {
+			this.#replace(createFailure('serverBroke', 'a response without a length can\'t be sent before the responses to later requests'));
+			return false;
+		}
+
+		this.#options.connection.markLastResponse();
+		return true;
 	}
 
 	/** Reserves memory for what has arrived and grants credit for more. Returns false if memory is short. */
@@ -164,12 +180,19 @@
 		this.fail(failure);
 	}
 
-	#start({status, headers, isUnframed = false}: ResponseHead): void {
+	#start(head: ResponseHead): void {
+		const {status, headers, isUnframed = false} = head;
+		const needsLength = this.#needsLength(head);
+		if (needsLength && !this.#isComplete && !this.#makeLast()) {
+			return;
+		}
+
+		const bytes = this.#heldParts.reduce((sum, {chunk}) => sum + chunk.length, 0);
 		this.#pauseWrites();
 		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
 		this.#options.connection.updateKeepAlive(this.#response);
 		try {
-			this.#response.writeHead(status, [...headers]);
+			this.#response.writeHead(status, needsLength && this.#isComplete ? [...headers, 'content-length', String(bytes)] : [...headers]);
 		} catch (error) {
 			this.#replace(createFailure('serverBroke', `the response head can't be sent: ${String(error)}`));
 			return;
--- a/packages/node/src/headers.ts
+++ b/packages/node/src/headers.ts
@@ -7,6 +7,8 @@
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
 ]);
 const protocolRequestHeaders: ReadonlySet<string> = new Set([termsHeader, timeoutHeader, requestIdHeader]);
+/** No Content and Not Modified. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const emptySet: ReadonlySet<string> = new Set();
 
 /** Lists the names in the `connection` headers; these headers apply to a single connection and are not forwarded. */
@@ -34,6 +36,11 @@
 	return selectHeaders(headers, name => !hopByHopHeaders.has(name) && !protocolRequestHeaders.has(name) && !isConnectionHeader(name, listed));
 }
 
+/** True when a response with that status to a request with that method may have a body. */
+export function hasResponseBody(method: string, status: number): boolean {
+	return method !== 'HEAD' && !bodilessStatuses.has(status);
+}
+
 /** Selects the response headers to forward to the caller. */
 export function selectResponseHeaders(headers: RawHeaders): RawHeaders {
 	const listed = listConnectionNames(headers);
