Take a route's objective for its duration when a stop begins without a record of it

A planned stop refuses what can't be answered before its end, by the mean time of the route's answers. The route's objective is the only figure there is then.

Outside of a stop the mean of all routes stays: a request that was held back there is refused only when an answer is known to come too late.

The new test of routed-exchange.test.ts passes the request on before (no failure arrives) and refuses it as "not run" after.

--- a/packages/admission/src/duration-estimator.ts
+++ b/packages/admission/src/duration-estimator.ts
@@ -20,8 +20,8 @@
 		}
 	}
 
-	/** Estimates the duration of a request of the route, in milliseconds. */
-	estimateDuration(route: string): number {
-		return this.#byRoute.get(route) ?? this.#overallMs;
+	/** Estimates the duration of a request of the route, in milliseconds; for one without a record, the default or the mean of all. */
+	estimateDuration(route: string, defaultMs = this.#overallMs): number {
+		return this.#byRoute.get(route) ?? defaultMs;
 	}
 }
--- a/packages/node/src/__tests__/unit/routed-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/routed-exchange.test.ts
@@ -184,6 +184,16 @@
 			expect(fixture.countAttempts()).to.equal(attempts);
 		});
 
+		// Guards against work that is broken off by a stop soon after the start, when no answer of its route has been seen.
+		it('refuses a new request of an unknown route at once when its objective is longer than the stop', async () => {
+			startStopping();
+			await clock.tickAsync(stopMs - 1200);
+			fixture.openRequest(order);
+			await clock.tickAsync(1);
+			expect(fixture.failure).to.include({name: 'nodeStopping', status: 503, ran: 'not-run'});
+			expect(fixture.countAttempts()).to.equal(0);
+		});
+
 		it('passes on a request that can be answered before the stop ends, with the time until then', () => {
 			startStopping();
 			clock.tick(stopMs - 2000);
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -85,12 +85,15 @@
 
 	/**
 	 * Least time that must be left for another attempt, in milliseconds. After a pause, an answer of the route has to fit in,
-	 * else the attempt would be broken off at the deadline; while the node stops, even if it takes longer than usual.
+	 * else the attempt would be broken off at the deadline; while the node stops, even if it takes longer than usual. A process
+	 * that stops soon after its start may have seen no answer of the route, which then may take as long as its objective.
 	 */
 	getMinAttemptMs(isPaused = this.#pauseCount > 0): number {
-		const expectedMs = this.#timeLimits.answerTimes.estimateDuration(this.head.route ?? '');
-		const factor = this.isEndedByStop() ? stopTimeFactor : Number(isPaused);
-		return Math.max(minRemainingMs, expectedMs * factor);
+		const {answerTimes} = this.#timeLimits;
+		const {route = '', objectiveMs} = this.head;
+		return Math.max(minRemainingMs, this.isEndedByStop()
+			? answerTimes.estimateDuration(route, objectiveMs) * stopTimeFactor
+			: answerTimes.estimateDuration(route) * Number(isPaused));
 	}
 
 	getElapsedMs(now: number): number {
