Forward a request that follows a streamed response once that is complete

Callers saw, by HTTP/1.1's rules: a request sent behind a response that was being streamed ran at once, and when that response then failed (its backend server or a process on its way killed, the end of a planned stop), the reset that ends it took the answer to the request along.

Now the connection keeps it until no response before it is being streamed, drops it when the connection ends, takes the time from what the request has left, and refuses it as "not run" in its turn when its time or its body is over. Requests behind one that has not begun its response are forwarded at once, as before, and that response is held.

--- a/packages/node/src/__tests__/pipeline-fixture.ts
+++ b/packages/node/src/__tests__/pipeline-fixture.ts
@@ -14,20 +14,23 @@
 /** A request that the ingress forwarded. */
 export type OpenedExchange = {
 	readonly path: string;
+	readonly remainingMs: number;
 	readonly handler: ExchangeHandler;
 };
 
 /** Holds a request that the ingress forwarded until the test answers it. */
 class HeldExchange extends Exchange {
+	readonly #handleBody: (bytes: number) => void;
 	readonly #handleCancel: () => void;
 
-	constructor(handleCancel: () => void) {
+	constructor(handleBody: (bytes: number) => void, handleCancel: () => void) {
 		super();
+		this.#handleBody = handleBody;
 		this.#handleCancel = handleCancel;
 	}
 
-	override writeBody(): void {
-		// Only the path of a request is recorded.
+	override writeBody(chunk: Uint8Array): void {
+		this.#handleBody(chunk.length);
 	}
 
 	override endBody(): void {
@@ -47,11 +50,16 @@
 export class HeldCarrier extends Carrier {
 	opened: readonly OpenedExchange[] = [];
 	cancelled: readonly string[] = [];
-
-	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
-		this.opened = [...this.opened, {path: head.path, handler}];
-		return new HeldExchange(() => {
-			this.cancelled = [...this.cancelled, head.path];
+	/** Bytes of all request bodies. */
+	bodyBytes = 0;
+
+	override openExchange({path, remainingMs}: RequestHead, handler: ExchangeHandler): Exchange {
+		this.opened = [...this.opened, {path, remainingMs, handler}];
+		return new HeldExchange(bytes => {
+			this.bodyBytes += bytes;
+			handler.handleCredit(bytes);
+		}, () => {
+			this.cancelled = [...this.cancelled, path];
 		});
 	}
 
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -4,6 +4,7 @@
  */
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {type Failure} from '@limpetbarrow/core';
 
 /** Maximum number of requests in progress on one connection; requests behind them are left unread. */
 export const maxPipelinedRequests = 16;
@@ -19,8 +20,11 @@
 	#pendingResponses: readonly ServerResponse[] = [];
 	/** Callbacks of the pending responses that wait for those before them. */
 	readonly #turnHandlers = new Map<ServerResponse, () => void>();
+	/** Callbacks of the requests that are not forwarded yet, in their order. */
+	readonly #forwardHandlers = new Map<ServerResponse, () => void>();
 	/** True once the last pending response is to close the connection; later requests are left unread. */
 	#isClosing = false;
+	#readFailure: Failure | undefined;
 
 	/** `isStopping` tells whether a planned stop of the node has begun. */
 	constructor(socket: Socket, isStopping: () => boolean) {
@@ -46,7 +50,9 @@
 		this.#isClosing = !response.shouldKeepAlive;
 		response.once('close', () => {
 			this.#pendingResponses = this.#pendingResponses.filter(other => other !== response);
+			this.#forwardHandlers.delete(response);
 			this.#startTurn();
+			this.#forwardRequests();
 		});
 		return true;
 	}
@@ -57,6 +63,25 @@
 		this.#startTurn();
 	}
 
+	/**
+	 * Calls back when the request can be forwarded: at once, unless an earlier response is being streamed. If that one failed,
+	 * only a reset could end it, and the request would have run without a response. Never calls back after the connection has
+	 * closed.
+	 */
+	waitToForward(response: ServerResponse, handleForward: () => void): void {
+		this.#forwardHandlers.set(response, handleForward);
+		this.#forwardRequests();
+	}
+
+	/** Records that nothing more can be read, so that the body of the last request can't be completed. */
+	recordReadFailure(failure: Failure): void {
+		this.#readFailure = failure;
+	}
+
+	getReadFailure(): Failure | undefined {
+		return this.#readFailure;
+	}
+
 	hasPendingResponses(): boolean {
 		return this.#pendingResponses.length > 0;
 	}
@@ -99,6 +124,19 @@
 		this.#socket.pause();
 	}
 
+	#forwardRequests(): void {
+		const isStreaming = this.#pendingResponses.some(({headersSent, writableEnded}) => headersSent && !writableEnded);
+		if (isStreaming || this.#socket.destroyed) {
+			return;
+		}
+
+		const handlers = [...this.#forwardHandlers.values()];
+		this.#forwardHandlers.clear();
+		handlers.forEach(handleForward => {
+			handleForward();
+		});
+	}
+
 	#startTurn(): void {
 		const [first] = this.#pendingResponses;
 		const handleTurn = first && !this.#socket.destroyed ? this.#turnHandlers.get(first) : undefined;
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -71,7 +71,7 @@
 
 	writeHead(head: ResponseHead): void {
 		this.#head = head;
-		if (head.isUnframed !== true || this.#makeLast()) {
+		if (head.isUnframed !== true || this.#markLast()) {
 			this.#startIfDue();
 		}
 	}
@@ -125,17 +125,17 @@
 
 	/** True when the response should be complete before it is written. */
 	#isHeldBack(head: ResponseHead): boolean {
-		return head.isUnframed === true || this.#needsLength(head) || this.#options.connection.hasRequestsBehind(this.#response);
+		return head.isUnframed === true || this.#isLengthMissing(head) || this.#options.connection.hasRequestsBehind(this.#response);
 	}
 
 	/** True when the caller can't tell the end of the body without a length, which the head doesn't give: HTTP/1.0 has no chunks. */
-	#needsLength({status, headers, isUnframed = false}: ResponseHead): boolean {
+	#isLengthMissing({status, headers, isUnframed = false}: ResponseHead): boolean {
 		const {httpVersion, method = ''} = this.#message;
 		return httpVersion === '1.0' && !isUnframed && hasResponseBody(method, status) && findHeader(headers, 'content-length') === undefined;
 	}
 
 	/** Lets the end of the connection end the response. Returns false if requests are behind it, whose responses it would drop. */
-	#makeLast(): boolean {
+	#markLast(): boolean {
 		if (this.#options.connection.hasRequestsBehind(this.#response)) {
 			this.#replace(createFailure('serverBroke', 'a response without a length can\'t be sent before the responses to later requests'));
 			return false;
@@ -182,8 +182,8 @@
 
 	#start(head: ResponseHead): void {
 		const {status, headers, isUnframed = false} = head;
-		const needsLength = this.#needsLength(head);
-		if (needsLength && !this.#isComplete && !this.#makeLast()) {
+		const isLengthMissing = this.#isLengthMissing(head);
+		if (isLengthMissing && !this.#isComplete && !this.#markLast()) {
 			return;
 		}
 
@@ -192,7 +192,7 @@
 		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
 		this.#options.connection.updateKeepAlive(this.#response);
 		try {
-			this.#response.writeHead(status, needsLength && this.#isComplete ? [...headers, 'content-length', String(bytes)] : [...headers]);
+			this.#response.writeHead(status, isLengthMissing && this.#isComplete ? [...headers, 'content-length', String(bytes)] : [...headers]);
 		} catch (error) {
 			this.#replace(createFailure('serverBroke', `the response head can't be sent: ${String(error)}`));
 			return;
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -164,10 +164,19 @@
 			return;
 		}
 
+		connection.waitToForward(response, () => {
+			this.#forwardRequest({message, response, connection}, Math.round(performance.now() - startedAt));
+		});
+	}
+
+	/** Forwards or refuses a request that has waited so many milliseconds for the responses before it. */
+	#forwardRequest(received: ReceivedRequest, waitedMs: number): void {
+		const {message, response} = received;
 		this.#options.metrics.addCount('ingress_requests_total');
-		parseIngressRequest(message, this.#protocol)
+		checkBodyReadable(received)
+			.chain(() => parseIngressRequest(message, this.#protocol))
 			.chain(request => this.#admit(request))
-			.chain(admitted => this.#openExchange(admitted, {message, response, connection}))
+			.chain(admitted => this.#openExchange(admitted, received, waitedMs))
 			.ifLeft(failure => {
 				this.#refuse(message, response, message.headers[idempotencyHeader] === undefined ? failure : replaceUnprovenFailure(message.rawHeaders, failure));
 			});
@@ -198,8 +207,13 @@
 		}
 	}
 
-	#openExchange(admitted: AdmittedRequest, {message, response, connection}: ReceivedRequest): Either<Failure, Carrier> {
+	#openExchange(admitted: AdmittedRequest, {message, response, connection}: ReceivedRequest, waitedMs: number): Either<Failure, Carrier> {
 		const {request, route, terms} = admitted;
+		const head = createRequestHead(admitted, waitedMs, this.#options);
+		if (head.remainingMs <= 0) {
+			return Left(createFailure('deadlinePassed', 'the response to an earlier request on the connection took too long'));
+		}
+
 		return this.#options.selectCarrier(request, terms).ifRight(carrier => {
 			const exchange = new IngressExchange(message, response, {
 				connection,
@@ -214,7 +228,7 @@
 			response.once('close', () => {
 				this.#exchanges.delete(exchange);
 			});
-			exchange.open(carrier, createRequestHead(admitted, this.#options));
+			exchange.open(carrier, head);
 			if (message.headers.expect !== undefined) {
 				response.writeContinue();
 			}
@@ -238,8 +252,10 @@
 
 	/** Handles a parse error, after which nothing more can be read from the connection. */
 	#handleClientError(error: Error & {readonly code?: string}, socket: Socket): void {
+		const failure = createFailure('bodyBroken', error.message);
+		this.#connections.get(socket)?.recordReadFailure(failure);
 		[...this.#exchanges].filter(exchange => exchange.isOnSocket(socket)).forEach(exchange => {
-			exchange.failIncompleteBody(createFailure('bodyBroken', error.message));
+			exchange.failIncompleteBody(failure);
 		});
 		this.#refuseSocket(socket, createFailure(error.code === 'HPE_HEADER_OVERFLOW' ? 'headersTooLarge' : 'malformedRequest', error.message));
 	}
@@ -271,7 +287,13 @@
 		: Right(route);
 }
 
-function createRequestHead({request, route, terms}: AdmittedRequest, {getCallerService, findCause}: Pick<IngressOptions, 'getCallerService' | 'findCause'>): RequestHead {
+/** Fails when the body can't be completed any more, as the rest of the connection could not be read. */
+function checkBodyReadable({message, connection}: ReceivedRequest): Either<Failure, IncomingMessage> {
+	const failure = connection.getReadFailure();
+	return failure && !message.complete ? Left(failure) : Right(message);
+}
+
+function createRequestHead({request, route, terms}: AdmittedRequest, waitedMs: number, {getCallerService, findCause}: Pick<IngressOptions, 'getCallerService' | 'findCause'>): RequestHead {
 	const callerService = getCallerService?.();
 	const cause = request.requestId === undefined ? undefined : findCause?.(request.requestId);
 	const timeoutsMs = [request.timeoutMs, terms?.timeoutMs, route.timeoutMs].filter(bound => bound !== undefined);
@@ -282,7 +304,7 @@
 		method: request.method,
 		path: request.path,
 		headers: request.headers,
-		remainingMs: Math.min(...timeoutsMs),
+		remainingMs: Math.min(...timeoutsMs) - waitedMs,
 		isRepeatable: isRepeatable(route, request.method),
 		organisation: terms?.organisation ?? '',
 		route: route.name,
