--- a/packages/node/src/__tests__/unit/pipeline-streaming.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline-streaming.test.ts
@@ -33,6 +33,7 @@
 		fixture.carrier.answer('/a');
 		expect(await waitUntil(() => fixture.listAnswers().length === 3)).to.equal(true);
 		expect(fixture.listAnswers()).to.deep.equal(['200 /large', '200 /a', '200 /b']);
+		expect(fixture.metrics.formatReport()).to.match(/ingress_delayed_requests_total 2/v);
 	});
 
 	it('are never forwarded when it fails, which resets the connection', async () => {
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -173,6 +173,7 @@
 	#forwardRequest(received: ReceivedRequest, waitedMs: number): void {
 		const {message, response} = received;
 		this.#options.metrics.addCount('ingress_requests_total');
+		this.#options.metrics.addCount('ingress_delayed_requests_total', Number(waitedMs > 0));
 		checkBodyReadable(received)
 			.chain(() => parseIngressRequest(message, this.#protocol))
 			.chain(request => this.#admit(request))
@@ -211,7 +212,7 @@
 		const {request, route, terms} = admitted;
 		const head = createRequestHead(admitted, waitedMs, this.#options);
 		if (head.remainingMs <= 0) {
-			return Left(createFailure('deadlinePassed', 'the response to an earlier request on the connection took too long'));
+			return Left(createFailure('deadlinePassed', 'an earlier response on the connection took too long'));
 		}
 
 		return this.#options.selectCarrier(request, terms).ifRight(carrier => {
