Let the product's own node forward nothing that its planned stop would break off

The same cause as in the sidecar, on a related path: Forwarder and ForwardedExchange knew nothing of a stop, so a request or a repeat that came late in it was forwarded with the time until its own deadline, and cut off at the stop's end.

The limits move from RequestRouter into RequestTimeLimits, which both routers use; for the sidecar nothing changes. Answers' times are recorded by the own node as well.

--- a/packages/node/src/__tests__/unit/forwarder.test.ts
+++ b/packages/node/src/__tests__/unit/forwarder.test.ts
@@ -1,3 +1,4 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {
 	Carrier, createFailure, Exchange, MetricRegistry, type ExchangeHandler, type RequestHead, type ResultName, type ServerState,
@@ -107,6 +108,48 @@
 }
 
 describe('forwarder', () => {
+	// Guards against work that is begun when a planned stop leaves no time for it, and then broken off.
+	describe('during a planned stop', () => {
+		let clock: Clock;
+
+		beforeEach(() => {
+			clock = install({toFake: ['performance']});
+		});
+
+		afterEach(() => {
+			clock.uninstall();
+		});
+
+		it('refuses a request as "not run" when answers of its route take longer than the stop', async () => {
+			const egress = new FakeEgress(() => {
+				clock.tick(800);
+				return undefined;
+			});
+			const forwarder = createForwarder(egress, [createCandidate(1)]);
+			expect(await sendRequest(forwarder, false)).to.equal('answered');
+			forwarder.startStopping(performance.now() + 1000);
+			expect(await sendRequest(forwarder, false)).to.equal('nodeStopping');
+			expect(egress.served.length).to.equal(1);
+		});
+
+		it('forwards a request that can be answered before the stop ends', async () => {
+			const forwarder = createForwarder(new FakeEgress(() => undefined), [createCandidate(1)]);
+			forwarder.startStopping(performance.now() + 1000);
+			expect(await sendRequest(forwarder, false)).to.equal('answered');
+		});
+
+		it('does not repeat a request when the stop leaves no time for it', async () => {
+			const egress = new FakeEgress(() => {
+				clock.tick(900);
+				return 'serverBroke';
+			});
+			const forwarder = createForwarder(egress, [createCandidate(1), createCandidate(2)]);
+			forwarder.startStopping(performance.now() + 1000);
+			expect(await sendRequest(forwarder, true)).to.equal('serverBroke');
+			expect(egress.served.length).to.equal(1);
+		});
+	});
+
 	describe('retries', () => {
 		const cases: ReadonlyArray<{failure: ResultName; isRepeatable: boolean; tries: number}> = [
 			{failure: 'queueFull', isRepeatable: false, tries: 2},
--- a/packages/node/src/__tests__/unit/shedding-service.test.ts
+++ b/packages/node/src/__tests__/unit/shedding-service.test.ts
@@ -4,11 +4,12 @@
  */
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {AdmissionController, DurationEstimator} from '@limpetbarrow/admission';
+import {AdmissionController} from '@limpetbarrow/admission';
 import {
 	chooseNextServer, findTier, WindowedRetryBudget, type Candidate, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
 import {createFailure, type Failure, type RequestHead} from '@limpetbarrow/core';
+import {RequestTimeLimits} from '../../request-time-limits.js';
 import {RoutedRequest} from '../../routed-request.js';
 
 const serverCount = 15;
@@ -80,7 +81,7 @@
 			service: 'ledger',
 			method: 'GET', path: '/', headers: [], remainingMs: 2000, isRepeatable, organisation: '', objectiveMs, maxAttempts: 2,
 		};
-		this.#continueRequest(new RoutedRequest(head, performance.now(), {getLastAnswerAt: () => Number.POSITIVE_INFINITY, answerTimes: new DurationEstimator()}), origin);
+		this.#continueRequest(new RoutedRequest(head, performance.now(), new RequestTimeLimits()), origin);
 	}
 
 	getResult(): Result {
--- a/packages/node/src/forwarded-exchange.ts
+++ b/packages/node/src/forwarded-exchange.ts
@@ -4,6 +4,7 @@
 } from '@limpetbarrow/core';
 import {type Candidate, type PathHealth, type RetryPolicy} from '@limpetbarrow/choose';
 import {type LoadTracker} from './load-tracker.js';
+import {type RequestTimeLimits} from './request-time-limits.js';
 
 /** Dependencies of a request's attempts. */
 export type AttemptOptions = {
@@ -13,10 +14,12 @@
 	readonly loadTracker: LoadTracker;
 	readonly pathHealth: PathHealth;
 	readonly retryPolicy: RetryPolicy;
+	readonly timeLimits: RequestTimeLimits;
 	readonly recordRetry: () => void;
 };
 
 const maxAttempts = 3;
+const minServerErrorStatus = 500;
 const pathFailures: ReadonlySet<string> = new Set(['linkUnreachable', 'linkLost']);
 
 /** Sends a request to a backend server and retries it on others when that is safe and within the retry budget. */
@@ -30,7 +33,8 @@
 	#replayChunks: readonly Uint8Array[] = [];
 	#bodyBytes = 0;
 	#isBodyEnded = false;
-	#isHeadReceived = false;
+	#attemptedAt = 0;
+	#status = 0;
 	#isFinished = false;
 	/** Failure of the first attempt that may have run. */
 	#firstUnknownFailure: Failure | undefined;
@@ -44,7 +48,13 @@
 
 	/** Opens the next attempt, or fails the request with `lastFailure` if no backend server or time is left. */
 	openAttempt(lastFailure: Failure | undefined): void {
-		const remainingMs = this.#head.remainingMs - (performance.now() - this.#openedAt);
+		const now = performance.now();
+		const remainingMs = this.#head.remainingMs - (now - this.#openedAt);
+		if (this.#isTooLateForStop(remainingMs, now)) {
+			this.#fail(lastFailure ?? createFailure('nodeStopping', 'too little time is left before the node stops'));
+			return;
+		}
+
 		const candidate = remainingMs > 0 ? this.#options.chooseCandidate(this.#head, this.#triedServerIds) : undefined;
 		const egress = candidate && this.#options.findEgress(candidate.nodeId);
 		if (!candidate || !egress) {
@@ -53,6 +63,7 @@
 		}
 
 		this.#triedServerIds = [...this.#triedServerIds, candidate.server.id];
+		this.#attemptedAt = now;
 		this.#options.loadTracker.addInFlight(candidate.server.id, 1);
 		const target = {kind: 'egress', serverId: candidate.server.id} as const;
 		this.#current = egress.openExchange({...this.#head, target, remainingMs}, this.#createHandler(candidate));
@@ -87,6 +98,12 @@
 		this.#current?.cancel();
 	}
 
+	/** True when a planned stop comes before the deadline and would break off an attempt that starts now. */
+	#isTooLateForStop(remainingMs: number, now: number): boolean {
+		const stopMs = this.#options.timeLimits.getLastAnswerAt() - now;
+		return stopMs < remainingMs && stopMs < this.#options.timeLimits.computeMinStopTime(this.#head);
+	}
+
 	/** True while the whole body received so far is buffered: up to the first window, beyond which no credit was granted. */
 	#isReplayable(): boolean {
 		return this.#bodyBytes <= exchangeWindowBytes;
@@ -96,7 +113,7 @@
 		const {loadTracker, pathHealth} = this.#options;
 		return {
 			handleHead: head => {
-				this.#isHeadReceived = true;
+				this.#status = head.status;
 				pathHealth.recordSuccess(nodeId, performance.now());
 				if (head.load) {
 					loadTracker.recordHint(head.load);
@@ -109,6 +126,10 @@
 			handleEnd: () => {
 				this.#isFinished = true;
 				loadTracker.addInFlight(server.id, -1);
+				if (this.#status < minServerErrorStatus) {
+					this.#options.timeLimits.recordAnswer(this.#head, performance.now() - this.#attemptedAt);
+				}
+
 				this.#handler.handleEnd();
 			},
 			handleFailure: failure => {
@@ -137,7 +158,7 @@
 
 	#isRetryable(failure: Failure): boolean {
 		const isSafe = failure.ran === 'not-run' || this.#head.isRepeatable;
-		return isSafe && failure.resend !== 'never' && !this.#isHeadReceived && this.#isReplayable() && this.#triedServerIds.length < maxAttempts;
+		return isSafe && failure.resend !== 'never' && this.#status === 0 && this.#isReplayable() && this.#triedServerIds.length < maxAttempts;
 	}
 
 	/** Reports the last attempt's failure. "Not run" is reported only if no earlier attempt may have run. */
--- a/packages/node/src/forwarder.ts
+++ b/packages/node/src/forwarder.ts
@@ -8,6 +8,7 @@
 import {type ReleaseState} from '@limpetbarrow/releases';
 import {ForwardedExchange} from './forwarded-exchange.js';
 import {LoadTracker} from './load-tracker.js';
+import {RequestTimeLimits} from './request-time-limits.js';
 import {type ServerDirectory} from './server-directory.js';
 
 /** Finds the carrier to a node's egress; undefined when the node is no longer known. */
@@ -34,6 +35,7 @@
 	readonly #pathHealth = new PathHealth();
 	readonly #serverSelection: ServerSelection;
 	readonly #retryBudgets = new Map<string, RetryPolicy>();
+	readonly #timeLimits = new RequestTimeLimits();
 
 	constructor(options: ForwarderOptions) {
 		super();
@@ -50,6 +52,7 @@
 			loadTracker: this.#loadTracker,
 			pathHealth: this.#pathHealth,
 			retryPolicy,
+			timeLimits: this.#timeLimits,
 			recordRetry: () => {
 				this.#options.metrics.addCount('ingress_retries_total');
 			},
@@ -58,6 +61,11 @@
 		return exchange;
 	}
 
+	/** Refuses requests that can't be answered by `lastAnswerAt` (monotonic time, in milliseconds) instead of forwarding them. */
+	startStopping(lastAnswerAt: number): void {
+		this.#timeLimits.startStopping(lastAnswerAt);
+	}
+
 	#chooseCandidate({service, isRepeatable}: RequestHead, triedServerIds: readonly string[]): Candidate | undefined {
 		const {directory, releases, chooser} = this.#options;
 		const floor = releases.getConfiguration().services.get(service)?.floor ?? 0;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -59,6 +59,7 @@
 	readonly #directory: ServerDirectory;
 	readonly #linkServer: LinkServer;
 	readonly #gossip: Gossip;
+	readonly #forwarder: Forwarder;
 	readonly #callerServices: CallerServices;
 	readonly #ingress: Ingress;
 	readonly #adminServer: AdminServer;
@@ -81,13 +82,13 @@
 		this.#egress = this.#createEgress();
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target), logger, this.#metrics);
 		this.#gossip = new Gossip(this.#table, settings.seeds, {logger, metrics: this.#metrics});
-		const forwarder = this.#createForwarder();
+		this.#forwarder = this.#createForwarder();
 		this.#callerServices = new CallerServices({
 			table: this.#table,
 			releases: this.#releases,
 			platform: this.#objectStore,
 			links: this.#linkPool,
-			forwarder,
+			forwarder: this.#forwarder,
 			metrics: this.#metrics,
 			logger,
 			isStopping: () => this.#isStopping,
@@ -211,8 +212,9 @@
 
 	#createStoppingNode(): StoppingNode {
 		return {
-			startStopping: () => {
+			startStopping: lastAnswerAt => {
 				this.#isStopping = true;
+				this.#forwarder.startStopping(lastAnswerAt);
 				this.#table.updateSelf(() => ({state: 'stopping'}));
 				this.#ingress.startStopping();
 			},
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -5,12 +5,12 @@
 import {
 	chooseNextServer, findTier, PathHealth, type Candidate, type SpilloverChoice, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
-import {DurationEstimator} from '@limpetbarrow/admission';
 import {type FindEgress} from './forwarder.js';
 import {LoadTracker} from './load-tracker.js';
 import {PausedRequests} from './paused-requests.js';
+import {RequestTimeLimits} from './request-time-limits.js';
 import {RoutedExchange} from './routed-exchange.js';
-import {type RequestTimeLimits, type RoutedRequest} from './routed-request.js';
+import {type RoutedRequest} from './routed-request.js';
 import {type ServerDirectory} from './server-directory.js';
 
 /** Dependencies of a request router. */
@@ -46,9 +46,7 @@
 	readonly #pickRandom: () => number;
 	readonly #startedAt = performance.now();
 	readonly #openExchanges = new Set<RoutedExchange>();
-	readonly #timeLimits: RequestTimeLimits = {getLastAnswerAt: () => this.#lastAnswerAt, answerTimes: new DurationEstimator()};
-	/** Monotonic time at which a planned stop ends the requests in progress; infinite while the node doesn't stop. */
-	#lastAnswerAt = Number.POSITIVE_INFINITY;
+	readonly #timeLimits = new RequestTimeLimits();
 
 	constructor(options: RequestRouterOptions) {
 		super();
@@ -89,7 +87,7 @@
 	 * answered by then instead of passing them on.
 	 */
 	startStopping(lastAnswerAt: number): void {
-		this.#lastAnswerAt = lastAnswerAt;
+		this.#timeLimits.startStopping(lastAnswerAt);
 	}
 
 	/** Ends the requests in progress at once, each with a failure that says whether it may have run. */
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -15,7 +15,8 @@
 import {ReplayBody} from './replay-body.js';
 import {replaceFramingHeaders} from './request-body.js';
 import {logRequestEnd, type RequestEndEvent} from './request-log.js';
-import {isUndelivered, RoutedRequest, type RequestTimeLimits} from './routed-request.js';
+import {type RequestTimeLimits} from './request-time-limits.js';
+import {isUndelivered, RoutedRequest} from './routed-request.js';
 
 /** Dependencies of a request's attempts. */
 export type RoutedExchangeOptions = {
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -2,8 +2,8 @@
 import {
 	createFailure, type Failure, type RequestHead, type ResultName,
 } from '@limpetbarrow/core';
-import {type DurationEstimator} from '@limpetbarrow/admission';
 import {choosePause, type Tier} from '@limpetbarrow/choose';
+import {type RequestTimeLimits} from './request-time-limits.js';
 
 /** Failures that occur before a backend server has received the request. */
 const undeliveredFailures: ReadonlySet<ResultName> = new Set([
@@ -27,18 +27,8 @@
 
 /** Remaining time below which no further attempt is made, in milliseconds. */
 const minRemainingMs = 10;
-/** Factor on the mean time of a route's answers, which gives the time that most of them take. */
-const stopTimeFactor = 1.5;
 const minServerErrorStatus = 500;
 
-/** What limits the time of a request besides its deadline. */
-export type RequestTimeLimits = {
-	/** Returns the monotonic time at which a planned stop ends the request; infinite while the node doesn't stop. */
-	readonly getLastAnswerAt: () => number;
-	/** Time that answers of each route take from the start of their attempt. */
-	readonly answerTimes: DurationEstimator;
-};
-
 /** True when no backend server has received the request. */
 export function isUndelivered({name}: Failure): boolean {
 	return undeliveredFailures.has(name);
@@ -85,15 +75,12 @@
 
 	/**
 	 * Least time that must be left for another attempt, in milliseconds. After a pause, an answer of the route has to fit in,
-	 * else the attempt would be broken off at the deadline; while the node stops, even if it takes longer than usual. A process
-	 * that stops soon after its start may have seen no answer of the route, which then may take as long as its objective.
+	 * else the attempt would be broken off at the deadline; while the node stops, even if it takes longer than usual.
 	 */
 	getMinAttemptMs(isPaused = this.#pauseCount > 0): number {
-		const {answerTimes} = this.#timeLimits;
-		const {route = '', objectiveMs} = this.head;
 		return Math.max(minRemainingMs, this.isEndedByStop()
-			? answerTimes.estimateDuration(route, objectiveMs) * stopTimeFactor
-			: answerTimes.estimateDuration(route) * Number(isPaused));
+			? this.#timeLimits.computeMinStopTime(this.head)
+			: this.#timeLimits.estimateAnswer(this.head) * Number(isPaused));
 	}
 
 	getElapsedMs(now: number): number {
@@ -201,7 +188,7 @@
 
 	recordResponse(serverId: string, status: number, now: number): void {
 		if (status < minServerErrorStatus) {
-			this.#timeLimits.answerTimes.recordDuration(this.head.route ?? '', now - (this.#stepStartedAt.get(serverId) ?? now));
+			this.#timeLimits.recordAnswer(this.head, now - (this.#stepStartedAt.get(serverId) ?? now));
 		}
 
 		this.#trace = [...this.#trace, `${serverId}/${this.#tierLabels.get(serverId) ?? ''}:${status}@${Math.round(this.getElapsedMs(now))}`];
