--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -181,18 +181,15 @@
 	}
 
 	#start(head: ResponseHead): void {
-		const {status, headers, isUnframed = false} = head;
-		const isLengthMissing = this.#isLengthMissing(head);
-		if (isLengthMissing && !this.#isComplete && !this.#markLast()) {
+		if (this.#isLengthMissing(head) && !this.#isComplete && !this.#markLast()) {
 			return;
 		}
 
-		const bytes = this.#heldParts.reduce((sum, {chunk}) => sum + chunk.length, 0);
 		this.#pauseWrites();
-		this.#response.useChunkedEncodingByDefault &&= !isUnframed;
+		this.#response.useChunkedEncodingByDefault &&= head.isUnframed !== true;
 		this.#options.connection.updateKeepAlive(this.#response);
 		try {
-			this.#response.writeHead(status, isLengthMissing && this.#isComplete ? [...headers, 'content-length', String(bytes)] : [...headers]);
+			this.#response.writeHead(head.status, this.#createHeaders(head));
 		} catch (error) {
 			this.#replace(createFailure('serverBroke', `the response head can't be sent: ${String(error)}`));
 			return;
@@ -208,6 +205,12 @@
 		}
 	}
 
+	/** Adds the length that the caller needs, once the whole body is held. */
+	#createHeaders(head: ResponseHead): string[] {
+		const bytes = this.#heldParts.reduce((sum, {chunk}) => sum + chunk.length, 0);
+		return this.#isComplete && this.#isLengthMissing(head) ? [...head.headers, 'content-length', String(bytes)] : [...head.headers];
+	}
+
 	/**
 	 * Corks the response until the next tick: head, body and end of a small response arrive in one turn and leave in one
 	 * write.
