Take a cancellation shortly before the deadline for a timeout

Callers saw, on the product's own node, one 504 for each silent connection to a backend server instead of one in all. Cause: both nodes of a link end a request at its deadline, and the egress took the cancellation of the other for a caller who left when it came more than 1 ms before its own deadline, which starts later by the way of the request. Then no new connections are opened, and the time isn't counted against the backend server.

The new test gets 'cancelled' where 'timedOut' is due on the code before.

--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -35,6 +35,9 @@
 /** Largest number of interim responses (1xx) that a backend server may send for one request. */
 const maxInterimResponses = 16;
 const notModifiedStatus = 304;
+/** Longest time, and largest share of a request's time, by which its cancellation may come before its deadline and stand for it. */
+const maxCancelLeadMs = 50;
+const maxCancelLeadShare = 0.25;
 /** The HTTP client's error for a 304 whose content-length names a body that is not sent, which HTTP allows. */
 const contentLengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
@@ -178,12 +181,20 @@
 		}
 
 		if (this.#state === 'running') {
-			const failure = this.getRemainingMs() <= 1 ? this.#createTimeoutFailure() : undefined;
+			const failure = this.getRemainingMs() <= this.#getMaxCancelLeadMs() ? this.#createTimeoutFailure() : undefined;
 			this.#finish(this.#createOutcome(failure ? 'timedOut' : 'cancelled'), failure);
 			this.#dispatchController?.abort(new Error('cancelled'));
 		}
 	}
 
+	/**
+	 * Time before the deadline from which a cancellation stands for it, in milliseconds. Over a link the request may have taken
+	 * longer than its cancellation, which the other node sends at the same deadline.
+	 */
+	#getMaxCancelLeadMs(): number {
+		return Math.min(maxCancelLeadMs, this.#head.remainingMs * maxCancelLeadShare);
+	}
+
 	#createDispatchHandler(): Dispatcher.DispatchHandler {
 		return {
 			onRequestStart: controller => {
