--- a/packages/node/src/__tests__/unit/backend-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/backend-exchange.test.ts
@@ -16,7 +16,7 @@
 	},
 } as unknown as Dispatcher;
 
-const ignoreCall = (): undefined => undefined;
+const handleNothing = (): undefined => undefined;
 
 describe('the cancellation of a request at a backend server', () => {
 	let clock: Clock;
@@ -33,12 +33,12 @@
 	function cancelAfter(ms: number, remainingMs = head.remainingMs): string {
 		const recorded: string[] = [];
 		const exchange = new BackendExchange({...head, remainingMs}, {
-			handleHead: ignoreCall, handleData: ignoreCall, handleCredit: ignoreCall, handleEnd: ignoreCall, handleFailure: ignoreCall,
+			handleHead: handleNothing, handleData: handleNothing, handleCredit: handleNothing, handleEnd: handleNothing, handleFailure: handleNothing,
 		}, {
 			getLoad: () => ({serverId: 'server-1', freeSlots: 1, queued: 0}),
-			handleBodyCollected: ignoreCall,
+			handleBodyCollected: handleNothing,
 			checkServerRunning: async () => true,
-			handleCancelled: ignoreCall,
+			handleCancelled: handleNothing,
 			handleFinished(outcome, failure) {
 				recorded.push(`${outcome?.kind ?? ''} ${failure?.name ?? ''}`.trim());
 			},
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -10,8 +10,9 @@
 export const maxPipelinedRequests = 16;
 
 /**
- * Decides which requests are read and which response closes the connection. The response that closes it is always the
- * last one, so a request that was forwarded never loses its response to the one before it.
+ * Decides which requests are read, when they may be forwarded and which response closes the connection. The response that
+ * closes it is always the last one, and nothing is forwarded behind a response that may still have to be reset, so a request
+ * that was forwarded doesn't lose its response to the one before it.
  */
 export class CallerConnection {
 	readonly #socket: Socket;
