--- a/packages/node/src/forwarded-exchange.ts
+++ b/packages/node/src/forwarded-exchange.ts
@@ -33,7 +33,9 @@
 	#replayChunks: readonly Uint8Array[] = [];
 	#bodyBytes = 0;
 	#isBodyEnded = false;
+	/** Start of the current attempt (monotonic time, in milliseconds). */
 	#attemptedAt = 0;
+	/** Status of the response; 0 before its head has arrived. */
 	#status = 0;
 	#isFinished = false;
 	/** Failure of the first attempt that may have run. */
