End a response where its backend server begins another one

Cause: the egress took all bytes up to the end of the framing for the body. Without a length that end is the close, so a second response, at once or late, was body; with one, a response that stopped short was filled up by the second.

Change: ExtraResponseScan finds, for both egresses, a response head of the same request or of an earlier one on the connection. The body before it is delivered if the second response names its length or is a complete copy; else the request fails and, if it may be repeated, goes elsewhere. Event 309 responseExceeded and two metrics count the bytes beyond responses, which tells this cause from a killed process. A client of its own for each connection keeps the ids of its requests.

--- a/deploy/bundle/undici.mjs
+++ b/deploy/bundle/undici.mjs
@@ -8,5 +8,6 @@
 Object.assign(Dispatcher.prototype, api);
 
 export {default as Agent} from '../../node_modules/undici/lib/dispatcher/agent.js';
+export {default as Client} from '../../node_modules/undici/lib/dispatcher/client.js';
 export {default as Pool} from '../../node_modules/undici/lib/dispatcher/pool.js';
 export {default as buildConnector} from '../../node_modules/undici/lib/core/connect.js';
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -46,6 +46,7 @@
 	serverRan: {number: 306, level: 'debug', meaning: 'A backend server ran a request; the outcome, and the gate\'s present estimate of the server\'s health.'},
 	serverRanBadly: {number: 307, level: 'info', meaning: 'A backend server ran a request and failed it, or the deadline passed; the gate\'s present estimate of the server\'s health.'},
 	sheddingChanged: {number: 308, level: 'info', meaning: 'A backend server began to reject a large part of its requests without running them, or accepts them again (`isShedding`).'},
+	responseExceeded: {number: 309, level: 'info', meaning: 'A backend server sent bytes beyond the end of its response to the request; how many were received.'},
 	serverReplaced: {number: 305, level: 'warn', meaning: 'Another backend server was found at the address; the announced one is no longer used.'},
 
 	// Sequencer
--- a/packages/node/src/__tests__/host-egress-fixture.ts
+++ b/packages/node/src/__tests__/host-egress-fixture.ts
@@ -1,7 +1,7 @@
 /** Test fixture: a host egress with one backend server that responds with raw bytes. */
 import {setTimeout as wait} from 'node:timers/promises';
 import {
-	Logger, MetricRegistry, SilentLogger, type LogEventName, type LogFields, type RequestHead,
+	Logger, MetricRegistry, type Carrier, SilentLogger, type LogEventName, type LogFields, type RequestHead,
 } from '@limpetbarrow/core';
 import {UnlimitedRetries, type RetryPolicy} from '@limpetbarrow/choose';
 import {Announcements} from '@limpetbarrow/members';
@@ -41,7 +41,8 @@
 	}
 }
 
-async function sendRequest(egress: HostEgress, head: Partial<RequestHead>): Promise<ExchangeResult> {
+/** Sends one request through an egress and collects the response. */
+export async function sendRequest(egress: Carrier, head: Partial<RequestHead>): Promise<ExchangeResult> {
 	return new Promise(resolve => {
 		let status = 0;
 		let body = '';
--- a/packages/node/src/__tests__/request-path-fixture.ts
+++ b/packages/node/src/__tests__/request-path-fixture.ts
@@ -166,8 +166,13 @@
 		this.#announced = {
 			id: 's1', service: 'fitting-desk', address: await this.#relay.listen(), slots, generation: 1, isLeaving: false, maxConnections: 400, expiresAt: Infinity,
 		};
-		this.#backend = new BackendServer(this.#announced, () => {
-			// These tests don't check the recorded outcomes.
+		this.#backend = new BackendServer(this.#announced, {
+			recordOutcome() {
+				// These tests don't check the recorded outcomes.
+			},
+			reportExcess() {
+				// Nor what arrives beyond a response.
+			},
 		});
 		const address = await this.#linkServer.listen({host, port: 0});
 		this.#ingress = new Ingress({
--- a/packages/node/src/backend-connector.ts
+++ b/packages/node/src/backend-connector.ts
@@ -46,14 +46,16 @@
  *
  * `handleEnd` is called when the other side has closed a connection, before undici learns of it. No response may be paused
  * after it: undici throws an error outside of any request when a connection ends on which a response is paused.
+ * `handleSocket` is called with each new connection.
  */
-export function createBackendConnector(timeoutMs: number, handleEnd: () => void): buildConnector.connector {
+export function createBackendConnector(timeoutMs: number, handleEnd: () => void, handleSocket: (socket: Socket) => void): buildConnector.connector {
 	const connect = buildConnector({timeout: timeoutMs});
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
 			if (socket) {
 				registerHeadLimit(socket);
+				handleSocket(socket);
 				socket.on('end', handleEnd);
 			}
 
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -5,6 +5,8 @@
 	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
+import {type ConnectionDispatchOptions, type ConnectionRequests, type ExcessBytes} from './connection-requests.js';
+import {ExtraResponseScan} from './extra-response-scan.js';
 import {hasResponseBody, selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
 import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
@@ -24,6 +26,8 @@
 	readonly handleBodyEnd?: (exchange: BackendExchange) => void;
 	/** Called when the exchange is cancelled before it was started. */
 	readonly handleCancelled: (exchange: BackendExchange) => void;
+	/** Called when the backend server sent bytes beyond the end of the response. */
+	readonly handleExcess?: (excess: ExcessBytes) => void;
 	/** Called when a started exchange ends; without an outcome when the end says nothing about the backend server's health. */
 	readonly handleFinished: (outcome: WorkOutcome | undefined, failure: Failure | undefined) => void;
 };
@@ -68,6 +72,12 @@
 	#interimResponseCount = 0;
 	/** True when the end of the connection ends the response. */
 	#isResponseUnframed = false;
+	/** Finds the end of the body where the backend server sends more than one response. */
+	#scan: ExtraResponseScan | undefined;
+	#connection: ConnectionRequests | undefined;
+	#earlierRequestIds: ReadonlySet<string> = new Set();
+	/** Length of the response on the connection; undefined if it is sent in chunks or ends with the connection. */
+	#responseBytes: number | undefined;
 	/** Monotonic times, in milliseconds, at which the request body ended and the response head arrived. */
 	#requestBodyEndedAt: number | undefined;
 	#responseHeadAt: number | undefined;
@@ -122,14 +132,19 @@
 		this.#deadlineTimer = setTimeout(() => {
 			this.#handleDeadline();
 		}, remainingMs);
-		pool.dispatch({
+		const options: ConnectionDispatchOptions = {
 			method: this.#head.method,
 			path: this.#head.path,
 			headers: [...this.#protocol.createRequestHeaders(this.#head, remainingMs, this.#owner.getLoad().serverId)],
 			body: this.#requestBodyForm === 'none' ? null : this.#requestBody.open(),
 			headersTimeout: 0,
 			bodyTimeout: 0,
-		}, this.#createDispatchHandler());
+			handleConnection: connection => {
+				this.#connection = connection;
+				this.#earlierRequestIds = connection.recordRequest(this.#head.requestId);
+			},
+		};
+		pool.dispatch(options, this.#createDispatchHandler());
 	}
 
 	override writeBody(chunk: Uint8Array): void {
@@ -207,9 +222,7 @@
 				if (this.#state === 'running' && status < minFinalStatus) {
 					this.#handleInterimResponse();
 				} else if (this.#state === 'running') {
-					const headers = decodeHeaders(controller.rawHeaders);
-					this.#isResponseUnframed = isUnframed(this.#head.method, status, headers);
-					this.#handleResponseHead({status, headers: selectResponseHeaders(headers)});
+					this.#handleRawHead({status, headers: decodeHeaders(controller.rawHeaders)});
 				}
 			},
 			onResponseData: (controller, chunk) => {
@@ -218,12 +231,12 @@
 					return;
 				}
 
-				this.#responseCredit -= chunk.length;
+				this.#handleBody(this.#scan!.add(chunk));
 				if (this.#responseCredit <= 0) {
 					controller.pause();
 				}
 
-				this.#handler.handleData(chunk);
+				this.#handleVerdict();
 			},
 			onResponseEnd: () => {
 				this.#handleResponseEnd();
@@ -245,6 +258,47 @@
 		}
 	}
 
+	#handleRawHead(head: ResponseHead): void {
+		const {method, requestId} = this.#head;
+		this.#isResponseUnframed = isUnframed(method, head.status, head.headers);
+		this.#responseBytes = this.#findResponseBytes(head);
+		this.#scan = new ExtraResponseScan({
+			head, requestId, earlierRequestIds: this.#earlierRequestIds, isUnframed: this.#isResponseUnframed, findRequestId: found => this.#protocol.findRequestId(found),
+		});
+		this.#handleResponseHead({...head, headers: selectResponseHeaders(head.headers)});
+	}
+
+	#findResponseBytes({status, headers}: ResponseHead): number | undefined {
+		const length = hasResponseBody(this.#head.method, status) ? findHeader(headers, 'content-length') : '0';
+		return length === undefined || this.#interimResponseCount > 0 ? undefined : Number(length);
+	}
+
+	#handleBody(body: Uint8Array): void {
+		if (body.length > 0) {
+			this.#responseCredit -= body.length;
+			this.#handler.handleData(body);
+		}
+	}
+
+	/**
+	 * Ends the exchange once the scan tells how the response ends. A response is not passed on as whole when another one follows
+	 * it on the connection and nothing shows where the first one ended.
+	 */
+	#handleVerdict(): void {
+		const verdict = this.#scan?.getVerdict() ?? 'open';
+		if (verdict === 'open' || this.#state !== 'running') {
+			return;
+		}
+
+		this.#owner.handleExcess?.({requestId: this.#head.requestId, bytes: this.#scan!.countExcessBytes()});
+		if (verdict === 'whole') {
+			this.#finishResponse();
+			this.#dispatchController?.abort(new Error('the response has ended before its connection'));
+		} else {
+			this.#fail(createFailure('serverBroke', 'another response follows within the response'), 'failed');
+		}
+	}
+
 	#handleResponseHead(response: ResponseHead): void {
 		const failure = this.#protocol.validateResponse(this.#head, response);
 		if (failure) {
@@ -262,6 +316,15 @@
 	 * prove that a response without a length is complete. Such a response counts only if the process still runs.
 	 */
 	#handleResponseEnd(): void {
+		if (!this.#isResponseUnframed) {
+			this.#connection?.recordResponseEnd(this.#responseBytes);
+		}
+
+		if (this.#state === 'running' && this.#scan) {
+			this.#handleBody(this.#scan.finish());
+			this.#handleVerdict();
+		}
+
 		const {checkServerRunning} = this.#owner;
 		if (this.#state !== 'running' || !this.#isResponseUnframed) {
 			this.#finishResponse();
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -1,24 +1,28 @@
 /** One backend server of this node: its slots, its queue and its connections. */
-import {Pool, type Dispatcher} from 'undici';
+import {type Dispatcher, type Pool} from 'undici';
 import {
-	createFailure, formatAddress, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
+	createFailure, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
 } from '@limpetbarrow/core';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {isAcceptingConnections} from './address-probe.js';
-import {createBackendConnector} from './backend-connector.js';
 import {BackendExchange} from './backend-exchange.js';
+import {type ExcessBytes} from './connection-requests.js';
+import {createServerPool} from './server-pool.js';
 import {ServiceTimeAverage} from './service-time-average.js';
 
-/** Receives the outcome of each request that was sent to the backend server. */
-export type RecordOutcome = (outcome: WorkOutcome) => void;
+/** Receives what the backend server shows of itself. */
+export type BackendServerReporter = {
+	/** Called with the outcome of each request that was sent to the backend server. */
+	readonly recordOutcome: (outcome: WorkOutcome) => void;
+	/** Called when the backend server sent bytes beyond the end of a response. */
+	readonly reportExcess: (excess: ExcessBytes) => void;
+};
 
 /** Time for which an idle connection is kept unless the backend server asks for a longer time, in milliseconds. */
 const keepAliveMs = 1000;
 /** Longest idle time that a backend server may ask for, in milliseconds. */
 const keepAliveMaxMs = 60_000;
-/** Connect timeout, in milliseconds. It can be short because backend servers run on this node's own host. */
-const connectTimeoutMs = 1000;
 /** Time reserved for returning a refusal, so that it reaches the caller before its deadline, in milliseconds. */
 const refusalDeliveryMs = 50;
 /** Largest number of requests whose bodies are being collected. */
@@ -26,7 +30,7 @@
 
 /** Manages the slots of one backend server. No other object starts requests on it or decides whether a request ran. */
 export class BackendServer {
-	readonly #recordOutcome: RecordOutcome;
+	readonly #reporter: BackendServerReporter;
 	readonly #collectingBodies = new Set<BackendExchange>();
 	/** Waiting exchanges in order, each with the timer that refuses it once it can no longer meet its deadline. */
 	readonly #queue = new Map<BackendExchange, NodeJS.Timeout>();
@@ -35,9 +39,9 @@
 	#pool: Dispatcher;
 	readonly #running = new Set<BackendExchange>();
 
-	constructor(server: AnnouncedServer, recordOutcome: RecordOutcome) {
+	constructor(server: AnnouncedServer, reporter: BackendServerReporter) {
 		this.#server = server;
-		this.#recordOutcome = recordOutcome;
+		this.#reporter = reporter;
 		this.#pool = this.#createPool();
 	}
 
@@ -49,6 +53,7 @@
 		const exchange: BackendExchange = new BackendExchange(head, handler, {
 			getLoad: () => this.getLoad(),
 			checkServerRunning: async () => isAcceptingConnections(this.#server.address),
+			handleExcess: this.#reporter.reportExcess,
 			handleBodyCollected: collected => {
 				this.#collectingBodies.delete(collected);
 				this.#admit(collected, queueLimit);
@@ -111,10 +116,15 @@
 	}
 
 	#createPool(): Pool {
-		return new Pool(`http://${formatAddress(this.#server.address)}`, {
-			connections: this.#countSlots(), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMaxMs, connect: createBackendConnector(connectTimeoutMs, () => {
+		return createServerPool({
+			address: this.#server.address,
+			connections: this.#countSlots(),
+			keepAliveMs,
+			keepAliveMaxMs,
+			handleEnd: () => {
 				this.#resumeReading();
-			}),
+			},
+			handleExcess: this.#reporter.reportExcess,
 		});
 	}
 
@@ -179,7 +189,7 @@
 				this.#serviceTime.record(outcome.durationMs);
 			}
 
-			this.#recordOutcome(outcome);
+			this.#reporter.recordOutcome(outcome);
 		}
 
 		this.#startNext();
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -9,6 +9,7 @@
 import {answerExchange, refuseExchange} from './closed-exchange.js';
 import {summariesPath} from './peer-baseline-source.js';
 import {Quarantine} from './quarantine.js';
+import {reportExcess} from './report-excess.js';
 
 /** Dependencies of an egress. */
 export type EgressOptions = {
@@ -151,8 +152,14 @@
 			this.#drain(existing.backend);
 		}
 
-		const backend = new BackendServer(announcement, outcome => {
-			this.#serverHealth.recordOutcome(announcement.id, outcome);
+		const {logger, metrics} = this.#options;
+		const backend = new BackendServer(announcement, {
+			recordOutcome: outcome => {
+				this.#serverHealth.recordOutcome(announcement.id, outcome);
+			},
+			reportExcess(excess) {
+				reportExcess(logger, metrics, announcement.id, excess);
+			},
 		});
 		this.#localServers.set(announcement.id, {announcement, backend});
 	}
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -10,6 +10,7 @@
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {isAcceptingConnections} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
+import {type ExcessBytes} from './connection-requests.js';
 import {ServerConnections} from './server-connections.js';
 import {ServerOutcomes, type ServerStateHandler} from './server-outcomes.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -23,6 +24,8 @@
 	readonly handleReplaced: () => void;
 	/** Called after each exchange with the backend server that has an outcome. */
 	readonly reportExchange: (head: RequestHead, report: ExchangeReport) => void;
+	/** Called when the backend server sent bytes beyond the end of a response. */
+	readonly reportExcess: (excess: ExcessBytes) => void;
 	/** Called with each request that was refused here or failed at the backend server. */
 	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
 };
@@ -85,11 +88,14 @@
 		this.#announcement = server;
 		this.#outcomes = new ServerOutcomes(this.#gate, options);
 		this.#connections = new ServerConnections({
-			address: server.address, connections: this.#countSlots(), handleEnd: () => {
+			address: server.address,
+			connections: this.#countSlots(),
+			handleEnd: () => {
 				[...this.#running.keys()].forEach(exchange => {
 					exchange.resumeReading();
 				});
 			},
+			handleExcess: options.reportExcess,
 		});
 		this.#gate.setCold(server.coldMs ?? 0, performance.now());
 	}
@@ -108,6 +114,7 @@
 			handleBodyEnd: ended => {
 				this.#handleBodyEnd(ended, head);
 			},
+			handleExcess: this.#options.reportExcess,
 			handleCancelled: cancelled => {
 				this.#removeExchange(cancelled);
 			},
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -5,6 +5,7 @@
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {refuseExchange} from './closed-exchange.js';
+import {reportExcess} from './report-excess.js';
 import {GatedServer} from './gated-server.js';
 import {Quarantine} from './quarantine.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -172,6 +173,9 @@
 					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
 				});
 			},
+			reportExcess(excess) {
+				reportExcess(logger, metrics, id, excess);
+			},
 			reportFailure(head, failure) {
 				metrics.addCount('egress_failures_total', 1, {code: String(failure.code)});
 				logger.log('egressFailed', {
--- a/packages/node/src/server-connections.ts
+++ b/packages/node/src/server-connections.ts
@@ -1,7 +1,6 @@
 /** The connections to one backend server. */
-import {Pool, type Dispatcher} from 'undici';
-import {formatAddress, type Address} from '@limpetbarrow/core';
-import {createBackendConnector} from './backend-connector.js';
+import {type Dispatcher, type Pool} from 'undici';
+import {createServerPool, type ServerPoolOptions} from './server-pool.js';
 
 /** Time for which an idle connection is kept for repeatable requests, in milliseconds. */
 const repeatableKeepAliveMs = 4000;
@@ -10,23 +9,8 @@
  * closed meanwhile is lost.
  */
 const unrepeatableKeepAliveMs = 400;
-/** Connect timeout, in milliseconds. It can be short because backend servers run on this node's own host. */
-const connectTimeoutMs = 1000;
-
-/** Where the connections go, and who learns of their end. */
-export type ServerConnectionsOptions = {
-	readonly address: Address;
-	/** Largest number of connections of each kind. */
-	readonly connections: number;
-	/** Called when the backend server has closed a connection; no response may stay paused after it. */
-	readonly handleEnd: () => void;
-};
-
-function createPool({address, connections, handleEnd}: ServerConnectionsOptions, keepAliveMs: number): Pool {
-	return new Pool(`http://${formatAddress(address)}`, {
-		connections, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connect: createBackendConnector(connectTimeoutMs, handleEnd),
-	});
-}
+/** Where the connections go, the largest number of connections of each kind, and who learns what happens on them. */
+export type ServerConnectionsOptions = Omit<ServerPoolOptions, 'keepAliveMs' | 'keepAliveMaxMs'>;
 
 /** Keeps connections for repeatable requests apart from those for others, which are kept open for a shorter time. */
 export class ServerConnections {
@@ -34,8 +18,8 @@
 	readonly #unrepeatable: Pool;
 
 	constructor(options: ServerConnectionsOptions) {
-		this.#repeatable = createPool(options, repeatableKeepAliveMs);
-		this.#unrepeatable = createPool(options, unrepeatableKeepAliveMs);
+		this.#repeatable = createServerPool({...options, keepAliveMs: repeatableKeepAliveMs, keepAliveMaxMs: repeatableKeepAliveMs});
+		this.#unrepeatable = createServerPool({...options, keepAliveMs: unrepeatableKeepAliveMs, keepAliveMaxMs: unrepeatableKeepAliveMs});
 	}
 
 	/** Selects the connections for a request. */
--- a/packages/node/src/server-protocol.ts
+++ b/packages/node/src/server-protocol.ts
@@ -10,6 +10,8 @@
 	abstract createRequestHeaders(head: RequestHead, remainingMs: number, serverId: string): RawHeaders;
 	/** Returns the failure when the response is not the backend server's response to this request, else undefined. */
 	abstract validateResponse(head: RequestHead, response: ResponseHead): Failure | undefined;
+	/** Returns the id of the request that a response names; undefined if it names none. */
+	abstract findRequestId(response: ResponseHead): string | undefined;
 }
 
 /** Sends the project's own timeout header and accepts every response. */
@@ -21,6 +23,10 @@
 	override validateResponse(): undefined {
 		return undefined;
 	}
+
+	override findRequestId(): undefined {
+		return undefined;
+	}
 }
 
 /** Names of the headers that tie a response to its request and to the backend server. */
@@ -91,4 +97,8 @@
 			? createFailure('serverBroke', 'the response is not signed or has a content-encoding')
 			: undefined;
 	}
+
+	override findRequestId({headers}: ResponseHead): string | undefined {
+		return findHeader(headers, this.#headerNames.requestId);
+	}
 }
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -77,6 +77,11 @@
 	return id.endsWith('3');
 }
 
+/** True for the requests that a backend server which sends extra answers answers twice, without a length. */
+export function isAnsweredTwice(id: string): boolean {
+	return /[0247]$/v.test(id);
+}
+
 /** The body of an order; that of one in ten is sent in chunks and larger than a window. */
 export function formatOrderBody(id: string): string {
 	return isOrderLarge(id) ? `pair ${id};`.repeat(largeBodyParts) : `pair ${id}`;
