Keep backend servers within the limits that they name

Cause: nothing read the header; the egress knew capacity as slots only.

Change: the egress, which sees all requests of its backend server, spreads them at the named rate and counts the time until there is room as a part of the expected wait. Beyond that a request is refused as not run with that wait, and goes elsewhere first. Requests of a lower priority and repeats come last.

--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -43,6 +43,8 @@
 	readonly ahead: readonly QueuedRequest[];
 	/** Number of all queued requests. */
 	readonly waitingCount: number;
+	/** Time until the limit that the backend server names lets the request start, in milliseconds; absent without a limit. */
+	readonly limitWaitMs?: number;
 };
 
 /**
@@ -124,9 +126,9 @@
 		return this.#shedding.estimateProbability(now) > sheddingProbabilityThreshold;
 	}
 
-	/** Estimates the time until a request that arrives now would get a slot, in milliseconds. */
-	estimateWait({slots, running, ahead}: ServerLoad, now: number): number {
-		return estimateWait(slots, running, ahead, now);
+	/** Estimates the time until a request that arrives now would be started, in milliseconds. */
+	estimateWait({slots, running, ahead, limitWaitMs = 0}: ServerLoad, now: number): number {
+		return Math.max(limitWaitMs, estimateWait(slots, running, ahead, now));
 	}
 
 	/**
@@ -145,7 +147,12 @@
 			return createFailure('queueFull', `${load.waitingCount} requests are queued`, waitMs);
 		}
 
-		if (waitMs > this.computeMaxWait(request, now)) {
+		const maxWaitMs = this.computeMaxWait(request, now);
+		if ((load.limitWaitMs ?? 0) > maxWaitMs) {
+			return createFailure('queueFull', 'the limit that the backend server names is reached', waitMs);
+		}
+
+		if (waitMs > maxWaitMs) {
 			const {patienceMs, remainingMs} = request;
 			return createFailure(
 				'queueDeadline',
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -4,3 +4,4 @@
 export * from './wait-queue.js';
 export * from './wait-estimate.js';
 export * from './admission-controller.js';
+export * from './server-rate-limit.js';
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -47,6 +47,7 @@
 	serverRanBadly: {number: 307, level: 'info', meaning: 'A backend server ran a request and failed it, or the deadline passed; the gate\'s present estimate of the server\'s health.'},
 	sheddingChanged: {number: 308, level: 'info', meaning: 'A backend server began to reject a large part of its requests without running them, or accepts them again (`isShedding`).'},
 	responseExceeded: {number: 309, level: 'info', meaning: 'A backend server sent bytes beyond the end of its response to the request; how many were received.'},
+	serverLimitChanged: {number: 310, level: 'info', meaning: 'A backend server names the rate of requests that it takes, in requests a second; none is named any more where `limit` is missing.'},
 	serverReplaced: {number: 305, level: 'warn', meaning: 'Another backend server was found at the address; the announced one is no longer used.'},
 
 	// Sequencer
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -77,9 +77,12 @@
 /** Header names and values in alternation, in the order received. */
 export type RawHeaders = readonly string[];
 
-/** Component of a node that a request is sent to. */
+/**
+ * Component of a node that a request is sent to. `knownLimit` is the rate that the backend server last named to the sender, in
+ * requests a second, for an egress that has not heard of it.
+ */
 export type RequestTarget
-	= | {readonly kind: 'egress'; readonly serverId: string}
+	= | {readonly kind: 'egress'; readonly serverId: string; readonly knownLimit?: number}
 		| {readonly kind: 'sequencer'};
 
 /** Why a backend server sent a request: on behalf of a request that it runs, or on behalf of a repeated one. */
@@ -136,6 +139,8 @@
 	readonly isUnwell?: boolean;
 	/** True while the backend server rejects a large part of its requests without running them. */
 	readonly isShedding?: boolean;
+	/** Rate that the egress holds because the backend server names one, in requests a second. */
+	readonly limitPerSecond?: number;
 };
 
 /** The head of an answer as it travels between nodes. */
--- a/packages/link/src/frame-fields.ts
+++ b/packages/link/src/frame-fields.ts
@@ -48,9 +48,10 @@
 	workMs: isOptional(isDuration),
 	isUnwell: isOptional(isBoolean),
 	isShedding: isOptional(isBoolean),
+	limitPerSecond: isOptional(isDuration),
 };
 const isSequencerTarget = hasFields({kind: (kind: unknown) => kind === 'sequencer'});
-const isEgressTarget = hasFields({kind: (kind: unknown) => kind === 'egress', serverId: isBoundedString});
+const isEgressTarget = hasFields({kind: (kind: unknown) => kind === 'egress', serverId: isBoundedString, knownLimit: isOptional(isDuration)});
 const isTarget: Guard = value => isEgressTarget(value) || isSequencerTarget(value);
 
 /** Fields of a request's head, in the order of the wire format. */
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -2,36 +2,16 @@
 import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type LoadHint, type RawHeaders, type RequestHead, type ResponseHead,
+	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
-import {type ConnectionDispatchOptions, type ConnectionRequests, type ExcessBytes} from './connection-requests.js';
+import {type BackendExchangeOwner} from './backend-exchange-owner.js';
+import {type ConnectionDispatchOptions, type ConnectionRequests} from './connection-requests.js';
 import {ExtraResponseScan} from './extra-response-scan.js';
 import {hasResponseBody, selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
 import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
 
-/** Callbacks through which an exchange reports to the object that manages its backend server. */
-export type BackendExchangeOwner = {
-	/** Current load of the backend server, sent with the response head. */
-	readonly getLoad: () => LoadHint;
-	/** Called when a request body that must be collected in full before the exchange starts has arrived. */
-	readonly handleBodyCollected: (exchange: BackendExchange) => void;
-	/**
-	 * Tests whether the backend server's process still runs. Called at the end of a response without a length, where
-	 * nothing else tells a complete response from a truncated one.
-	 */
-	readonly checkServerRunning: () => Promise<boolean>;
-	/** Called when the request body ends before the exchange is started. */
-	readonly handleBodyEnd?: (exchange: BackendExchange) => void;
-	/** Called when the exchange is cancelled before it was started. */
-	readonly handleCancelled: (exchange: BackendExchange) => void;
-	/** Called when the backend server sent bytes beyond the end of the response. */
-	readonly handleExcess?: (excess: ExcessBytes) => void;
-	/** Called when a started exchange ends; without an outcome when the end says nothing about the backend server's health. */
-	readonly handleFinished: (outcome: WorkOutcome | undefined, failure: Failure | undefined) => void;
-};
-
 type BackendExchangeState = 'waiting' | 'running' | 'over';
 
 const minFinalStatus = 200;
@@ -301,6 +281,7 @@
 
 	#handleResponseHead(response: ResponseHead): void {
 		const failure = this.#protocol.validateResponse(this.#head, response);
+		this.#reportLimit(response, failure);
 		if (failure) {
 			// Closes the connection after a rejection too: a copy of it, sent late, would look like the answer to a later request.
 			this.#fail(failure, 'failed');
@@ -311,6 +292,14 @@
 		}
 	}
 
+	/** A response that is not the backend server's own says nothing of its limit; a rejection may name one, but ends none. */
+	#reportLimit(response: ResponseHead, failure: Failure | undefined): void {
+		const limit = this.#protocol.findLimit(response);
+		if (limit && (failure === undefined || (failure.name === 'serverShed' && limit.perSecond !== undefined))) {
+			this.#owner.handleLimit?.(limit);
+		}
+	}
+
 	/**
 	 * When a process crashes, the kernel closes its connections in the normal way, so the end of the connection does not
 	 * prove that a response without a length is complete. Such a response counts only if the process still runs.
--- /dev/null
+++ b/packages/node/src/gated-server-options.ts
@@ -0,0 +1,32 @@
+/** What a gated server needs of the node that it is in. */
+import {type Failure, type RequestHead} from '@limpetbarrow/core';
+import {type RetryPolicy} from '@limpetbarrow/choose';
+import {type ExcessBytes} from './connection-requests.js';
+import {type ServerStateHandler} from './server-outcomes.js';
+import {type ReportLimit} from './server-limit.js';
+import {type ServerProtocol} from './server-protocol.js';
+
+/** Dependencies of a gated server. */
+export type GatedServerOptions = ServerStateHandler & {
+	readonly protocol: ServerProtocol;
+	/** Budget for retries to this backend server. */
+	readonly retries: RetryPolicy;
+	/** Called when a response shows that another backend server runs at the address. */
+	readonly handleReplaced: () => void;
+	/** Called after each exchange with the backend server that has an outcome. */
+	readonly reportExchange: (head: RequestHead, report: ExchangeReport) => void;
+	readonly reportLimit: ReportLimit;
+	/** Called when the backend server sent bytes beyond the end of a response. */
+	readonly reportExcess: (excess: ExcessBytes) => void;
+	/** Called with each request that was refused here or failed at the backend server. */
+	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
+};
+
+/** How one exchange with the backend server ended, for the log. */
+export type ExchangeReport = {
+	readonly outcome: string;
+	/** Time that the backend server used, in milliseconds. */
+	readonly ms: number;
+	/** Probability, after this exchange, that the backend server is failing. */
+	readonly sickness: number;
+};
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -3,63 +3,17 @@
 	createFailure, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
 } from '@limpetbarrow/core';
 import {
-	minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type ServerLoad, type AdmissionRequest, type RunningRequest, type QueuedRequest,
+	minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type ServerLoad, type AdmissionRequest,
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
-import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {isAcceptingConnections} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
-import {type ExcessBytes} from './connection-requests.js';
 import {ServerConnections} from './server-connections.js';
-import {ServerOutcomes, type ServerStateHandler} from './server-outcomes.js';
-import {type ServerProtocol} from './server-protocol.js';
-
-/** Dependencies of a gated server. */
-export type GatedServerOptions = ServerStateHandler & {
-	readonly protocol: ServerProtocol;
-	/** Budget for retries to this backend server. */
-	readonly retries: RetryPolicy;
-	/** Called when a response shows that another backend server runs at the address. */
-	readonly handleReplaced: () => void;
-	/** Called after each exchange with the backend server that has an outcome. */
-	readonly reportExchange: (head: RequestHead, report: ExchangeReport) => void;
-	/** Called when the backend server sent bytes beyond the end of a response. */
-	readonly reportExcess: (excess: ExcessBytes) => void;
-	/** Called with each request that was refused here or failed at the backend server. */
-	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
-};
-
-/** How one exchange with the backend server ended, for the log. */
-export type ExchangeReport = {
-	readonly outcome: string;
-	/** Time that the backend server used, in milliseconds. */
-	readonly ms: number;
-	/** Probability, after this exchange, that the backend server is failing. */
-	readonly sickness: number;
-};
-
-/** A started exchange; the timer records a failure when the exchange takes much longer than expected. */
-type RunningExchange = RunningRequest & {
-	readonly exchange: BackendExchange;
-	readonly head: RequestHead;
-	readonly overdueTimer: NodeJS.Timeout;
-};
-
-/** A slot held for a request whose body is arriving; the timer refuses the request when the body takes too long. */
-type SlotReservation = RunningRequest & {
-	/** True when the request was admitted whatever the health of the backend server: a trial or a last resort. */
-	readonly isHealthIgnored: boolean;
-	readonly timer: NodeJS.Timeout;
-};
-
-/** An exchange that waits for a slot; the timer refuses it after its longest wait. */
-type QueuedExchange = QueuedRequest & {
-	readonly exchange: BackendExchange;
-	readonly head: RequestHead;
-	readonly isHealthIgnored: boolean;
-	readonly timer: NodeJS.Timeout;
-};
+import {type QueuedExchange, type RunningExchange, type SlotReservation} from './gated-exchanges.js';
+import {type GatedServerOptions} from './gated-server-options.js';
+import {ServerOutcomes} from './server-outcomes.js';
+import {ServerLimit, type LimitedHead} from './server-limit.js';
 
 /** Priority of requests that carry none; lower numbers go first. */
 const defaultPriority = 1000;
@@ -81,11 +35,14 @@
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
 	readonly #connections: ServerConnections;
+	readonly #limit: ServerLimit;
+	#limitTimer: NodeJS.Timeout | undefined;
 	#announcement: AnnouncedServer;
 
 	constructor(server: AnnouncedServer, options: GatedServerOptions) {
 		this.#options = options;
 		this.#announcement = server;
+		this.#limit = new ServerLimit(options.reportLimit);
 		this.#outcomes = new ServerOutcomes(this.#gate, options);
 		this.#connections = new ServerConnections({
 			address: server.address,
@@ -114,6 +71,9 @@
 			handleBodyEnd: ended => {
 				this.#handleBodyEnd(ended, head);
 			},
+			handleLimit: limit => {
+				this.#limit.applyNamedLimit(limit);
+			},
 			handleExcess: this.#options.reportExcess,
 			handleCancelled: cancelled => {
 				this.#removeExchange(cancelled);
@@ -133,10 +93,11 @@
 			serverId: this.#announcement.id,
 			freeSlots: Math.max(0, this.#countSlots() - this.#running.size),
 			queued: this.#queue.count(),
-			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad(priority), now)),
+			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad({priority}), now)),
 			workMs: Math.round(this.#gate.estimateWork(route, now)),
 			isUnwell: this.#gate.isUnwell(now),
 			...(this.#gate.isShedding(now) && {isShedding: true}),
+			...this.#limit.createHint(),
 		};
 	}
 
@@ -163,7 +124,7 @@
 
 	/** Number of requests that are running, waiting, or whose body is arriving. */
 	countRequests(): number {
-		return this.#running.size + this.#queue.count() + this.#reservations.size;
+		return this.#running.size + this.#countWaiting();
 	}
 
 	/** Applies a newer announcement from the same address; waiting requests are refused if the backend server is leaving. */
@@ -189,18 +150,27 @@
 		await this.#connections.closeAtOnce();
 	}
 
+	#countWaiting(): number {
+		return this.#queue.count() + this.#reservations.size;
+	}
+
 	#countSlots(): number {
 		return Math.max(1, Math.min(this.#announcement.slots, this.#announcement.maxConnections));
 	}
 
-	#createLoad(priority: number): ServerLoad {
+	#createLoad(request: LimitedHead): ServerLoad {
+		const ahead = this.#queue.selectAhead(request.priority ?? defaultPriority);
 		return {
-			slots: this.#countSlots(), running: [...this.#running.values(), ...this.#reservations.values()], ahead: this.#queue.selectAhead(priority), waitingCount: this.#queue.count(),
+			slots: this.#countSlots(),
+			running: [...this.#running.values(), ...this.#reservations.values()],
+			ahead,
+			waitingCount: this.#queue.count(),
+			limitWaitMs: this.#limit.computeWait(request, ahead.length + this.#reservations.size),
 		};
 	}
 
 	#admit(exchange: BackendExchange, head: RequestHead, handler: ExchangeHandler): void {
-		const {priority = defaultPriority, earlierAttempts = 0} = head;
+		const {priority = defaultPriority} = head;
 		const remainingMs = exchange.getRemainingMs();
 		const request = {
 			route: head.route ?? '',
@@ -210,10 +180,10 @@
 			objectiveMs: head.objectiveMs ?? remainingMs,
 			patienceMs: head.patienceMs ?? remainingMs,
 			isLastResort: head.isLastResort ?? false,
-			...(head.cause !== undefined && {cause: head.cause}),
 		};
 		const isHealthIgnored = request.isLastResort || !this.#gate.isFitFor(request, performance.now());
-		const refusal = this.#findRefusal(request, earlierAttempts);
+		this.#limit.recordRequest(head);
+		const refusal = this.#findRefusal(request, head);
 		if (refusal) {
 			this.#refuseExchange(exchange, head, refusal);
 			return;
@@ -252,10 +222,11 @@
 		const {isHealthIgnored} = reservation;
 		if (this.#isUnfit({head, isHealthIgnored})) {
 			this.#refuseUnfit(exchange, head);
-		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0) {
+		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0 && this.#limit.computeWait(head) === 0) {
 			this.#start(exchange, head);
 		} else {
 			this.#enqueue(exchange, head, isHealthIgnored);
+			this.#startNext();
 		}
 	}
 
@@ -285,19 +256,20 @@
 	}
 
 	/** Returns why the request is refused, if it is. A retry counts against the budget only when the gate admits it. */
-	#findRefusal(request: AdmissionRequest & Pick<RequestHead, 'cause'>, earlierAttempts: number): Failure | undefined {
+	#findRefusal(request: AdmissionRequest, head: RequestHead): Failure | undefined {
 		if (this.#announcement.isLeaving) {
 			return createFailure('serverLeaving', `backend server ${this.#announcement.id} is leaving`);
 		}
 
 		const now = performance.now();
-		const refusal = this.#gate.findRefusal(request, this.#createLoad(request.priority), now);
+		const refusal = this.#gate.findRefusal(request, this.#createLoad(head), now);
 		if (refusal) {
 			return refusal;
 		}
 
+		const {earlierAttempts = 0, cause} = head;
 		if (earlierAttempts === 0) {
-			this.#options.retries.recordRequest(request.cause);
+			this.#options.retries.recordRequest(cause);
 			return undefined;
 		}
 
@@ -332,6 +304,7 @@
 	}
 
 	#refuseWaiting(failure: Failure): void {
+		clearTimeout(this.#limitTimer);
 		this.#queue.list().forEach(queuedExchange => {
 			this.#removeQueued(queuedExchange);
 			this.#refuseExchange(queuedExchange.exchange, queuedExchange.head, failure);
@@ -349,6 +322,7 @@
 
 	#start(exchange: BackendExchange, head: RequestHead): void {
 		const now = performance.now();
+		this.#limit.recordSend();
 		const workMs = this.#gate.estimateWork(head.route ?? '', now);
 		const overdueTimer = setTimeout(() => {
 			this.#outcomes.recordOverdue(head);
@@ -389,9 +363,23 @@
 			return;
 		}
 
-		const next = this.#queue.takeNext()!;
+		const next = this.#queue.list().find(({head}) => this.#limit.computeWait(head) === 0);
+		if (!next) {
+			this.#waitForLimit();
+			return;
+		}
+
 		this.#removeQueued(next);
 		this.#start(next.exchange, next.head);
 		this.#startNext();
 	}
+
+	/** Starts the next queued request once the limit has room for one. */
+	#waitForLimit(): void {
+		const waitMs = Math.min(...this.#queue.list().map(({head}) => this.#limit.computeWait(head)));
+		clearTimeout(this.#limitTimer);
+		this.#limitTimer = setTimeout(() => {
+			this.#startNext();
+		}, Math.ceil(waitMs));
+	}
 }
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -173,6 +173,9 @@
 					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
 				});
 			},
+			reportLimit({perSecond}) {
+				logger.log('serverLimitChanged', {server: id, ...(perSecond !== undefined && {limit: perSecond})});
+			},
 			reportExcess(excess) {
 				reportExcess(logger, metrics, id, excess);
 			},
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -1,17 +1,19 @@
 /** Routes requests to backend servers anywhere in the fleet, preferring near ones. */
 import {
-	Carrier, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type Placement, type RequestHead,
+	Carrier, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type Placement, type RequestHead, type RequestTarget, type ResponseHead,
 } from '@limpetbarrow/core';
 import {
 	chooseNextServer, findTier, PathHealth, type Candidate, type SpilloverChoice, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
 import {type FindEgress} from './forwarder.js';
+import {KnownLimits} from './known-limits.js';
 import {LoadTracker} from './load-tracker.js';
 import {PausedRequests} from './paused-requests.js';
 import {RequestTimeLimits} from './request-time-limits.js';
 import {RoutedExchange} from './routed-exchange.js';
 import {type RoutedRequest} from './routed-request.js';
 import {type ServerDirectory} from './server-directory.js';
+import {type NamedLimit} from './server-protocol.js';
 
 /** Dependencies of a request router. */
 export type RequestRouterOptions = {
@@ -23,6 +25,10 @@
 	/** Called when the backend server of this host begins a call, and when the call has ended. */
 	readonly recordCallStart?: (requestId: string) => void;
 	readonly recordCallEnd?: (requestId: string, isServed: boolean) => void;
+	/** Returns the limit that a response names; undefined if backend servers name none. */
+	readonly findLimit?: (head: ResponseHead) => NamedLimit | undefined;
+	/** Returns the number of nodes that send requests to the backend servers. */
+	readonly countNodes?: () => number;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	/** Returns a random number from 0 to below 1. */
@@ -41,6 +47,7 @@
 export class RequestRouter extends Carrier {
 	readonly #options: RequestRouterOptions;
 	readonly #loadTracker = new LoadTracker();
+	readonly #knownLimits = new KnownLimits();
 	readonly #pathHealth = new PathHealth(maxPathBackOffMs);
 	readonly #pausedRequests: PausedRequests;
 	readonly #pickRandom: () => number;
@@ -59,6 +66,10 @@
 		const exchange: RoutedExchange = new RoutedExchange(head, handler, {
 			chooseNextStep: request => this.#chooseNextStep(request),
 			hasCandidate: request => this.#hasCandidate(request),
+			createTarget: serverId => this.#createTarget(serverId),
+			recordResponseHead: (serverId, responseHead) => {
+				this.#recordResponseHead(serverId, responseHead);
+			},
 			timeLimits: this.#timeLimits,
 			findEgress: this.#options.findEgress,
 			loadTracker: this.#loadTracker,
@@ -100,7 +111,8 @@
 	#chooseNextStep(request: RoutedRequest): SpilloverChoice | undefined {
 		const {head} = request;
 		const now = performance.now();
-		const views = this.#selectReachable(this.#listCandidates(request).filter(({server}) => request.isEligible(server.id)), now).map(candidate => this.#createSpillView(candidate, request));
+		const eligible = this.#listCandidates(request).filter(({server}) => request.isEligible(server.id));
+		const views = this.#selectWithinLimits(this.#selectReachable(eligible, now), request, now).map(candidate => this.#createSpillView(candidate, request));
 		const objectiveMs = head.objectiveMs ?? head.remainingMs;
 		// A late call is worth as much as one in time: the request that waits for it is lost without it.
 		const objectiveLeftMs = head.cause === undefined ? objectiveMs - request.getElapsedMs(now) : request.getRemainingMs(now);
@@ -134,6 +146,36 @@
 		return reachable.length > 0 ? reachable : candidates;
 	}
 
+	/** Selects the candidates for which this node's share of their limit has room now; the request learns of the others. */
+	#selectWithinLimits(candidates: readonly Candidate[], request: RoutedRequest, now: number): readonly Candidate[] {
+		const {priority = Number.POSITIVE_INFINITY, cause} = request.head;
+		const isRepeat = request.countAttempts() > 0 || cause === 'repeatedCall';
+		const waits = candidates.map(candidate => this.#knownLimits.computeWait(candidate.server.id, {priority, isRepeat}, now));
+		const open = candidates.filter((_, index) => waits[index] === 0);
+		if (open.length === 0 && candidates.length > 0) {
+			request.recordLimits(Math.min(...waits));
+		}
+
+		return open;
+	}
+
+	#createTarget(serverId: string): RequestTarget {
+		const now = performance.now();
+		const knownLimit = this.#knownLimits.findToldLimit(serverId, now);
+		this.#knownLimits.recordSend(serverId, now);
+		return {kind: 'egress', serverId, ...(knownLimit !== undefined && {knownLimit})};
+	}
+
+	#recordResponseHead(serverId: string, head: ResponseHead): void {
+		const limit = this.#options.findLimit?.(head);
+		if (limit) {
+			const report = {
+				serverId, limit, load: head.load, nodes: this.#options.countNodes?.() ?? 1,
+			};
+			this.#knownLimits.recordResponse(report, performance.now());
+		}
+	}
+
 	#createSpillView(candidate: Candidate, request: RoutedRequest): SpilloverCandidate {
 		const {server} = candidate;
 		const {priority, route} = request.head;
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -1,6 +1,6 @@
 /** One routed request and its attempts: sequential, or two in parallel when the first one hangs (hedging). */
 import {
-	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead,
+	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead, type RequestTarget, type ResponseHead,
 } from '@limpetbarrow/core';
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
@@ -23,6 +23,10 @@
 	readonly chooseNextStep: (request: RoutedRequest) => SpilloverChoice | undefined;
 	/** True when a backend server is known that may still take the request, whether or not it can be reached now. */
 	readonly hasCandidate: (request: RoutedRequest) => boolean;
+	/** Creates the target of an attempt that is sent now. */
+	readonly createTarget: (serverId: string) => RequestTarget;
+	/** Called with each response head of a backend server. */
+	readonly recordResponseHead: (serverId: string, head: ResponseHead) => void;
 	readonly timeLimits: RequestTimeLimits;
 	readonly findEgress: FindEgress;
 	readonly loadTracker: LoadTracker;
@@ -170,7 +174,7 @@
 		this.#options.loadTracker.addInFlight(server.id, 1);
 		const response = new BufferedResponse();
 		const head: RequestHead = {
-			...this.#head, target: {kind: 'egress', serverId: server.id}, remainingMs, patienceMs: Math.round(patienceMs), isLastResort, earlierAttempts,
+			...this.#head, target: this.#options.createTarget(server.id), remainingMs, patienceMs: Math.round(patienceMs), isLastResort, earlierAttempts,
 		};
 		const exchange = egress.openExchange(head, this.#createHandler(candidate, response));
 		this.#attempts = [...this.#attempts, {
@@ -228,7 +232,7 @@
 	}
 
 	#createHandler(candidate: Candidate, response: BufferedResponse): ExchangeHandler {
-		const {loadTracker, pathHealth} = this.#options;
+		const {loadTracker, pathHealth, recordResponseHead} = this.#options;
 		const {nodeId, server} = candidate;
 		return {
 			handleHead(head) {
@@ -237,6 +241,8 @@
 					loadTracker.recordHint(head.load);
 				}
 
+				recordResponseHead(server.id, head);
+
 				response.setHead(head);
 			},
 			handleData: chunk => {
--- a/packages/node/src/routed-request.ts
+++ b/packages/node/src/routed-request.ts
@@ -49,6 +49,8 @@
 	/** Backend servers whose retry budget was spent; they are not asked again. */
 	#retriesSpentServerIds: ReadonlySet<string> = new Set();
 	#shortestWaitMs = Number.POSITIVE_INFINITY;
+	/** True once a backend server's full queue, or the limit that it names, has refused the request: the wait is known then. */
+	#isWaitKnown = false;
 	#firstUnknownFailure: Failure | undefined;
 	#lastFailure: Failure | undefined;
 	#trace: readonly string[] = [];
@@ -176,11 +178,20 @@
 			this.#attemptedServerIds = new Set([...this.#attemptedServerIds].filter(id => id !== serverId));
 			this.#refusals++;
 			this.#roomRefusals += Number(roomFailures.has(failure.name));
+			this.#isWaitKnown ||= failure.name === 'queueFull';
 			this.#refusalCounts.set(serverId, this.countRefusals(serverId) + 1);
 			this.#shortestWaitMs = Math.min(this.#shortestWaitMs, failure.retryAfterMs ?? Number.POSITIVE_INFINITY);
 		}
 	}
 
+	/** Records that all backend servers left are at their limits; the first one has room after `waitMs`. */
+	recordLimits(waitMs: number): void {
+		this.#isWaitKnown = true;
+		this.#refusals++;
+		this.#roomRefusals++;
+		this.#shortestWaitMs = Math.min(this.#shortestWaitMs, waitMs);
+	}
+
 	/** True when a backend server may have run the request without answering it. */
 	hasUnknownOutcome(): boolean {
 		return this.#firstUnknownFailure !== undefined;
@@ -206,11 +217,15 @@
 		}
 
 		const waitMs = Number.isFinite(this.#shortestWaitMs) ? this.#shortestWaitMs : defaultRetryAfterMs;
-		const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) * (1 + (random / 2));
+		const retryAfterMs = Math.min(this.#isWaitKnown ? Number.POSITIVE_INFINITY : maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) * (1 + (random / 2));
 		return {...failure, retryAfterMs: Math.round(retryAfterMs)};
 	}
 
 	#createFailureWithoutAttempt(): Failure {
+		if (this.#isWaitKnown) {
+			return createFailure('queueFull', `all backend servers of service ${this.head.service} are at their limits`);
+		}
+
 		return this.isEndedByStop()
 			? createFailure('nodeStopping', 'too little time is left before the node stops')
 			: createFailure('noServer', `service ${this.head.service}`);
--- a/packages/node/src/server-protocol.ts
+++ b/packages/node/src/server-protocol.ts
@@ -4,6 +4,11 @@
 } from '@limpetbarrow/core';
 import {selectRequestHeaders} from './headers.js';
 
+/** What a response says of the rate that its backend server takes, in requests a second; undefined for no limit. */
+export type NamedLimit = {
+	readonly perSecond: number | undefined;
+};
+
 /** Creates the headers of a request and validates the head of its response. */
 export abstract class ServerProtocol {
 	/** Creates the headers that are sent to the backend server; `remainingMs` is the time left until the deadline. */
@@ -12,6 +17,8 @@
 	abstract validateResponse(head: RequestHead, response: ResponseHead): Failure | undefined;
 	/** Returns the id of the request that a response names; undefined if it names none. */
 	abstract findRequestId(response: ResponseHead): string | undefined;
+	/** Returns the limit that a response names; undefined if it can't be read or the backend servers name none. */
+	abstract findLimit(response: Pick<ResponseHead, 'headers'>): NamedLimit | undefined;
 }
 
 /** Sends the project's own timeout header and accepts every response. */
@@ -27,6 +34,10 @@
 	override findRequestId(): undefined {
 		return undefined;
 	}
+
+	override findLimit(): undefined {
+		return undefined;
+	}
 }
 
 /** Names of the headers that tie a response to its request and to the backend server. */
@@ -43,9 +54,12 @@
 	readonly signature: string;
 	/** Present when the backend server did not run the request. */
 	readonly notRun: string;
+	/** Rate of requests that the backend server takes from all nodes together, in requests a second. */
+	readonly limit: string;
 };
 
 const misdirectedRequestStatus = 421;
+const decimalPattern = /^\d{1,9}(?:\.\d{1,9})?$/v;
 const minRedirectStatus = 300;
 
 /**
@@ -101,4 +115,13 @@
 	override findRequestId({headers}: ResponseHead): string | undefined {
 		return findHeader(headers, this.#headerNames.requestId);
 	}
+
+	override findLimit({headers}: Pick<ResponseHead, 'headers'>): NamedLimit | undefined {
+		const text = findHeader(headers, this.#headerNames.limit);
+		if (text === undefined) {
+			return {perSecond: undefined};
+		}
+
+		return decimalPattern.test(text) ? {perSecond: Number(text)} : undefined;
+	}
 }
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -265,6 +265,8 @@
 			recordCallEnd: (requestId, isServed) => {
 				this.#egress.recordCallEnd(requestId, isServed);
 			},
+			findLimit: head => this.#options.platform.servers.findLimit(head),
+			countNodes: () => table.listLive().length,
 			metrics: this.#metrics,
 			logger,
 		});
