Keep away from a backend server once a response has said that it leaves

Callers' requests could reach a backend server long after this node had passed on a response with its departure (DRAIN): nothing read the header, so the rule held only by what backend servers report beside it, which a node that is cut off or an egress that has started anew may not know.

Change: the node that passes such a response on no longer chooses that run of the backend server, for first attempts, retries, hedges and requests that wait, whatever the records say; the egress beside it treats it as a leaving announcement. A later start ends it, an older record or a late response of another request doesn't.

--- a/packages/node/src/__tests__/limited-fleet.ts
+++ b/packages/node/src/__tests__/limited-fleet.ts
@@ -18,6 +18,7 @@
 const linkMs = 5;
 const serverId = 'server-1';
 const nodeId = 'node-0';
+const idleLoad = {serverId, freeSlots: 1, queued: 0};
 const protocol = new VerifyingServerProtocol(testServerHeaders);
 
 class ModelExchange extends Exchange {
@@ -84,9 +85,8 @@
 		setTimeout(() => {
 			const named = {headers: this.limit === undefined ? [] : [testServerHeaders.limit, String(this.limit)]};
 			limit.applyNamedLimit(protocol.findLimit(named)!);
-			handler.handleHead({
-				...named, status: 200, ...(!this.isOlderBuild && {load: {serverId, freeSlots: 1, queued: 0, ...limit.createHint()}}),
-			});
+			const load = this.isOlderBuild ? {} : {load: {...idleLoad, ...limit.createHint()}};
+			handler.handleHead({...named, ...load, status: 200});
 			handler.handleEnd();
 		}, workMs);
 	}
--- a/packages/node/src/__tests__/raw-backend.ts
+++ b/packages/node/src/__tests__/raw-backend.ts
@@ -63,5 +63,5 @@
 
 /** Header names that the tests' backend servers use. */
 export const testServerHeaders = {
-	requestId: 'x-id', deadline: 'x-deadline', callerService: 'x-caller', expectedServer: 'x-expected', signature: 'x-signature', notRun: 'x-not-run', limit: 'x-limit',
+	requestId: 'x-id', deadline: 'x-deadline', callerService: 'x-caller', expectedServer: 'x-expected', signature: 'x-signature', notRun: 'x-not-run', limit: 'x-limit', leaving: 'x-leaving',
 } as const;
--- a/packages/node/src/__tests__/router-fixture.ts
+++ b/packages/node/src/__tests__/router-fixture.ts
@@ -4,7 +4,8 @@
 	Carrier, Exchange, MetricRegistry, SilentLogger, type ExchangeHandler, type Failure, type RequestHead, type ServerRecord,
 } from '@limpetbarrow/core';
 import {type Candidate} from '@limpetbarrow/choose';
-import {RequestRouter} from '../index.js';
+import {RequestRouter, VerifyingServerProtocol} from '../index.js';
+import {testServerHeaders} from './raw-backend.js';
 
 /** One attempt as seen by the egress of another node. */
 export class FakeAttempt extends Exchange {
@@ -61,8 +62,8 @@
 		this.handler.handleCredit(bytes);
 	}
 
-	answer(status = 200): void {
-		this.handler.handleHead({status, headers: []});
+	answer(status = 200, headers: readonly string[] = []): void {
+		this.handler.handleHead({status, headers});
 		this.handler.handleEnd();
 	}
 }
@@ -86,6 +87,7 @@
 	}
 }
 
+const protocol = new VerifyingServerProtocol(testServerHeaders);
 const self = {id: 'own', placement: {region: 'r', failureDomain: 'a'}};
 
 function createCandidate(id: string, failureDomain: string, state: ServerRecord['state'] = 'ready'): Candidate {
@@ -102,16 +104,18 @@
 export class RouterFixture {
 	readonly egresses: ReadonlyMap<string, FakeEgress> = new Map(['near', 'far'].map(id => [`node-${id}`, new FakeEgress()]));
 	readonly router: RequestRouter;
+	/** What the directory lists. */
+	candidates: readonly Candidate[] = [createCandidate('near', 'a'), createCandidate('far', 'b'), createCandidate('gone', 'a', 'leaving')];
 	outcomes: readonly string[] = [];
 	failure: Failure | undefined;
 
 	constructor() {
-		const candidates = [createCandidate('near', 'a'), createCandidate('far', 'b'), createCandidate('gone', 'a', 'leaving')];
 		this.router = new RequestRouter({
 			self,
-			directory: {listCandidates: () => candidates},
+			directory: {listCandidates: () => this.candidates},
 			findEgress: nodeId => this.egresses.get(nodeId),
 			findLocalLoad: () => undefined,
+			isLeaving: head => protocol.isLeaving(head),
 			metrics: new MetricRegistry(),
 			logger: new SilentLogger(),
 			pickRandom: () => 0.5,
--- a/packages/node/src/backend-exchange-owner.ts
+++ b/packages/node/src/backend-exchange-owner.ts
@@ -22,6 +22,8 @@
 	readonly handleCancelled: (exchange: BackendExchange) => void;
 	/** Called with the limit that the response names; `perSecond` is undefined if it names none. */
 	readonly handleLimit?: (limit: NamedLimit) => void;
+	/** Called when the response says that the backend server leaves. */
+	readonly handleLeaving?: () => void;
 	/** Called when the backend server sent bytes beyond the end of the response. */
 	readonly handleExcess?: (excess: ExcessBytes) => void;
 	/** Called when a started exchange ends; without an outcome when the end says nothing about the backend server's health. */
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -281,7 +281,7 @@
 
 	#handleResponseHead(response: ResponseHead): void {
 		const failure = this.#protocol.validateResponse(this.#head, response);
-		this.#reportLimit(response, failure);
+		this.#reportServerState(response, failure);
 		if (failure) {
 			// Closes the connection after a rejection too: a copy of it, sent late, would look like the answer to a later request.
 			this.#fail(failure, 'failed');
@@ -292,12 +292,21 @@
 		}
 	}
 
-	/** A response that is not the backend server's own says nothing of its limit; a rejection may name one, but ends none. */
-	#reportLimit(response: ResponseHead, failure: Failure | undefined): void {
+	/** A response that is not the backend server's own says nothing of it; a rejection may name a limit, but ends none. */
+	#reportServerState(response: ResponseHead, failure: Failure | undefined): void {
+		const isRejection = failure?.name === 'serverShed';
+		if (failure !== undefined && !isRejection) {
+			return;
+		}
+
 		const limit = this.#protocol.findLimit(response);
-		if (limit && (failure === undefined || (failure.name === 'serverShed' && limit.perSecond !== undefined))) {
+		if (limit && (!isRejection || limit.perSecond !== undefined)) {
 			this.#owner.handleLimit?.(limit);
 		}
+
+		if (this.#protocol.isLeaving(response)) {
+			this.#owner.handleLeaving?.();
+		}
 	}
 
 	/**
--- a/packages/node/src/gated-server-options.ts
+++ b/packages/node/src/gated-server-options.ts
@@ -16,6 +16,8 @@
 	/** Called after each exchange with the backend server that has an outcome. */
 	readonly reportExchange: (head: RequestHead, report: ExchangeReport) => void;
 	readonly reportLimit: ReportLimit;
+	/** Called when a response says that the backend server leaves. */
+	readonly handleLeaving: () => void;
 	/** Called when the backend server sent bytes beyond the end of a response. */
 	readonly reportExcess: (excess: ExcessBytes) => void;
 	/** Called with each request that was refused here or failed at the backend server. */
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -74,6 +74,7 @@
 			handleLimit: limit => {
 				this.#limit.applyNamedLimit(limit);
 			},
+			handleLeaving: this.#options.handleLeaving,
 			handleExcess: this.#options.reportExcess,
 			handleCancelled: cancelled => {
 				this.#removeExchange(cancelled);
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -173,6 +173,9 @@
 					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
 				});
 			},
+			handleLeaving: () => {
+				this.#recordLeaving(id, announcement.generation);
+			},
 			reportLimit({perSecond}) {
 				logger.log('serverLimitChanged', {server: id, ...(perSecond !== undefined && {limit: perSecond})});
 			},
@@ -188,6 +191,14 @@
 		});
 	}
 
+	/** Marks a run of a backend server as leaving, as its own announcement would. */
+	#recordLeaving(id: string, generation: number): void {
+		const known = this.#localServers.get(id)?.announcement;
+		if (known?.generation === generation && !known.isLeaving) {
+			this.#options.announcements.recordLeft(new Map([[id, generation]]));
+		}
+	}
+
 	#drain(server: GatedServer): void {
 		this.#draining.add(server);
 		void server.drain().catch((error: unknown) => {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -19,7 +19,7 @@
 export * from './request-router.js';
 export * from './host-egress.js';
 export * from './gated-server.js';
-export * from './gated-server-options.js';
+export type {GatedServerOptions, ExchangeReport} from './gated-server-options.js';
 export * from './store-discovery.js';
 export * from './node-entry.js';
 export * from './host-announcement.js';
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -1,11 +1,12 @@
 /** Routes requests to backend servers anywhere in the fleet, preferring near ones. */
 import {
-	Carrier, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type Placement, type RequestHead, type RequestTarget, type ResponseHead,
+	Carrier, type Exchange, type ExchangeHandler, type LoadHint, type Logger, type MetricRegistry, type Placement, type RequestHead, type RequestTarget, type ResponseHead, type ServerRecord,
 } from '@limpetbarrow/core';
 import {
 	chooseNextServer, findTier, PathHealth, type Candidate, type SpilloverChoice, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
 import {type FindEgress} from './forwarder.js';
+import {HeardDepartures} from './heard-departures.js';
 import {KnownLimits} from './known-limits.js';
 import {LoadTracker} from './load-tracker.js';
 import {PausedRequests} from './paused-requests.js';
@@ -27,6 +28,8 @@
 	readonly recordCallEnd?: (requestId: string, isServed: boolean) => void;
 	/** Returns the limit that a response names; undefined if backend servers name none. */
 	readonly findLimit?: (head: ResponseHead) => NamedLimit | undefined;
+	/** True when a response says that its backend server leaves. */
+	readonly isLeaving?: (head: ResponseHead) => boolean;
 	/** Returns the number of nodes that send requests to the backend servers. */
 	readonly countNodes?: () => number;
 	readonly metrics: MetricRegistry;
@@ -48,6 +51,7 @@
 	readonly #options: RequestRouterOptions;
 	readonly #loadTracker = new LoadTracker();
 	readonly #knownLimits = new KnownLimits();
+	readonly #departures = new HeardDepartures();
 	readonly #pathHealth = new PathHealth(maxPathBackOffMs);
 	readonly #pausedRequests: PausedRequests;
 	readonly #pickRandom: () => number;
@@ -67,8 +71,8 @@
 			chooseNextStep: request => this.#chooseNextStep(request),
 			hasCandidate: request => this.#hasCandidate(request),
 			createTarget: serverId => this.#createTarget(serverId),
-			recordResponseHead: (serverId, responseHead) => {
-				this.#recordResponseHead(serverId, responseHead);
+			recordResponseHead: (server, responseHead) => {
+				this.#recordResponseHead(server, responseHead);
 			},
 			timeLimits: this.#timeLimits,
 			findEgress: this.#options.findEgress,
@@ -123,7 +127,7 @@
 
 	/** Lists the backend servers of the service that aren't leaving, also those that can't be reached now. */
 	#listCandidates({head}: RoutedRequest): readonly Candidate[] {
-		return this.#options.directory.listCandidates(head.service).filter(({server}) => server.state !== 'leaving');
+		return this.#options.directory.listCandidates(head.service).filter(({server}) => server.state !== 'leaving' && !this.#departures.hasLeft(server));
 	}
 
 	/** True when a backend server may take the request later. A young node may lack the records of the nodes that have one. */
@@ -166,7 +170,11 @@
 		return {kind: 'egress', serverId, ...(knownLimit !== undefined && {knownLimit})};
 	}
 
-	#recordResponseHead(serverId: string, head: ResponseHead): void {
+	#recordResponseHead({id: serverId, generation}: ServerRecord, head: ResponseHead): void {
+		if (this.#options.isLeaving?.(head) === true && this.#departures.recordDeparture({id: serverId, generation})) {
+			this.#options.logger.log('departureHeard', {server: serverId, generation});
+		}
+
 		const limit = this.#options.findLimit?.(head);
 		if (limit) {
 			const report = {
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routed-exchange.ts
@@ -1,6 +1,6 @@
 /** One routed request and its attempts: sequential, or two in parallel when the first one hangs (hedging). */
 import {
-	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead, type RequestTarget, type ResponseHead,
+	createFailure, Exchange, type ExchangeHandler, type Failure, type Logger, type MetricRegistry, type RequestHead, type RequestTarget, type ResponseHead, type ServerRecord,
 } from '@limpetbarrow/core';
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
@@ -26,7 +26,7 @@
 	/** Creates the target of an attempt that is sent now. */
 	readonly createTarget: (serverId: string) => RequestTarget;
 	/** Called with each response head of a backend server. */
-	readonly recordResponseHead: (serverId: string, head: ResponseHead) => void;
+	readonly recordResponseHead: (server: ServerRecord, head: ResponseHead) => void;
 	readonly timeLimits: RequestTimeLimits;
 	readonly findEgress: FindEgress;
 	readonly loadTracker: LoadTracker;
@@ -241,7 +241,7 @@
 					loadTracker.recordHint(head.load);
 				}
 
-				recordResponseHead(server.id, head);
+				recordResponseHead(server, head);
 
 				response.setHead(head);
 			},
--- a/packages/node/src/server-protocol.ts
+++ b/packages/node/src/server-protocol.ts
@@ -19,6 +19,8 @@
 	abstract findRequestId(response: ResponseHead): string | undefined;
 	/** Returns the limit that a response names; undefined if it can't be read or the backend servers name none. */
 	abstract findLimit(response: Pick<ResponseHead, 'headers'>): NamedLimit | undefined;
+	/** True when a response says that its backend server leaves. */
+	abstract isLeaving(response: Pick<ResponseHead, 'headers'>): boolean;
 }
 
 /** Sends the project's own timeout header and accepts every response. */
@@ -38,6 +40,10 @@
 	override findLimit(): undefined {
 		return undefined;
 	}
+
+	override isLeaving(): boolean {
+		return false;
+	}
 }
 
 /** Names of the headers that tie a response to its request and to the backend server. */
@@ -56,6 +62,8 @@
 	readonly notRun: string;
 	/** Rate of requests that the backend server takes from all nodes together, in requests a second. */
 	readonly limit: string;
+	/** Present, with the value 1, when the backend server leaves. */
+	readonly leaving: string;
 };
 
 const misdirectedRequestStatus = 421;
@@ -124,4 +132,8 @@
 
 		return decimalPattern.test(text) ? {perSecond: Number(text)} : undefined;
 	}
+
+	override isLeaving({headers}: Pick<ResponseHead, 'headers'>): boolean {
+		return findHeader(headers, this.#headerNames.leaving) === '1';
+	}
 }
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -266,6 +266,7 @@
 				this.#egress.recordCallEnd(requestId, isServed);
 			},
 			findLimit: head => this.#options.platform.servers.findLimit(head),
+			isLeaving: head => this.#options.platform.servers.isLeaving(head),
 			countNodes: () => table.listLive().length,
 			metrics: this.#metrics,
 			logger,
