Soak: backend servers that name limits and departures

The checker counts by the users' rules: by the host on which a request began, from its first response on, arrivals that are rejected too; a restart or pause of that host, and for limits a cut, excuses it.

The draws of other faults stay what they were.

--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -28,8 +28,11 @@
 	'resetServerConnections',
 ] as const;
 
-/** What can happen in a soak run; `rollNodes` stops and starts all nodes in turn, each before the one before it is back. */
-export type FaultKind = 'rollNodes' | typeof plannedKinds[number] | typeof unplannedKinds[number];
+/**
+ * What can happen in a soak run; `rollNodes` stops and starts all nodes in turn, each before the one before it is back, and
+ * `limitServer` lets a backend server name a limit that falls.
+ */
+export type FaultKind = 'rollNodes' | 'limitServer' | typeof plannedKinds[number] | typeof unplannedKinds[number];
 
 /** One fault. */
 export type SoakFault = {
@@ -96,6 +99,22 @@
 		: [];
 }
 
+/** Share of the runs in which backend servers name limits, and the offset of the seed from which they are drawn. */
+const limitShare = 0.4;
+const limitSeedOffset = 13;
+/** A limit binds after four seconds, so it lasts for most of a run, in milliseconds. */
+const limitForMs = 9000;
+const maxLimitStartMs = 1500;
+const maxLimits = 3;
+
+function createLimits({seed, hosts}: FaultPlanOptions): readonly SoakFault[] {
+	const pick = createSeededRandom(seed + limitSeedOffset);
+	const count = pick() < limitShare ? 1 + Math.floor(pick() * maxLimits) : 0;
+	return Array.from({length: count}, () => ({
+		kind: 'limitServer', atMs: Math.round(pick() * maxLimitStartMs), forMs: limitForMs, host: Math.floor(pick() * hosts), strength: pick(),
+	}));
+}
+
 /** The faults of a run, by time; the same for the same seed. */
 export function createFaultPlan(options: FaultPlanOptions): readonly SoakFault[] {
 	const pick = createSeededRandom(options.seed);
@@ -103,6 +122,6 @@
 	const count = minFaults + Math.floor(pick() * (maxFaults - minFaults + 1));
 	const faults = Array.from({length: count}, () => createFault(pick, kinds, options))
 		.flatMap(fault => createSeries(pick, fault, options));
-	return [...faults, ...createRoll(options)]
+	return [...faults, ...createRoll(options), ...createLimits(options)]
 		.toSorted((a, b) => a.atMs - b.atMs);
 }
--- a/packages/soak/src/promise-checker.ts
+++ b/packages/soak/src/promise-checker.ts
@@ -1,4 +1,5 @@
 /** Checks what must always hold, from what callers sent and got and what backend servers ran. */
+import {NamedStateChecker, type NamedState} from './named-state-checker.js';
 
 /** A request as its caller sent it. */
 export type SentRequest = {
@@ -11,6 +12,9 @@
 	readonly callerService: string;
 	/** Services that some configuration sent so far lets run it. */
 	readonly allowedServices: readonly string[];
+	/** Index of the host on which it began, and the monotonic milliseconds at which it was sent. */
+	readonly host?: number;
+	readonly sentAt?: number;
 };
 
 /** What the caller got; status 0 for a connection that ended without an answer. */
@@ -20,6 +24,8 @@
 	readonly body: string;
 	readonly isSigned: boolean;
 	readonly detail: string;
+	/** What its backend server named of itself. */
+	readonly named?: NamedState;
 };
 
 /** One run of a request by a backend server. */
@@ -94,6 +100,8 @@
 
 /** Keeps all that was seen and tells what is broken as soon as it shows. */
 export class PromiseChecker {
+	/** Limits and departures that backend servers name in their responses. */
+	readonly namedStates: NamedStateChecker;
 	/** Time in which a leaving backend server may still get what was on its way, in milliseconds. */
 	readonly #drainMs: number;
 	readonly #sent = new Map<string, SentRequest>();
@@ -105,6 +113,7 @@
 
 	constructor(drainMs: number) {
 		this.#drainMs = drainMs;
+		this.namedStates = new NamedStateChecker(drainMs);
 	}
 
 	recordSent(request: SentRequest): void {
@@ -117,6 +126,11 @@
 
 	recordAnswer(answer: ReceivedAnswer): void {
 		this.#answers.set(answer.id, answer);
+		const host = this.#sent.get(answer.id)?.host;
+		if (answer.named && host !== undefined) {
+			this.namedStates.recordHeard(host, answer.named, performance.now());
+		}
+
 		const isSuccess = answer.status >= 200 && answer.status < firstRedirect;
 		if (isSuccess && !answer.isSigned) {
 			this.#add('a success bears the backend server\'s signature', answer.id, `status ${answer.status}`);
@@ -129,6 +143,21 @@
 		this.#checkRefusal(answer.id);
 	}
 
+	/** Records a request that reaches a backend server, whether that runs it or not. */
+	recordArrival(id: string, serverId: string): void {
+		const {host, sentAt} = this.#sent.get(id) ?? {};
+		if (host === undefined || sentAt === undefined) {
+			return;
+		}
+
+		const violation = this.namedStates.recordArrival({
+			id, serverId, host, sentAt, at: performance.now(),
+		});
+		if (violation) {
+			this.recordViolation(violation);
+		}
+	}
+
 	recordRun(run: ServerRun): void {
 		const runs = [...this.#runs.get(run.id) ?? [], run];
 		this.#runs.set(run.id, runs);
