--- a/packages/soak/src/named-state-checker.ts
+++ b/packages/soak/src/named-state-checker.ts
@@ -91,14 +91,14 @@
 
 		const recent = [...(this.#arrivals.get(serverId) ?? []).filter(other => other > at - sumSpanMs), at];
 		this.#arrivals.set(serverId, recent);
-		const allowed = (allowedFactor * this.#sumLimit(steps, at)) + allowedRequests;
+		const allowed = (allowedFactor * this.#computeAllowedSum(steps, at)) + allowedRequests;
 		return recent.length > allowed
 			? {promise: 'a backend server gets no more than the limit that it names', id, detail: `${serverId}: ${recent.length} in ${sumSpanMs} ms, allowed ${allowed.toFixed(1)}`}
 			: undefined;
 	}
 
 	/** Number of requests that the limits let through in the span before a time. */
-	#sumLimit(steps: readonly LimitStep[], until: number): number {
+	#computeAllowedSum(steps: readonly LimitStep[], until: number): number {
 		const from = until - sumSpanMs;
 		return steps.reduce((sum, {at, perSecond}, index) => {
 			const end = Math.min(until, steps[index + 1]?.at ?? until);
