--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -169,6 +169,12 @@
 			{
 				where: 'in a body without a length', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'body', isHead: false,
 			},
+			{
+				where: 'in a body of response heads', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'HTTP/1.1 200 OK\r\nx: ', isHead: false,
+			},
+			{
+				where: 'in a body of status lines', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'HTTP/1.1 200 OK\r\n', isHead: false,
+			},
 			{
 				where: 'in a chunked body', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n`, endlessPart: '4\r\nbody\r\n', isHead: false,
 			},
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -19,6 +19,7 @@
 /** Largest number of interim responses (1xx) that a backend server may send for one request. */
 const maxInterimResponses = 16;
 const notModifiedStatus = 304;
+const lengthPattern = /^\d+$/v;
 /** Longest time, and largest share of a request's time, by which its cancellation may come before its deadline and stand for it. */
 const maxCancelLeadMs = 50;
 const maxCancelLeadShare = 0.25;
@@ -250,7 +251,7 @@
 
 	#findResponseBytes({status, headers}: ResponseHead): number | undefined {
 		const length = hasResponseBody(this.#head.method, status) ? findHeader(headers, 'content-length') : '0';
-		return length === undefined || this.#interimResponseCount > 0 ? undefined : Number(length);
+		return length === undefined || !lengthPattern.test(length) || this.#interimResponseCount > 0 ? undefined : Number(length);
 	}
 
 	#handleBody(body: Uint8Array): void {
--- a/packages/node/src/extra-response-scan.ts
+++ b/packages/node/src/extra-response-scan.ts
@@ -49,10 +49,11 @@
 /** Shortest end of a body that is taken for the beginning of a head. */
 const minCutHeadBytes = 'HTTP/'.length;
 /** Longest head that is looked for, in bytes; what is longer belongs to the body. */
-const maxFoundHeadBytes = 8192;
-const headEnd = '\r\n';
+const maxFoundHeadBytes = 4096;
+const lineEnd = '\r\n';
+const headTerminator = '\r\n\r\n';
 /** The part of a head that is certain: the status line and whole header lines. */
-const headPattern = /HTTP\/1\.[01] (?<status>\d{3})(?: [^\r\n]*)?\r\n(?<lines>(?:[\-!#$%\u0026'*+.^_`\|~\w]+:[^\r\n\0]*\r\n)*)/vy;
+const headPattern = /^HTTP\/1\.[01] (?<status>\d{3})(?: [^\r\n]*)?\r\n(?<lines>(?:[\-!#$%\u0026'*+.^_`\|~\w]+:[^\r\n\0]*\r\n)*)/v;
 /** What may stand at the end of a cut head, behind the certain part. */
 const cutStatusLinePattern = /^HTTP\/(?:1(?:\.(?:[01](?: (?:\d{0,2}|\d{3}(?: [^\r\n]*)?))?)?)?)?\r?$/v;
 const cutHeaderPattern = /^(?:[\-!#$%\u0026'*+.^_`\|~\w]+(?::[^\r\n\0]*)?)?\r?$/v;
@@ -66,20 +67,23 @@
 
 /** Parses the response head that begins at a position of the text, or the beginning of one; undefined for anything else. */
 function parseFoundHead(text: string, at: number): FoundHead | undefined {
-	headPattern.lastIndex = at;
-	const match = headPattern.exec(text);
+	const part = text.slice(at, at + maxFoundHeadBytes);
+	if (part.length === maxFoundHeadBytes && !part.includes(headTerminator)) {
+		return undefined;
+	}
+
+	const match = headPattern.exec(part);
 	const groups = match?.groups;
-	const end = at + (match?.[0].length ?? 0);
-	const isComplete = groups !== undefined && text.startsWith(headEnd, end);
-	const cutPattern = groups ? cutHeaderPattern : cutStatusLinePattern;
-	if ((isComplete ? end : text.length) - at > maxFoundHeadBytes || (!isComplete && !cutPattern.test(text.slice(end)))) {
+	const rest = part.slice(match?.[0].length ?? 0);
+	const isComplete = groups !== undefined && rest.startsWith(lineEnd);
+	if (!isComplete && !(groups ? cutHeaderPattern : cutStatusLinePattern).test(rest)) {
 		return undefined;
 	}
 
 	return {
 		status: Number(groups?.status ?? 0),
-		headers: (groups?.lines ?? '').split('\r\n').filter(line => line !== '').flatMap(line => parseHeaderLine(line)),
-		bytes: isComplete ? end - at + headEnd.length : undefined,
+		headers: (groups?.lines ?? '').split(lineEnd).filter(line => line !== '').flatMap(line => parseHeaderLine(line)),
+		bytes: isComplete ? part.length - rest.length + lineEnd.length : undefined,
 	};
 }
 
@@ -91,9 +95,10 @@
 		.join('\n');
 }
 
-/** Counts the characters at the end of the text that may begin a head. */
-function countHeadStartBytes(text: string): number {
-	return Array.from(headStart, (_, index) => headStart.length - 1 - index).find(length => text.endsWith(headStart.slice(0, length))) ?? 0;
+/** Counts the bytes at the end that may begin a head. */
+function countHeadStartBytes(bytes: Uint8Array): number {
+	const end = Buffer.from(bytes.subarray(1 - headStart.length)).toString('latin1');
+	return Array.from(headStart, (_, index) => headStart.length - 1 - index).find(length => end.endsWith(headStart.slice(0, length))) ?? 0;
 }
 
 /**
@@ -134,7 +139,7 @@
 		}
 
 		const bytes = this.#heldBytes.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length) : Buffer.concat([this.#heldBytes, chunk]);
-		const {end, head} = this.#locateBodyEnd(bytes.toString('latin1'));
+		const {end, head} = this.#locateBodyEnd(bytes);
 		const body = bytes.subarray(0, end);
 		this.#bodyBytes += body.length;
 		this.#bodyHash?.update(body);
@@ -169,10 +174,11 @@
 	}
 
 	/** Finds where the body ends for certain: at another response's head, or at the beginning of what may become one. */
-	#locateBodyEnd(text: string): BodyEnd {
-		const positions = text.includes(headStart) ? [...text.matchAll(headStartPattern)].map(({index}) => index) : [];
-		const end = positions.find(at => this.#isBodyEnd(parseFoundHead(text, at)));
-		return end === undefined ? {end: text.length - countHeadStartBytes(text), head: undefined} : {end, head: parseFoundHead(text, end)};
+	#locateBodyEnd(bytes: Uint8Array): BodyEnd {
+		const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+		const text = buffer.includes(headStart) ? buffer.toString('latin1') : '';
+		const end = [...text.matchAll(headStartPattern)].map(({index}) => index).find(at => this.#isBodyEnd(parseFoundHead(text, at)));
+		return end === undefined ? {end: bytes.length - countHeadStartBytes(bytes), head: undefined} : {end, head: parseFoundHead(text, end)};
 	}
 
 	#isBodyEnd(head: FoundHead | undefined): boolean {
