--- a/packages/node/src/__tests__/unit/heard-departures.test.ts
+++ b/packages/node/src/__tests__/unit/heard-departures.test.ts
@@ -48,15 +48,29 @@
 			expect(await sendRequest()).to.equal('far');
 		});
 
-		it('gets none of a request that waits, is retried or hedged', async () => {
+		it('gets none of a request that waited meanwhile', async () => {
+			const egresses = ['near', 'far'].map(id => fixture.egresses.get(`node-${id}`)!);
+			egresses.forEach(egress => {
+				egress.refusal = createFailure('serverUnwell', 'failing');
+			});
 			fixture.openRequest();
-			const [first] = fixture.getAttempts('near');
-			first!.accept();
-			await sendRequest(leavingHeaders);
-			first!.handler.handleFailure(createFailure('serverBroke', 'reset'));
+			await clock.tickAsync(1);
+			const asked = fixture.getAttempts('near').length;
+			egresses.forEach(egress => {
+				egress.refusal = undefined;
+			});
+			expect(await sendRequest(leavingHeaders)).to.equal('near');
 			await clock.tickAsync(2000);
-			expect(fixture.getAttempts('near').length).to.equal(2);
-			expect(fixture.getAttempts('far').length).to.be.above(0);
+			expect(fixture.getAttempts('near').length).to.equal(asked + 1);
+			expect(fixture.getAttempts('far').length).to.be.above(1);
+		});
+
+		it('gets no second copy of a request that hangs elsewhere', async () => {
+			expect(await sendRequest(leavingHeaders)).to.equal('near');
+			fixture.openRequest();
+			fixture.getAttempts('far').at(-1)!.accept();
+			await clock.tickAsync(1500);
+			expect(fixture.getAttempts('near').length).to.equal(1);
 		});
 
 		it('gets requests again after a new start of its, and none by an older record', async () => {
