Let the wait queue start the first request that is ready

The gated server searched and removed by hand what its limit lets start; a queue that is asked for the first ready request keeps its order in one place. No change of behaviour; the tests of admission, host egress and limits pass.

--- a/packages/admission/src/__tests__/unit/wait-queue.test.ts
+++ b/packages/admission/src/__tests__/unit/wait-queue.test.ts
@@ -58,5 +58,15 @@
 			queue.remove(item);
 			expect(queue.takeNext()).to.equal(undefined);
 		});
+
+		it('starts the first request that is ready, and leaves those before it in their order', () => {
+			const queue = new WaitQueue<Named>();
+			['first', 'second', 'third'].forEach((name, index) => {
+				queue.add(createItem(name, {dueAt: index}));
+			});
+			expect(queue.takeNext(({name}) => name !== 'first')?.name).to.equal('second');
+			expect(queue.takeNext(() => false)).to.equal(undefined);
+			expect(listNames(queue)).to.deep.equal(['first', 'third']);
+		});
 	});
 });
--- a/packages/admission/src/wait-queue.ts
+++ b/packages/admission/src/wait-queue.ts
@@ -52,10 +52,13 @@
 		return expired;
 	}
 
-	/** Removes and returns the next request. */
-	takeNext(): Item | undefined {
-		const [next, ...rest] = this.#items;
-		this.#items = rest;
+	/** Removes and returns the next request, or the next one that is ready. */
+	takeNext(isReady: (item: Item) => boolean = () => true): Item | undefined {
+		const next = this.#items.find(item => isReady(item));
+		if (next) {
+			this.remove(next);
+		}
+
 		return next;
 	}
 }
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -125,7 +125,7 @@
 
 	/** Number of requests that are running, waiting, or whose body is arriving. */
 	countRequests(): number {
-		return this.#running.size + this.#countWaiting();
+		return this.#running.size + this.#queue.count() + this.#reservations.size;
 	}
 
 	/** Applies a newer announcement from the same address; waiting requests are refused if the backend server is leaving. */
@@ -151,10 +151,6 @@
 		await this.#connections.closeAtOnce();
 	}
 
-	#countWaiting(): number {
-		return this.#queue.count() + this.#reservations.size;
-	}
-
 	#countSlots(): number {
 		return Math.max(1, Math.min(this.#announcement.slots, this.#announcement.maxConnections));
 	}
@@ -364,7 +360,7 @@
 			return;
 		}
 
-		const next = this.#queue.list().find(({head}) => this.#limit.computeWait(head) === 0);
+		const next = this.#queue.takeNext(({head}) => this.#limit.computeWait(head) === 0);
 		if (!next) {
 			this.#waitForLimit();
 			return;
