Log what showed that a response without a length had ended

Change: log event 312 unframedResponseJudged names for each what the probe of the address found, and egress_unframed_responses_total counts it by reason. No decision changes.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -48,6 +48,7 @@
 	sheddingChanged: {number: 308, level: 'info', meaning: 'A backend server began to reject a large part of its requests without running them, or accepts them again (`isShedding`).'},
 	responseExceeded: {number: 309, level: 'info', meaning: 'A backend server sent bytes beyond the end of its response to the request; how many were received.'},
 	serverLimitChanged: {number: 310, level: 'info', meaning: 'A backend server names the rate of requests that it takes, in requests a second; none is named any more where `limit` is missing.'},
+	unframedResponseJudged: {number: 312, level: 'info', meaning: 'A response without a length ended; `reason` says what showed that its backend server\'s process outlived the end (`isProven`), or what spoke against it.'},
 	departureHeard: {number: 311, level: 'info', meaning: 'A response said that its backend server leaves; this node sends that run of it nothing more.'},
 	serverReplaced: {number: 305, level: 'warn', meaning: 'Another backend server was found at the address; the announced one is no longer used.'},
 
--- a/packages/node/src/__tests__/request-path-fixture.ts
+++ b/packages/node/src/__tests__/request-path-fixture.ts
@@ -173,6 +173,9 @@
 			reportExcess() {
 				// Nor what arrives beyond a response.
 			},
+			reportEnd() {
+				// Nor how the end of a response was judged.
+			},
 		});
 		const address = await this.#linkServer.listen({host, port: 0});
 		this.#ingress = new Ingress({
--- a/packages/node/src/address-probe.ts
+++ b/packages/node/src/address-probe.ts
@@ -1,6 +1,7 @@
 /** Tests whether a process listens at an address. */
 import {createConnection} from 'node:net';
 import {type Address} from '@limpetbarrow/core';
+import {type EndEvidence} from './end-evidence.js';
 
 /** Time in which the connection must be accepted or refused, in milliseconds; otherwise the result is unknown. */
 const probeTimeoutMs = 500;
@@ -32,7 +33,8 @@
 	return await probeAddress(address) === 'refused';
 }
 
-/** True when a connection is accepted, which is the case while the process runs. */
-export async function isAcceptingConnections(address: Address): Promise<boolean> {
-	return await probeAddress(address) === 'accepted';
+/** Judges the end of a response by whether a connection is accepted after it. */
+export async function judgeEndByProbe(address: Address): Promise<EndEvidence> {
+	const reason = await probeAddress(address);
+	return {isProven: reason === 'accepted', reason};
 }
--- a/packages/node/src/backend-exchange-owner.ts
+++ b/packages/node/src/backend-exchange-owner.ts
@@ -3,6 +3,7 @@
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {type BackendExchange} from './backend-exchange.js';
 import {type ExcessBytes} from './connection-requests.js';
+import {type EndEvidence} from './end-evidence.js';
 import {type NamedLimit} from './server-protocol.js';
 
 /** Callbacks through which an exchange reports to the object that manages its backend server. */
@@ -12,10 +13,12 @@
 	/** Called when a request body that must be collected in full before the exchange starts has arrived. */
 	readonly handleBodyCollected: (exchange: BackendExchange) => void;
 	/**
-	 * Tests whether the backend server's process still runs. Called at the end of a response without a length, where
-	 * nothing else tells a complete response from a truncated one.
+	 * Finds out whether the backend server's process outlived the end of a response without a length, where nothing else
+	 * tells a complete response from a truncated one.
 	 */
-	readonly checkServerRunning: () => Promise<boolean>;
+	readonly judgeEnd: () => Promise<EndEvidence>;
+	/** Called with what `judgeEnd` found for the response to a request. */
+	readonly reportEnd?: (requestId: string, evidence: EndEvidence) => void;
 	/** Called when the request body ends before the exchange is started. */
 	readonly handleBodyEnd?: (exchange: BackendExchange) => void;
 	/** Called when the exchange is cancelled before it was started. */
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -324,14 +324,15 @@
 			this.#handleVerdict();
 		}
 
-		const {checkServerRunning} = this.#owner;
+		const {judgeEnd, reportEnd} = this.#owner;
 		if (this.#state !== 'running' || !this.#isResponseUnframed) {
 			this.#finishResponse();
 			return;
 		}
 
-		void checkServerRunning().then(isRunning => {
-			if (isRunning) {
+		void judgeEnd().then(evidence => {
+			reportEnd?.(this.#head.requestId, evidence);
+			if (evidence.isProven) {
 				this.#finishResponse();
 			} else {
 				this.#fail(createFailure('serverBroke', 'the backend server stopped running during a response without a length'), 'failed');
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -5,9 +5,10 @@
 } from '@limpetbarrow/core';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
-import {isAcceptingConnections} from './address-probe.js';
+import {judgeEndByProbe} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
 import {type ExcessBytes} from './connection-requests.js';
+import {type EndEvidence} from './end-evidence.js';
 import {createServerPool} from './server-pool.js';
 import {ServiceTimeAverage} from './service-time-average.js';
 
@@ -17,6 +18,8 @@
 	readonly recordOutcome: (outcome: WorkOutcome) => void;
 	/** Called when the backend server sent bytes beyond the end of a response. */
 	readonly reportExcess: (excess: ExcessBytes) => void;
+	/** Called with what was found at the end of each response without a length. */
+	readonly reportEnd: (requestId: string, evidence: EndEvidence) => void;
 };
 
 /** Time for which an idle connection is kept unless the backend server asks for a longer time, in milliseconds. */
@@ -52,8 +55,9 @@
 	openExchange(head: RequestHead, handler: ExchangeHandler, queueLimit: number): Exchange {
 		const exchange: BackendExchange = new BackendExchange(head, handler, {
 			getLoad: () => this.getLoad(),
-			checkServerRunning: async () => isAcceptingConnections(this.#server.address),
+			judgeEnd: async () => judgeEndByProbe(this.#server.address),
 			handleExcess: this.#reporter.reportExcess,
+			reportEnd: this.#reporter.reportEnd,
 			handleBodyCollected: collected => {
 				this.#collectingBodies.delete(collected);
 				this.#admit(collected, queueLimit);
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/egress.ts
@@ -9,6 +9,7 @@
 import {answerExchange, refuseExchange} from './closed-exchange.js';
 import {summariesPath} from './peer-baseline-source.js';
 import {Quarantine} from './quarantine.js';
+import {reportEndEvidence} from './end-evidence.js';
 import {reportExcess} from './report-excess.js';
 
 /** Dependencies of an egress. */
@@ -160,6 +161,9 @@
 			reportExcess(excess) {
 				reportExcess(logger, metrics, announcement.id, excess);
 			},
+			reportEnd(requestId, evidence) {
+				reportEndEvidence(logger, metrics, announcement.id, {requestId, evidence});
+			},
 		});
 		this.#localServers.set(announcement.id, {announcement, backend});
 	}
--- /dev/null
+++ b/packages/node/src/end-evidence.ts
@@ -0,0 +1,17 @@
+/** What shows that a backend server's process outlived the end of a response without a length. */
+import {type Logger, type MetricRegistry} from '@limpetbarrow/core';
+
+/** `isProven` is true when the response counts as complete; `reason` says what showed it, or what spoke against it. */
+export type EndEvidence = {
+	readonly isProven: boolean;
+	readonly reason: 'accepted' | 'refused' | 'unknown';
+};
+
+/** Logs and counts the evidence for the end of one response; `serverId` is the backend server. */
+export function reportEndEvidence(logger: Logger, metrics: MetricRegistry, serverId: string, {requestId, evidence}: {readonly requestId: string; readonly evidence: EndEvidence}): void {
+	const {isProven, reason} = evidence;
+	metrics.addCount('egress_unframed_responses_total', 1, {reason});
+	logger.log('unframedResponseJudged', {
+		request: requestId, server: serverId, isProven, reason,
+	});
+}
--- a/packages/node/src/gated-server-options.ts
+++ b/packages/node/src/gated-server-options.ts
@@ -2,6 +2,7 @@
 import {type Failure, type RequestHead} from '@limpetbarrow/core';
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type ExcessBytes} from './connection-requests.js';
+import {type EndEvidence} from './end-evidence.js';
 import {type ServerStateHandler} from './server-outcomes.js';
 import {type ReportLimit} from './server-limit.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -20,6 +21,8 @@
 	readonly handleLeaving: () => void;
 	/** Called when the backend server sent bytes beyond the end of a response. */
 	readonly reportExcess: (excess: ExcessBytes) => void;
+	/** Called with what was found at the end of each response without a length. */
+	readonly reportEnd: (requestId: string, evidence: EndEvidence) => void;
 	/** Called with each request that was refused here or failed at the backend server. */
 	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
 };
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -7,7 +7,7 @@
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
-import {isAcceptingConnections} from './address-probe.js';
+import {judgeEndByProbe} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
 import {ServerConnections} from './server-connections.js';
 import {type QueuedExchange, type RunningExchange, type SlotReservation} from './gated-exchanges.js';
@@ -67,7 +67,7 @@
 			handleBodyCollected() {
 				// The request is admitted before its body arrives; `handleBodyEnd` starts or queues it.
 			},
-			checkServerRunning: async () => isAcceptingConnections(this.#announcement.address),
+			judgeEnd: async () => judgeEndByProbe(this.#announcement.address),
 			handleBodyEnd: ended => {
 				this.#handleBodyEnd(ended, head);
 			},
@@ -76,6 +76,7 @@
 			},
 			handleLeaving: this.#options.handleLeaving,
 			handleExcess: this.#options.reportExcess,
+			reportEnd: this.#options.reportEnd,
 			handleCancelled: cancelled => {
 				this.#removeExchange(cancelled);
 			},
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -5,6 +5,7 @@
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {refuseExchange} from './closed-exchange.js';
+import {reportEndEvidence} from './end-evidence.js';
 import {reportExcess} from './report-excess.js';
 import {GatedServer} from './gated-server.js';
 import {Quarantine} from './quarantine.js';
@@ -182,6 +183,9 @@
 			reportExcess(excess) {
 				reportExcess(logger, metrics, id, excess);
 			},
+			reportEnd(requestId, evidence) {
+				reportEndEvidence(logger, metrics, id, {requestId, evidence});
+			},
 			reportFailure(head, failure) {
 				metrics.addCount('egress_failures_total', 1, {code: String(failure.code)});
 				logger.log('egressFailed', {
