Fail a response without a length unless its server's connections outlive its end

Cause: the egress took a connection that is accepted after the end of the response for proof that the process had outlived it. A listener that closes after the connections, a relay, the process that follows at the address and a backlog accept as well. Class: a sign of life that doesn't have to come from the process that is judged.

Change: CrashDetector follows the connections to the process and keeps a spare one open while the process is in use.

The tests that count a backend server's connections now count those on which something was sent: the spare one carries no request, and what they guard, whether a connection is used again, concerns requests only. They stay exact.

--- a/packages/node/src/__tests__/raw-backend.ts
+++ b/packages/node/src/__tests__/raw-backend.ts
@@ -10,17 +10,20 @@
 /** Calls the responder for each request; requests with a body are not supported. */
 export class RawBackend {
 	requests: readonly string[] = [];
+	/** Number of connections on which something was sent; an egress also opens some on which it sends nothing. */
 	connectionCount = 0;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
 	constructor(responder: RawResponder) {
 		this.#server = createServer(socket => {
-			this.connectionCount++;
 			this.#sockets.add(socket);
 			socket.on('error', () => {
 				socket.destroy();
 			});
+			socket.once('data', () => {
+				this.connectionCount++;
+			});
 			let receivedText = '';
 			socket.on('data', chunk => {
 				receivedText += chunk.toString('latin1');
@@ -35,18 +38,35 @@
 		});
 	}
 
-	async listen(): Promise<Address> {
+	async listen(port = 0): Promise<Address> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(port, '127.0.0.1', resolve);
 		});
-		return {host: '127.0.0.1', port: (this.#server.address() as AddressInfo).port};
+		return {host: '127.0.0.1', port: this.getPort()};
+	}
+
+	getPort(): number {
+		return (this.#server.address() as AddressInfo).port;
 	}
 
 	close(): void {
+		this.closeConnections();
+		this.#server.close();
+	}
+
+	/** Closes the connections in the normal way, as the kernel does for a process that has crashed. */
+	closeConnections(): void {
 		this.#sockets.forEach(socket => {
 			socket.destroy();
 		});
-		this.#server.close();
+	}
+
+	/** Closes the connections like a crash, and the listener so many milliseconds later. */
+	crash(listenerDelayMs: number): void {
+		this.closeConnections();
+		setTimeout(() => {
+			this.close();
+		}, listenerDelayMs);
 	}
 }
 
--- a/packages/node/src/address-probe.ts
+++ b/packages/node/src/address-probe.ts
@@ -1,7 +1,6 @@
 /** Tests whether a process listens at an address. */
 import {createConnection} from 'node:net';
 import {type Address} from '@limpetbarrow/core';
-import {type EndEvidence} from './end-evidence.js';
 
 /** Time in which the connection must be accepted or refused, in milliseconds; otherwise the result is unknown. */
 const probeTimeoutMs = 500;
@@ -32,9 +31,3 @@
 export async function isRefusingConnections(address: Address): Promise<boolean> {
 	return await probeAddress(address) === 'refused';
 }
-
-/** Judges the end of a response by whether a connection is accepted after it. */
-export async function judgeEndByProbe(address: Address): Promise<EndEvidence> {
-	const reason = await probeAddress(address);
-	return {isProven: reason === 'accepted', reason};
-}
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -5,8 +5,8 @@
 } from '@limpetbarrow/core';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
-import {judgeEndByProbe} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
+import {CrashDetector} from './crash-detector.js';
 import {type ExcessBytes} from './connection-requests.js';
 import {type EndEvidence} from './end-evidence.js';
 import {createServerPool} from './server-pool.js';
@@ -41,10 +41,12 @@
 	#server: AnnouncedServer;
 	#pool: Dispatcher;
 	readonly #running = new Set<BackendExchange>();
+	readonly #crashDetector: CrashDetector;
 
 	constructor(server: AnnouncedServer, reporter: BackendServerReporter) {
 		this.#server = server;
 		this.#reporter = reporter;
+		this.#crashDetector = new CrashDetector({address: server.address, isInUse: () => this.#running.size > 0});
 		this.#pool = this.#createPool();
 	}
 
@@ -55,7 +57,7 @@
 	openExchange(head: RequestHead, handler: ExchangeHandler, queueLimit: number): Exchange {
 		const exchange: BackendExchange = new BackendExchange(head, handler, {
 			getLoad: () => this.getLoad(),
-			judgeEnd: async () => judgeEndByProbe(this.#server.address),
+			judgeEnd: async () => this.#crashDetector.judgeEnd(),
 			handleExcess: this.#reporter.reportExcess,
 			reportEnd: this.#reporter.reportEnd,
 			handleBodyCollected: collected => {
@@ -104,11 +106,13 @@
 	async drain(): Promise<void> {
 		this.#refuseWaiting();
 		await this.#pool.close();
+		this.#crashDetector.close();
 	}
 
 	/** Refuses waiting requests, and closes the connections at once, which aborts running requests. */
 	async close(): Promise<void> {
 		this.#refuseWaiting();
+		this.#crashDetector.close();
 		await this.#pool.destroy();
 	}
 
@@ -128,6 +132,9 @@
 			handleEnd: () => {
 				this.#resumeReading();
 			},
+			handleConnection: socket => {
+				this.#crashDetector.registerConnection(socket);
+			},
 			handleExcess: this.#reporter.reportExcess,
 		});
 	}
@@ -179,6 +186,7 @@
 
 	#start(exchange: BackendExchange): void {
 		this.#running.add(exchange);
+		this.#crashDetector.openSpare();
 		exchange.start(this.#pool);
 	}
 
--- a/packages/node/src/end-evidence.ts
+++ b/packages/node/src/end-evidence.ts
@@ -1,10 +1,13 @@
 /** What shows that a backend server's process outlived the end of a response without a length. */
 import {type Logger, type MetricRegistry} from '@limpetbarrow/core';
 
+/** What became of the connections to the process after the end of a response. */
+export type EndReason = 'connectionsOpen' | 'earlierConnectionsEnded' | 'noEarlierConnection' | 'newConnectionEnded' | 'newConnectionUnanswered';
+
 /** `isProven` is true when the response counts as complete; `reason` says what showed it, or what spoke against it. */
 export type EndEvidence = {
 	readonly isProven: boolean;
-	readonly reason: 'accepted' | 'refused' | 'unknown';
+	readonly reason: EndReason;
 };
 
 /** Logs and counts the evidence for the end of one response; `serverId` is the backend server. */
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -7,8 +7,8 @@
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
-import {judgeEndByProbe} from './address-probe.js';
 import {BackendExchange} from './backend-exchange.js';
+import {CrashDetector} from './crash-detector.js';
 import {ServerConnections} from './server-connections.js';
 import {type QueuedExchange, type RunningExchange, type SlotReservation} from './gated-exchanges.js';
 import {type GatedServerOptions} from './gated-server-options.js';
@@ -35,6 +35,7 @@
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
 	readonly #connections: ServerConnections;
+	readonly #crashDetector: CrashDetector;
 	readonly #limit: ServerLimit;
 	#limitTimer: NodeJS.Timeout | undefined;
 	#announcement: AnnouncedServer;
@@ -44,6 +45,7 @@
 		this.#announcement = server;
 		this.#limit = new ServerLimit(options.reportLimit);
 		this.#outcomes = new ServerOutcomes(this.#gate, options);
+		this.#crashDetector = new CrashDetector({address: server.address, isInUse: () => this.#running.size > 0});
 		this.#connections = new ServerConnections({
 			address: server.address,
 			connections: this.#countSlots(),
@@ -52,6 +54,9 @@
 					exchange.resumeReading();
 				});
 			},
+			handleConnection: socket => {
+				this.#crashDetector.registerConnection(socket);
+			},
 			handleExcess: options.reportExcess,
 		});
 		this.#gate.setCold(server.coldMs ?? 0, performance.now());
@@ -67,7 +72,7 @@
 			handleBodyCollected() {
 				// The request is admitted before its body arrives; `handleBodyEnd` starts or queues it.
 			},
-			judgeEnd: async () => judgeEndByProbe(this.#announcement.address),
+			judgeEnd: async () => this.#crashDetector.judgeEnd(),
 			handleBodyEnd: ended => {
 				this.#handleBodyEnd(ended, head);
 			},
@@ -144,11 +149,13 @@
 	async drain(): Promise<void> {
 		this.#refuseWaiting(createFailure('serverNotHere', `backend server ${this.#announcement.id} is no longer served by this node`));
 		await this.#connections.close();
+		this.#crashDetector.close();
 	}
 
 	/** Refuses waiting requests, and closes the connections at once, which aborts running requests. */
 	async close(): Promise<void> {
 		this.#refuseWaiting(createFailure('serverNotHere', `backend server ${this.#announcement.id} is no longer served by this node`));
+		this.#crashDetector.close();
 		await this.#connections.closeAtOnce();
 	}
 
@@ -329,6 +336,7 @@
 		this.#running.set(exchange, {
 			exchange, head, startedAt: now, workMs, overdueTimer,
 		});
+		this.#crashDetector.openSpare();
 		exchange.start(this.#connections.select(head.isRepeatable));
 	}
 
--- a/packages/node/src/server-pool.ts
+++ b/packages/node/src/server-pool.ts
@@ -1,4 +1,5 @@
 /** A pool of connections to one backend server. */
+import {type Socket} from 'node:net';
 import {Pool, type Client} from 'undici';
 import {formatAddress, type Address} from '@limpetbarrow/core';
 import {createBackendConnector} from './backend-connector.js';
@@ -14,6 +15,8 @@
 	readonly keepAliveMaxMs: number;
 	/** Called when the backend server has closed a connection; no response may stay paused after it. */
 	readonly handleEnd: () => void;
+	/** Called with each new connection. */
+	readonly handleConnection: (socket: Socket) => void;
 	/** Called when a connection has closed on which bytes arrived beyond a response. */
 	readonly handleExcess: (excess: ExcessBytes) => void;
 };
@@ -22,11 +25,12 @@
 const connectTimeoutMs = 1000;
 
 /** Creates a pool whose connections carry one request at a time. */
-export function createServerPool({address, connections, keepAliveMs, keepAliveMaxMs, handleEnd, handleExcess}: ServerPoolOptions): Pool {
+export function createServerPool({address, connections, keepAliveMs, keepAliveMaxMs, handleEnd, handleConnection, handleExcess}: ServerPoolOptions): Pool {
 	const createClient = (origin: URL, options: Client.Options): ConnectionClient => {
 		const requests = new ConnectionRequests();
 		const connect = createBackendConnector(connectTimeoutMs, handleEnd, socket => {
 			requests.registerSocket(socket, handleExcess);
+			handleConnection(socket);
 		});
 		return new ConnectionClient(origin, {...options, connect}, requests);
 	};
