Reset a caller's connection when the node closes within a response without a length

Callers saw: half of a response without a length as a whole one, when the node closed, at the end of a planned stop that ran out of time, while they still read it.

Cause: Ingress.close() closes all connections in the normal way, and a normal end is what completes such a response. Class: a boundary that is taken from the end of a connection.

Change: CallerConnection.closeAtOnce() resets the connection when a response on it that ends with the connection is not written yet. The others are closed as before: a reset could discard complete responses that their callers haven't read.

Measured: the new case of pipeline.test.ts fails without the change (normal end after a part of 16 MiB) and passes with it. Its fixture reads the reset from the missing address of the other side, as the runtime reports a reset behind unread bytes as an end.

--- a/packages/node/src/__tests__/pipeline-fixture.ts
+++ b/packages/node/src/__tests__/pipeline-fixture.ts
@@ -136,13 +136,21 @@
 	/** Bytes that the caller has received, as Latin-1 text. */
 	received = '';
 	isClosed = false;
+	/** True when the connection was reset. */
+	isReset = false;
 
 	async start(): Promise<void> {
 		const {port} = await this.ingress.listen({host, port: 0});
 		this.socket.on('data', (chunk: Uint8Array) => {
 			this.received += Buffer.from(chunk).toString('latin1');
 		});
-		this.socket.on('error', () => undefined);
+		this.socket.on('error', () => {
+			this.isReset = true;
+		});
+		// The runtime reports a reset behind unread bytes as a normal end; the address of the other side is gone then.
+		this.socket.once('end', () => {
+			this.isReset ||= this.socket.remoteAddress === undefined;
+		});
 		this.socket.once('close', () => {
 			this.isClosed = true;
 		});
--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -201,6 +201,23 @@
 			expect(fixture.listBodies()).to.deep.equal(['/first']);
 		});
 
+		// Guards against a truncated response that looks complete when the node gives up while its caller still reads it.
+		it('get a reset when the node closes before all of it is written', async () => {
+			const largeBytes = 16_777_216;
+			fixture.socket.write(formatRequest('/first'));
+			await fixture.hasOpened(1);
+			fixture.socket.pause();
+			const handler = startUnframedResponse();
+			handler.handleData(Buffer.alloc(largeBytes, '.'));
+			handler.handleEnd();
+			await wait(30);
+			fixture.ingress.close();
+			fixture.socket.resume();
+			expect(await waitUntil(() => fixture.isClosed)).to.equal(true);
+			expect(fixture.received.length).to.be.below(largeBytes);
+			expect(fixture.isReset).to.equal(true);
+		});
+
 		it('get it as it arrives when it is too large to be held', async () => {
 			fixture.socket.write(formatRequest('/first'));
 			await fixture.hasOpened(1);
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -25,6 +25,8 @@
 	readonly #forwardHandlers = new Map<ServerResponse, () => void>();
 	/** True once the last pending response is to close the connection; later requests are left unread. */
 	#isClosing = false;
+	/** The response that has no length, if there is one. */
+	#responseEndedByClose: ServerResponse | undefined;
 	#readFailure: Failure | undefined;
 
 	/** `isStopping` tells whether a planned stop of the node has begun. */
@@ -98,9 +100,20 @@
 		this.#isClosing ||= !response.shouldKeepAlive;
 	}
 
-	/** Makes the last pending response close the connection: later requests are left unread. */
-	markLastResponse(): void {
+	/** Lets the end of the connection end a response: later requests are left unread. */
+	endWithConnection(response: ServerResponse): void {
 		this.#isClosing = true;
+		this.#responseEndedByClose = response;
+	}
+
+	/** Closes the connection at once. Only a reset shows the caller that a response which ends with its connection is truncated. */
+	closeAtOnce(): void {
+		const response = this.#responseEndedByClose;
+		if (response?.headersSent === true && !response.writableFinished) {
+			this.#socket.resetAndDestroy();
+		} else {
+			this.#socket.destroy();
+		}
 	}
 
 	/** Closes the connection unless responses are pending; a request that arrives meanwhile is left unread. */
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -141,7 +141,7 @@
 			return false;
 		}
 
-		this.#options.connection.markLastResponse();
+		this.#options.connection.endWithConnection(this.#response);
 		return true;
 	}
 
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -135,8 +135,11 @@
 		});
 	}
 
+	/** Closes all connections at once, whatever is in progress on them. */
 	close(): void {
-		this.#server.closeAllConnections();
+		this.#connections.forEach(connection => {
+			connection.closeAtOnce();
+		});
 		this.#server.close();
 	}
 
