Fail a response without a length whose connection was reset behind unread bytes

Cause: when bytes are still unread as a reset arrives, the runtime reads them and reports a normal end instead of the reset: libuv ends a stream on a hang-up behind a partial read. A busy node is late to read, so it depends on load, and a host whose connections are reset shows it on several requests at one moment.

--- a/packages/node/src/__tests__/raw-backend.ts
+++ b/packages/node/src/__tests__/raw-backend.ts
@@ -61,6 +61,12 @@
 		});
 	}
 
+	resetConnections(): void {
+		this.#sockets.forEach(socket => {
+			socket.resetAndDestroy();
+		});
+	}
+
 	/** Closes the connections like a crash, and the listener so many milliseconds later. */
 	crash(listenerDelayMs: number): void {
 		this.closeConnections();
--- a/packages/node/src/__tests__/unit/crashed-responses.test.ts
+++ b/packages/node/src/__tests__/unit/crashed-responses.test.ts
@@ -154,6 +154,56 @@
 	});
 });
 
+// Guards against a reset that is taken for the end of a response without a length: the runtime reports a reset behind unread bytes
+// as a normal end.
+describe('a backend server that resets the connection within a response without a length', () => {
+	const resets: ReadonlyArray<{readonly when: string; readonly sent: string; readonly pauseMs: number | undefined}> = [
+		{when: 'at once after half of it', sent: half, pauseMs: undefined},
+		{when: 'at once after all of it', sent: body, pauseMs: undefined},
+		{when: 'at once after a part that is larger than a read', sent: body.repeat(100), pauseMs: undefined},
+		{when: `${firstHalfPauseMs} ms after half of it`, sent: half, pauseMs: firstHalfPauseMs},
+	];
+	egresses.forEach(({name, start}) => {
+		describe(`behind ${name}`, () => {
+			resets.forEach(({when, sent, pauseMs}) => {
+				it(`fails the request when it does so ${when}`, async () => {
+					const fixture = await start((socket, text) => {
+						socket.write(formatUnframed(text, sent));
+						if (pauseMs === undefined) {
+							socket.resetAndDestroy();
+						} else {
+							setTimeout(() => {
+								socket.resetAndDestroy();
+							}, pauseMs);
+						}
+					});
+					try {
+						expect(await fixture.send({isRepeatable: false})).to.include({outcome: 'serverBroke'});
+					} finally {
+						await fixture.close();
+					}
+				});
+			});
+
+			it('fails the request when the path resets all connections while the node is busy', async () => {
+				const fixture = await start((socket, text) => {
+					socket.write(formatUnframed(text, half));
+					setTimeout(() => {
+						socket.write(half.slice(1), () => {
+							fixture.backend.resetConnections();
+						});
+					}, firstHalfPauseMs);
+				});
+				try {
+					expect(await fixture.send({isRepeatable: false})).to.include({outcome: 'serverBroke'});
+				} finally {
+					await fixture.close();
+				}
+			});
+		});
+	});
+});
+
 // Guards against a sound response without a length that is given up because nothing shows that its backend server still runs.
 describe('a backend server that answers without a length and goes on running', () => {
 	egresses.forEach(({name, start}) => {
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -7,6 +7,7 @@
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
 import {type BackendExchangeOwner} from './backend-exchange-owner.js';
 import {type ConnectionDispatchOptions, type ConnectionRequests} from './connection-requests.js';
+import {type EndEvidence} from './end-evidence.js';
 import {ExtraResponseScan} from './extra-response-scan.js';
 import {hasResponseBody, selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
@@ -310,10 +311,6 @@
 		}
 	}
 
-	/**
-	 * When a process crashes, the kernel closes its connections in the normal way, so the end of the connection does not
-	 * prove that a response without a length is complete. Such a response counts only if the process still runs.
-	 */
 	#handleResponseEnd(): void {
 		if (!this.#isResponseUnframed) {
 			this.#connection?.recordResponseEnd(this.#responseBytes);
@@ -324,22 +321,29 @@
 			this.#handleVerdict();
 		}
 
-		const {judgeEnd, reportEnd} = this.#owner;
 		if (this.#state !== 'running' || !this.#isResponseUnframed) {
 			this.#finishResponse();
 			return;
 		}
 
-		void judgeEnd().then(evidence => {
-			reportEnd?.(this.#head.requestId, evidence);
+		void this.#judgeEnd().then(evidence => {
+			this.#owner.reportEnd?.(this.#head.requestId, evidence);
 			if (evidence.isProven) {
 				this.#finishResponse();
 			} else {
-				this.#fail(createFailure('serverBroke', 'the backend server stopped running during a response without a length'), 'failed');
+				this.#fail(createFailure('serverBroke', `nothing shows that a response without a length is complete: ${evidence.reason}`), 'failed');
 			}
 		});
 	}
 
+	/**
+	 * When a process crashes, the kernel closes its connections in the normal way, so the end of the connection does not
+	 * prove that a response without a length is complete. Such a response counts only if the process still runs.
+	 */
+	async #judgeEnd(): Promise<EndEvidence> {
+		return this.#connection?.isReset() === true ? {isProven: false, reason: 'connectionReset'} : this.#owner.judgeEnd();
+	}
+
 	#finishResponse(): void {
 		if (this.#state === 'running') {
 			this.#finish(this.#createOutcome(this.#responseStatus >= minServerErrorStatus ? 'failed' : 'answered'), undefined);
--- a/packages/node/src/connection-requests.ts
+++ b/packages/node/src/connection-requests.ts
@@ -22,10 +22,20 @@
 const chunkedEndBeforeHead = Buffer.from('\r\n0\r\n\r\nHTTP/1.');
 const chunkedEndBytes = '\r\n0\r\n\r\n'.length;
 
+/**
+ * True when the connection, whose end was reported, has been reset. Node reports a reset that arrives behind unread bytes as a
+ * normal end; the kernel then has no address of the other side any more. `remoteAddress` must not have been read before, as
+ * it is cached.
+ */
+function hasBeenReset({remoteAddress}: Socket): boolean {
+	return remoteAddress === undefined;
+}
+
 /** Keeps the ids of the last requests of a connection: a backend server may send another response to any of them. */
 export class ConnectionRequests {
 	#requestIds: readonly string[] = [];
 	#isResponseEnded = false;
+	#isReset = false;
 	#excessBytes = 0;
 	/** What has arrived since the last request: all bytes, those of the response head once it is complete, and the last part. */
 	#receivedBytes = 0;
@@ -55,6 +65,11 @@
 			: Math.max(0, this.#receivedBytes - this.#headBytes - bodyBytes);
 	}
 
+	/** True when the backend server has reset the connection, even if the runtime reported a normal end. */
+	isReset(): boolean {
+		return this.#isReset;
+	}
+
 	/**
 	 * Counts what arrives on a new connection beyond the responses; calls `handleExcess` once the connection has closed. The
 	 * request that caused the connection to be opened is already recorded.
@@ -62,6 +77,10 @@
 	registerSocket(socket: Socket, handleExcess: (excess: ExcessBytes) => void): void {
 		this.#requestIds = this.#requestIds.slice(-1);
 		this.#excessBytes = 0;
+		this.#isReset = false;
+		socket.once('end', () => {
+			this.#isReset = hasBeenReset(socket);
+		});
 		socket.on('data', (part: Uint8Array) => {
 			this.#recordPart(part);
 		});
--- a/packages/node/src/end-evidence.ts
+++ b/packages/node/src/end-evidence.ts
@@ -1,8 +1,8 @@
 /** What shows that a backend server's process outlived the end of a response without a length. */
 import {type Logger, type MetricRegistry} from '@limpetbarrow/core';
 
-/** What became of the connections to the process after the end of a response. */
-export type EndReason = 'connectionsOpen' | 'earlierConnectionsEnded' | 'noEarlierConnection' | 'newConnectionEnded' | 'newConnectionUnanswered';
+/** How the response's connection ended, or what became of the others to the process after it. */
+export type EndReason = 'connectionReset' | 'connectionsOpen' | 'earlierConnectionsEnded' | 'noEarlierConnection' | 'newConnectionEnded' | 'newConnectionUnanswered';
 
 /** `isProven` is true when the response counts as complete; `reason` says what showed it, or what spoke against it. */
 export type EndEvidence = {
