Free a backend server's slot before the end of its response is judged

Cause: since a response without a length is observed for 100 ms after its end, its request held one of the server's slots for as long.

Change: the exchange tells its owner when the response has ended. The slot is free then; the request still counts as in progress for a planned stop.

--- a/packages/node/src/__tests__/unit/backend-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/backend-exchange.test.ts
@@ -37,6 +37,9 @@
 		}, {
 			getLoad: () => ({serverId: 'server-1', freeSlots: 1, queued: 0}),
 			handleBodyCollected: handleNothing,
+			handleServerDone() {
+				// No response of these tests ends with its connection.
+			},
 			judgeEnd: async () => ({isProven: true, reason: 'connectionsOpen'}),
 			handleCancelled: handleNothing,
 			handleFinished(outcome, failure) {
--- a/packages/node/src/__tests__/unit/crashed-responses.test.ts
+++ b/packages/node/src/__tests__/unit/crashed-responses.test.ts
@@ -230,6 +230,20 @@
 				expect(new Set(results.map(({outcome}) => outcome))).to.deep.equal(new Set(['200']));
 			});
 
+			it('gets the next request at once, while the end of its response is judged', async () => {
+				const arrivals: number[] = [];
+				fixture = await start((socket, text) => {
+					arrivals.push(performance.now());
+					answerWhole(socket, text);
+				});
+				const deliveries = await Promise.all(Array.from({length: 6}, async (_, index) => {
+					await fixture.send({requestId: `r-${index}`});
+					return performance.now();
+				}));
+				expect(arrivals).to.have.length(6);
+				expect(Math.max(...arrivals)).to.be.below(Math.min(...deliveries));
+			});
+
 			it('gets a response delivered that follows a pause in which it has closed the idle connections', async () => {
 				fixture = await start(answerWhole);
 				await fixture.send();
--- a/packages/node/src/backend-exchange-owner.ts
+++ b/packages/node/src/backend-exchange-owner.ts
@@ -12,6 +12,8 @@
 	readonly getLoad: () => LoadHint;
 	/** Called when a request body that must be collected in full before the exchange starts has arrived. */
 	readonly handleBodyCollected: (exchange: BackendExchange) => void;
+	/** Called when the response has ended, before its end is judged: the backend server has a slot free. */
+	readonly handleServerDone: () => void;
 	/**
 	 * Finds out whether the backend server's process outlived the end of a response without a length, where nothing else
 	 * tells a complete response from a truncated one.
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend-exchange.ts
@@ -326,6 +326,7 @@
 			return;
 		}
 
+		this.#owner.handleServerDone();
 		void this.#judgeEnd().then(evidence => {
 			this.#owner.reportEnd?.(this.#head.requestId, evidence);
 			if (evidence.isProven) {
--- a/packages/node/src/backend-server.ts
+++ b/packages/node/src/backend-server.ts
@@ -41,6 +41,8 @@
 	#server: AnnouncedServer;
 	#pool: Dispatcher;
 	readonly #running = new Set<BackendExchange>();
+	/** Exchanges whose response has ended and is not known to be complete yet; they hold no slot. */
+	readonly #judged = new Set<BackendExchange>();
 	readonly #crashDetector: CrashDetector;
 
 	constructor(server: AnnouncedServer, reporter: BackendServerReporter) {
@@ -57,6 +59,9 @@
 	openExchange(head: RequestHead, handler: ExchangeHandler, queueLimit: number): Exchange {
 		const exchange: BackendExchange = new BackendExchange(head, handler, {
 			getLoad: () => this.getLoad(),
+			handleServerDone: () => {
+				this.#handleServerDone(exchange);
+			},
 			judgeEnd: async () => this.#crashDetector.judgeEnd(),
 			handleExcess: this.#reporter.reportExcess,
 			reportEnd: this.#reporter.reportEnd,
@@ -86,9 +91,9 @@
 		return {serverId: this.#server.id, freeSlots: this.#countSlots() - this.#running.size, queued: this.#queue.size};
 	}
 
-	/** Number of requests that are running, waiting, or collecting their body. */
+	/** Number of requests that are running, waiting, or collecting their body, and of responses whose end is being judged. */
 	countRequests(): number {
-		return this.#running.size + this.#queue.size + this.#collectingBodies.size;
+		return this.#running.size + this.#judged.size + this.#queue.size + this.#collectingBodies.size;
 	}
 
 	/** Applies the slots and connections of a newer announcement from the same address. */
@@ -190,8 +195,15 @@
 		exchange.start(this.#pool);
 	}
 
+	#handleServerDone(exchange: BackendExchange): void {
+		this.#running.delete(exchange);
+		this.#judged.add(exchange);
+		this.#startNext();
+	}
+
 	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		this.#running.delete(exchange);
+		this.#judged.delete(exchange);
 		if (failure?.name === 'serverTimeout') {
 			this.#replacePool();
 		}
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -32,6 +32,8 @@
 	readonly #outcomes: ServerOutcomes;
 	readonly #queue = new WaitQueue<QueuedExchange>();
 	readonly #running = new Map<BackendExchange, RunningExchange>();
+	/** Exchanges whose response has ended and is not known to be complete yet; they hold no slot. */
+	readonly #judged = new Map<BackendExchange, RunningExchange>();
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
 	readonly #connections: ServerConnections;
@@ -72,6 +74,9 @@
 			handleBodyCollected() {
 				// The request is admitted before its body arrives; `handleBodyEnd` starts or queues it.
 			},
+			handleServerDone: () => {
+				this.#handleServerDone(exchange);
+			},
 			judgeEnd: async () => this.#crashDetector.judgeEnd(),
 			handleBodyEnd: ended => {
 				this.#handleBodyEnd(ended, head);
@@ -129,9 +134,9 @@
 		}
 	}
 
-	/** Number of requests that are running, waiting, or whose body is arriving. */
+	/** Number of requests that are running, waiting, or whose body is arriving, and of responses whose end is being judged. */
 	countRequests(): number {
-		return this.#running.size + this.#queue.count() + this.#reservations.size;
+		return this.#running.size + this.#judged.size + this.#queue.count() + this.#reservations.size;
 	}
 
 	/** Applies a newer announcement from the same address; waiting requests are refused if the backend server is leaving. */
@@ -340,9 +345,20 @@
 		exchange.start(this.#connections.select(head.isRepeatable));
 	}
 
+	#handleServerDone(exchange: BackendExchange): void {
+		const done = this.#running.get(exchange);
+		if (done) {
+			clearTimeout(done.overdueTimer);
+			this.#running.delete(exchange);
+			this.#judged.set(exchange, done);
+			this.#startNext();
+		}
+	}
+
 	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
-		const finished = this.#running.get(exchange);
+		const finished = this.#running.get(exchange) ?? this.#judged.get(exchange);
 		this.#running.delete(exchange);
+		this.#judged.delete(exchange);
 		clearTimeout(finished?.overdueTimer);
 		if (finished && failure) {
 			this.#options.reportFailure(finished.head, failure);
