--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -28,11 +28,14 @@
 	'resetServerConnections',
 ] as const;
 
+/** Faults that come in a series to the backend servers of a failure domain: they are killed, or reset responses half way. */
+export const domainKinds = ['killDomainServers', 'resetServerAnswers'] as const;
+
 /**
  * What can happen in a soak run; `rollNodes` stops and starts all nodes in turn, each before the one before it is back, and
  * `limitServer` lets a backend server name a limit that falls.
  */
-export type FaultKind = 'rollNodes' | 'limitServer' | typeof plannedKinds[number] | typeof unplannedKinds[number];
+export type FaultKind = 'rollNodes' | 'limitServer' | typeof domainKinds[number] | typeof plannedKinds[number] | typeof unplannedKinds[number];
 
 /** One fault. */
 export type SoakFault = {
@@ -115,6 +118,17 @@
 	}));
 }
 
+/** Share of the runs in which the faults of failure domains come, and the offset of the seed from which they are drawn. */
+const domainShare = 0.5;
+const domainSeedOffset = 17;
+const maxDomainFaults = 4;
+
+function createDomainFaults(options: FaultPlanOptions): readonly SoakFault[] {
+	const pick = createSeededRandom(options.seed + domainSeedOffset);
+	const count = !isPlannedRun(options.seed) && pick() < domainShare ? 1 + Math.floor(pick() * maxDomainFaults) : 0;
+	return Array.from({length: count}, () => createFault(pick, domainKinds, options)).flatMap(fault => createSeries(pick, fault, options));
+}
+
 /** The faults of a run, by time; the same for the same seed. */
 export function createFaultPlan(options: FaultPlanOptions): readonly SoakFault[] {
 	const pick = createSeededRandom(options.seed);
@@ -122,6 +136,6 @@
 	const count = minFaults + Math.floor(pick() * (maxFaults - minFaults + 1));
 	const faults = Array.from({length: count}, () => createFault(pick, kinds, options))
 		.flatMap(fault => createSeries(pick, fault, options));
-	return [...faults, ...createRoll(options), ...createLimits(options)]
+	return [...faults, ...createRoll(options), ...createLimits(options), ...createDomainFaults(options)]
 		.toSorted((a, b) => a.atMs - b.atMs);
 }
--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -31,6 +31,8 @@
 	readonly far: Socket;
 	/** Directions in which bytes were swallowed; nothing more passes there, as what follows would make no sense. */
 	readonly lost: Set<RelayDirection>;
+	/** True once one side has reset its connection; the other side's is reset then too. */
+	isReset: boolean;
 };
 
 const noFaults: RelayFaults = {
@@ -99,7 +101,9 @@
 	#handleConnection(near: Socket): void {
 		this.#connectionCount++;
 		const far = connect({...this.#target});
-		const pair: Pair = {near, far, lost: new Set(this.#faults.isDeaf ? ['up', 'down'] : [])};
+		const pair: Pair = {
+			near, far, lost: new Set(this.#faults.isDeaf ? ['up', 'down'] : []), isReset: false,
+		};
 		this.#pairs.add(pair);
 
 		this.#forward({
@@ -116,7 +120,12 @@
 		from.on('data', (chunk: Uint8Array) => {
 			this.#handleChunk(flow, chunk);
 		});
-		from.on('error', () => {
+		// Node reports a reset behind unread bytes as a normal end; the address of the other side is gone then.
+		from.on('end', () => {
+			pair.isReset ||= from.remoteAddress === undefined;
+		});
+		from.on('error', (error: Error & {readonly code?: string}) => {
+			pair.isReset ||= error.code === 'ECONNRESET';
 			this.#closePair(pair);
 		});
 		from.on('close', () => {
@@ -164,8 +173,13 @@
 
 	#closePair(pair: Pair): void {
 		this.#pairs.delete(pair);
-		pair.near.destroy();
-		pair.far.destroy();
+		[pair.near, pair.far].forEach(socket => {
+			if (pair.isReset) {
+				socket.resetAndDestroy();
+			} else {
+				socket.destroy();
+			}
+		});
 	}
 }
 
