Notice when the store was restored, and read the configuration again

Cause: nothing read the era that the store names in its answers. A watch from a revision of the lost history is accepted once the counter has passed it, and the changes in between are not heard; an answer that was sent before the restore may arrive after it. Class: a version that is compared across histories.

Change: ObjectStore keeps the latest era of any answer and publishes each rise; the adapter reads the header. An answer of an earlier era fails, as does a watch or a later page of a list across a rise. The watcher of the configuration reads again when the era rises.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -79,6 +79,8 @@
 	discoveryFailed: {number: 703, level: 'warn', meaning: 'The list of nodes could not be read or written; the node will retry.'},
 	discoveryDone: {number: 704, level: 'info', meaning: 'This node is in the list of nodes and has read it.'},
 
+	storeRestored: {number: 705, level: 'warn', meaning: 'The object API has been restored from an older copy; what was kept of it is written and read again.'},
+
 	// Members and announcements
 	serverAnnounced: {number: 801, level: 'info', meaning: 'A backend server announced itself.'},
 	serverLeft: {number: 802, level: 'info', meaning: 'A backend server announced that it is leaving.'},
--- a/packages/object-store/src/http-object-store.ts
+++ b/packages/object-store/src/http-object-store.ts
@@ -19,6 +19,8 @@
 	readonly kind: CallKind;
 	readonly timeoutMs?: number;
 	readonly signal?: AbortSignal;
+	/** True when the call goes on from an earlier one, whose version means nothing in a later era. */
+	readonly isWithinEra?: boolean;
 };
 
 const failureNamesByStatus: ReadonlyMap<number, ResultName> = new Map([
@@ -115,6 +117,7 @@
 			kind: 'watch',
 			...this.#dialect.formatWatch(prefix, fromVersion, boundedWaitMs),
 			timeoutMs: boundedWaitMs + this.#timeoutMs,
+			isWithinEra: true,
 			...(signal && {signal}),
 		}, response => this.#dialect.parseWatch(response, prefix));
 	}
@@ -137,7 +140,7 @@
 
 	/** Returns the first page's version for the whole list: a watch from there also delivers changes made between the pages. */
 	#listFrom(prefix: string, after: string | undefined): EitherAsync<Failure, ObjectList> {
-		return this.#send({kind: 'list', ...this.#dialect.formatList(prefix, after)}, response => this.#dialect.parsePage(response, prefix))
+		return this.#send({kind: 'list', isWithinEra: after !== undefined, ...this.#dialect.formatList(prefix, after)}, response => this.#dialect.parsePage(response, prefix))
 			.chain(({objects, version, next}) => next === undefined
 				? EitherAsync.liftEither(Right({objects, version}))
 				: this.#listFrom(prefix, next).map(rest => ({objects: [...objects, ...rest.objects], version})));
@@ -161,8 +164,25 @@
 		});
 	}
 
-	async #fetch({method, path, headers = {}, body, timeoutMs = this.#timeoutMs, signal}: RequestOptions): Promise<unknown> {
+	/**
+	 * Records the era of an answer. Fails the call if the answer is from an earlier era than the one known, whose state is gone, or
+	 * if the call needed the era to stay.
+	 */
+	#checkEra(before: number | undefined, era: number | undefined, isWithinEra: boolean): void {
+		if (era === undefined) {
+			return;
+		}
+
+		this.recordEra(era);
+		const known = this.getEra() ?? era;
+		if (era < known || (isWithinEra && before !== undefined && known > before)) {
+			throw new FailureError(createFailure('platformHistoryGone', `the store was restored: the answer is of era ${era}, the call began in ${before ?? 'none'}, ${known} is known`));
+		}
+	}
+
+	async #fetch({method, path, headers = {}, body, timeoutMs = this.#timeoutMs, signal, isWithinEra = false}: RequestOptions): Promise<unknown> {
 		const agent = this.#agent;
+		const eraBefore = this.getEra();
 		const abortController = new AbortController();
 		const handleAbort = (): void => {
 			abortController.abort();
@@ -183,6 +203,7 @@
 				origin: this.#origin, path, method, headers, body: body ?? null, signal: abortController.signal,
 			});
 			const text = await readBody(response.body);
+			this.#checkEra(eraBefore, this.#dialect.findEra(response.headers), isWithinEra);
 			if (response.statusCode >= 300) {
 				throw new FailureError(createStatusFailure(response.statusCode, text));
 			}
--- a/packages/object-store/src/plain-dialect.ts
+++ b/packages/object-store/src/plain-dialect.ts
@@ -37,6 +37,10 @@
 		return {method: 'GET', path: `/watch?prefix=${encodeURIComponent(prefix)}&from=${fromVersion}&wait=${waitMs}`};
 	}
 
+	override findEra(): undefined {
+		return undefined;
+	}
+
 	override parseObject(response: unknown): StoredObject {
 		return parseObject(response);
 	}
--- a/packages/object-store/src/store-dialect.ts
+++ b/packages/object-store/src/store-dialect.ts
@@ -15,6 +15,9 @@
 	readonly next?: string;
 };
 
+/** Headers of a response, their names in lower case. */
+export type ResponseHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
+
 /** Formats requests and parses responses; a parser throws a `FailureError` with `platformMalformed` for an invalid response. */
 export abstract class StoreDialect {
 	abstract formatGet(key: string): StoreRequest;
@@ -24,6 +27,8 @@
 	abstract formatRemove(key: string, version: number): StoreRequest;
 	/** `waitMs` is the longest time that the store may wait for a change, in milliseconds. */
 	abstract formatWatch(prefix: string, fromVersion: number, waitMs: number): StoreRequest;
+	/** Returns the era of the store that the headers of a response name; undefined if they name none. */
+	abstract findEra(headers: ResponseHeaders): number | undefined;
 	abstract parseObject(response: unknown, key: string): StoredObject;
 	abstract parsePage(response: unknown, prefix: string): ObjectPage;
 	abstract parseWatch(response: unknown, prefix: string): WatchResult;
--- a/packages/object-store/src/types.ts
+++ b/packages/object-store/src/types.ts
@@ -27,6 +27,12 @@
 	readonly version: number;
 };
 
+/** An era of the store that has become known, and the one known before; absent for the first one. */
+export type EraChange = {
+	readonly era: number;
+	readonly previous?: number;
+};
+
 /** Kinds of call, which are counted separately. */
 export type CallKind = 'get' | 'list' | 'create' | 'update' | 'delete' | 'watch';
 
--- a/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
+++ b/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {EitherAsync, Left, Right} from 'purify-ts';
 import {
-	createFailure, SilentLogger, type Failure, type LogEventName, type LogFields,
+	createFailure, SilentLogger, type Failure, type LogEventName, type LogFields, type Unregister,
 } from '@limpetbarrow/core';
 import {
 	ConfigurationSource, ConfigurationWatcher, emptyConfiguration, ReleaseState, type SourceReadResult,
@@ -32,6 +32,10 @@
 		this.#watchFailure = createFailure('platformUnavailable', detail);
 	}
 
+	override registerRestoreListener(): Unregister {
+		return () => undefined;
+	}
+
 	override read(): EitherAsync<Failure, SourceReadResult> {
 		this.reads++;
 		return EitherAsync.liftEither(this.isUnavailable ? Left(createFailure('platformUnavailable', 'away')) : Right(this.#createReadResult(0)));
--- a/packages/releases/src/__tests__/unit/watch-schedule.test.ts
+++ b/packages/releases/src/__tests__/unit/watch-schedule.test.ts
@@ -1,7 +1,9 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {EitherAsync, Left, Right} from 'purify-ts';
-import {createFailure, SilentLogger, type Failure} from '@limpetbarrow/core';
+import {
+	createFailure, SilentLogger, type Failure, type Unregister,
+} from '@limpetbarrow/core';
 import {type WatchOptions} from '@limpetbarrow/object-store';
 import {createSeededRandom} from '@limpetbarrow/stand-ins';
 import {
@@ -48,6 +50,10 @@
 		this.#waiters = [];
 	}
 
+	override registerRestoreListener(): Unregister {
+		return () => undefined;
+	}
+
 	override read(): EitherAsync<Failure, SourceReadResult> {
 		this.calls++;
 		this.readAt = performance.now();
--- a/packages/releases/src/configuration-source.ts
+++ b/packages/releases/src/configuration-source.ts
@@ -1,6 +1,6 @@
 /** Sources from which a node reads and watches the whole configuration. */
 import {EitherAsync, Right, type Either} from 'purify-ts';
-import {createFailure, type Failure} from '@limpetbarrow/core';
+import {createFailure, type Failure, type Unregister} from '@limpetbarrow/core';
 import {type ObjectStore, type WatchOptions} from '@limpetbarrow/object-store';
 import {type Configuration} from './types.js';
 
@@ -14,6 +14,8 @@
 export abstract class ConfigurationSource {
 	/** Reads the current configuration; resolves without one when the source holds none. */
 	abstract read(): EitherAsync<Failure, SourceReadResult>;
+	/** Calls `handleRestore` when the source was restored from an older copy, so that versions read before mean nothing. */
+	abstract registerRestoreListener(handleRestore: () => void): Unregister;
 	/** Waits for a change after `fromVersion`; resolves without a configuration when there was none within the wait time. */
 	abstract watch(fromVersion: number, options: WatchOptions): EitherAsync<Failure, SourceReadResult>;
 }
@@ -45,6 +47,14 @@
 		return this.#store.watch(this.#prefix, fromVersion, options).chain(({events, version}) => this.#createReadResult(events, version));
 	}
 
+	override registerRestoreListener(handleRestore: () => void): Unregister {
+		return this.#store.eraChanges.registerListener(({previous}) => {
+			if (previous !== undefined) {
+				handleRestore();
+			}
+		});
+	}
+
 	#createReadResult(objects: ReadonlyArray<{readonly key: string; readonly value?: string}>, version: number): EitherAsync<Failure, SourceReadResult> {
 		const text = objects.findLast(({key, value}) => key === this.#key && value !== undefined)?.value;
 		return EitherAsync.liftEither(text === undefined
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -4,7 +4,7 @@
  * over the fleet, doesn't grow with its size.
  */
 import {type Either} from 'purify-ts';
-import {type Failure, type Logger} from '@limpetbarrow/core';
+import {type Failure, type Logger, type Unregister} from '@limpetbarrow/core';
 import {computeBackOffMs} from './back-off.js';
 import {type ConfigurationSource, type SourceReadResult} from './configuration-source.js';
 import {type ReleaseState} from './release-state.js';
@@ -57,6 +57,7 @@
 	#isWatching = false;
 	#isInStandby = false;
 	#answeredAt = performance.now();
+	#unregisterRestoreListener: Unregister | undefined;
 
 	constructor(options: ConfigurationWatcherOptions) {
 		const {countWatchers = () => 1, random = Math.random} = options;
@@ -66,12 +67,16 @@
 
 	start(): void {
 		this.#isRunning = true;
+		this.#unregisterRestoreListener = this.#options.source.registerRestoreListener(() => {
+			this.#handleRestore();
+		});
 		this.#watchAllowedAt = performance.now() + (this.#options.isSelectedWatcher ? joinGracePeriodMs : 0);
 		this.#startTimer(0);
 	}
 
 	stop(): void {
 		this.#isRunning = false;
+		this.#unregisterRestoreListener?.();
 		clearTimeout(this.#timer);
 		this.#abortController.abort();
 	}
@@ -95,6 +100,20 @@
 		return performance.now() - this.#answeredAt;
 	}
 
+	/**
+	 * Reads again when the source was restored: a watch from a version of the lost history misses changes. A read that is in
+	 * progress goes on, as its answer is not older. A node that doesn't watch reads at its next check.
+	 */
+	#handleRestore(): void {
+		const isWatching = this.#version !== undefined && !this.#isInStandby;
+		this.#version = undefined;
+		if (isWatching) {
+			clearTimeout(this.#timer);
+			this.#abortController.abort();
+			this.#startTimer(0);
+		}
+	}
+
 	/** True when this node leaves watching to others. A node without a configuration always watches, since it can't serve before it has one. */
 	#isStandby(): boolean {
 		const {isSelectedWatcher = () => true, state} = this.#options;
