Write a node's entry again after the store was restored

Cause: a node believes that the store holds the entry and the departures that it has once acknowledged. After a restore it doesn't: the node is not found by new ones, all departures are refused if the entry is gone, and a process that restarts forgets a departure that was acknowledged, so its server gets requests again. Class: state of another process that is remembered and never checked.

Change: on a rise of the era the node's entry forgets what the store holds, and discovery writes it within a second, at a random moment, so that a fleet's calls are spread; a conflict merges with what the copy holds. Nodes publish the era in their profile, as an element that older builds ignore, so that those which make no call for a minute hear of it by gossip. They call the store then, and only its answer counts. The incarnation of a process stays what it was first written as.

--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -63,6 +63,8 @@
 	readonly state: 'serving' | 'stopping';
 	/** Number of the release in force on the node; 0 before the first release. */
 	readonly release: number;
+	/** Era of the platform's store, which rises when the store is restored; absent until the node has heard of one. */
+	readonly storeEra?: number;
 	readonly servers: readonly ServerRecord[];
 	/** Requests that crashed backend servers of this node. */
 	readonly poison: readonly PoisonMark[];
--- a/packages/members/src/message-codec.ts
+++ b/packages/members/src/message-codec.ts
@@ -35,6 +35,7 @@
 	ingressAddress: addressSchema,
 	adminAddress: addressSchema,
 	state: z.enum(['serving', 'stopping']),
+	storeEra: countSchema.optional(),
 });
 
 const serverSchema = z.looseObject({
@@ -137,11 +138,11 @@
 		: value;
 }
 
-/** Encodes a profile as an array. An address with the same host as the link address is shortened to its port. */
-function flattenProfile({placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state}: Profile): readonly unknown[] {
+/** Encodes a profile as an array; older builds ignore what follows the state. An address with the same host as the link address is shortened to its port. */
+function flattenProfile({placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state, storeEra}: Profile): readonly unknown[] {
 	const {host} = linkAddress;
 	const others = [gossipAddress, ingressAddress, adminAddress].map(address => address.host === host ? address.port : formatAddress(address));
-	return [placement.region, placement.failureDomain, formatAddress(linkAddress), ...others, profileStates.indexOf(state)];
+	return [placement.region, placement.failureDomain, formatAddress(linkAddress), ...others, profileStates.indexOf(state), ...(storeEra === undefined ? [] : [storeEra])];
 }
 
 function toAddress(value: unknown, host: string): unknown {
@@ -153,7 +154,7 @@
 		return undefined;
 	}
 
-	const [region, failureDomain, link, gossip, ingress, admin, state] = value as readonly unknown[];
+	const [region, failureDomain, link, gossip, ingress, admin, state, storeEra] = value as readonly unknown[];
 	const linkAddress = parseAddress(String(link));
 	const host = linkAddress?.host ?? '';
 	return {
@@ -163,6 +164,7 @@
 		ingressAddress: toAddress(ingress, host),
 		adminAddress: toAddress(admin, host),
 		state: profileStates[state as number],
+		...(storeEra !== undefined && {storeEra}),
 	};
 }
 
--- a/packages/members/src/record-parts.ts
+++ b/packages/members/src/record-parts.ts
@@ -9,7 +9,7 @@
 import {type NodeRecord, type PoisonMark, type ServerRecord} from '@limpetbarrow/core';
 
 /** The fields of a record that describe the node itself. */
-export type Profile = Pick<NodeRecord, 'placement' | 'linkAddress' | 'gossipAddress' | 'ingressAddress' | 'adminAddress' | 'state'>;
+export type Profile = Pick<NodeRecord, 'placement' | 'linkAddress' | 'gossipAddress' | 'ingressAddress' | 'adminAddress' | 'state' | 'storeEra'>;
 
 /** Value of a part; undefined in the slot of a backend server that was removed. */
 export type PartValue = Profile | number | readonly PoisonMark[] | ServerRecord | undefined;
@@ -53,9 +53,9 @@
 	return (hash + hashModulus - removed + hashPart(after)) % hashModulus;
 }
 
-function selectProfile({placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state}: NodeRecord): Profile {
+function selectProfile({placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state, storeEra}: NodeRecord): Profile {
 	return {
-		placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state,
+		placement, linkAddress, gossipAddress, ingressAddress, adminAddress, state, ...(storeEra !== undefined && {storeEra}),
 	};
 }
 
--- a/packages/node/src/configuration-metrics.ts
+++ b/packages/node/src/configuration-metrics.ts
@@ -17,6 +17,7 @@
 export function registerConfigurationMetrics(metrics: MetricRegistry, {store, state, getAnswerAgeMs}: ConfigurationMetricsOptions): void {
 	metrics.registerGauge('configuration_release', () => state.getNumber());
 	metrics.registerGauge('configuration_answer_age_ms', () => Math.round(getAnswerAgeMs()));
+	metrics.registerGauge('platform_store_era', () => store.getEra() ?? 0);
 	callKinds.forEach(kind => {
 		metrics.registerGauge(`platform_calls_total{kind="${kind}"}`, () => store.getCallCounts()[kind]);
 	});
--- a/packages/node/src/node-entry.ts
+++ b/packages/node/src/node-entry.ts
@@ -56,6 +56,8 @@
 	readonly #options: NodeEntryOptions;
 	#version: number | undefined;
 	#incarnation = 0;
+	/** True once an entry with the incarnation has been written; it stays the same from then on. */
+	#hasIncarnation = false;
 	#departures: LeftServers = new Map();
 	/** Departures that the entry in the object API is known to hold. */
 	#storedDepartures: LeftServers = new Map();
@@ -76,6 +78,12 @@
 		return this.#version !== undefined;
 	}
 
+	/** Forgets what the store is known to hold, because it was restored: the entry has to be written again. */
+	forgetStored(): void {
+		this.#version = undefined;
+		this.#storedDepartures = new Map();
+	}
+
 	/** Writes the entry of this process, and reads the departures that the previous process stored. */
 	write(): EitherAsync<Failure, void> {
 		return this.#enqueue(async () => this.isWritten() ? Right(undefined) : this.#createEntry().run());
@@ -117,13 +125,14 @@
 			.chainLeft(failure => failure.name === 'platformConflict'
 				? store.get(this.key).chain(stored => {
 					const fields = parseNodeEntry(stored.value);
-					this.#incarnation = this.isWritten() ? this.#incarnation : computeIncarnation(fields);
+					this.#incarnation = this.#hasIncarnation ? this.#incarnation : computeIncarnation(fields);
 					this.#departures = mergeLeft(this.#departures, new Map(Object.entries(fields?.left ?? {})));
 					handleStoredDepartures(this.#departures);
 					return store.update(this.key, this.#formatEntry(), stored.version);
 				})
 				: EitherAsync.liftEither(Left(failure)))
 			.ifRight(({version, value}) => {
+				this.#hasIncarnation = true;
 				this.#version = version;
 				this.#storedDepartures = new Map(Object.entries(parseNodeEntry(value)?.left ?? {}));
 			})
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -227,6 +227,7 @@
 		this.#sweepTimer = setInterval(() => {
 			this.#announcements.sweep();
 			this.#egress.sweep();
+			this.#discovery.applyHeardEra(Math.max(0, ...this.#table.listLive().map(({record: {storeEra = 0}}) => storeEra)));
 		}, announcementSweepMs);
 		this.#options.logger.log('nodeStarted', {incarnation: this.#table.self.incarnation, service: settings.service});
 	}
@@ -305,6 +306,19 @@
 		this.#announcements.store.registerListener(() => {
 			this.#table.updateSelf(() => ({servers: this.#listServers(), poison: this.#egress.listPoison()}));
 		});
+		const {store} = this.#options.platform;
+		const publishEra = (era: number): void => {
+			this.#table.updateSelf(() => ({storeEra: era}));
+		};
+
+		store.eraChanges.registerListener(({era}) => {
+			publishEra(era);
+		});
+		const era = store.getEra();
+		if (era !== undefined) {
+			publishEra(era);
+		}
+
 		this.#releases.store.registerListener(({before, after}) => {
 			const {release, routes, skipped = []} = after.configuration;
 			this.#options.logger.log('releaseInForce', {
--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/store-discovery.ts
@@ -2,10 +2,10 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {EitherAsync, Left} from 'purify-ts';
 import {
-	createFailure, parseAddress, pickRandom, type Address, type Failure, type Logger,
+	createFailure, parseAddress, pickRandom, type Address, type Failure, type Logger, type Unregister,
 } from '@limpetbarrow/core';
 import {type LeftServers} from '@limpetbarrow/members';
-import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
+import {type EraChange, type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 import {NodeEntry, nodeKeyPrefix, parseNodeEntry} from './node-entry.js';
 
 /** Dependencies of discovery. */
@@ -32,6 +32,8 @@
 const maxRetryMs = 4000;
 /** Time between two sweeps for the entries of nodes that are gone, in milliseconds. */
 const sweepPeriodMs = 60_000;
+/** Time over which the nodes spread their calls after the store was restored, in milliseconds. */
+const restoreSpreadMs = 1000;
 /** Time after which a node that knows no other live node lists the entries again, in milliseconds. */
 const isolatedPollPeriodMs = 2000;
 
@@ -52,16 +54,25 @@
 export class StoreDiscovery {
 	readonly #options: StoreDiscoveryOptions;
 	readonly #entry: NodeEntry;
+	readonly #unregisterEraListener: Unregister;
 	#timer: NodeJS.Timeout | undefined;
 	#retryMs = firstRetryMs;
 	#sweptAt = performance.now();
 	#absentKeys: ReadonlySet<string> = new Set();
+	#isStarted = false;
 	#isStopped = false;
+	#heardEra = 0;
+	#isRunning = false;
+	/** True when the entry has to be checked again after the run in progress. */
+	#isCheckDue = false;
 
 	constructor(options: StoreDiscoveryOptions) {
 		this.#options = options;
 		const {store, self, handleDepartures = () => undefined} = options;
 		this.#entry = new NodeEntry({store, self, handleStoredDepartures: handleDepartures});
+		this.#unregisterEraListener = store.eraChanges.registerListener(change => {
+			this.#handleEraChange(change);
+		});
 	}
 
 	/**
@@ -87,15 +98,50 @@
 
 	/** Starts to list the entries, and writes this node's entry if it has not been written yet. */
 	start(): void {
+		this.#isStarted = true;
 		this.#startTimer(0);
 	}
 
+	/**
+	 * Calls the store within a second if another node has heard of a later era than this one: a node that doesn't watch may make
+	 * no call for a minute.
+	 */
+	applyHeardEra(heardEra: number): void {
+		const knownEra = this.#options.store.getEra();
+		if (knownEra !== undefined && heardEra > Math.max(knownEra, this.#heardEra)) {
+			this.#heardEra = heardEra;
+			this.#checkSoon();
+		}
+	}
+
 	/** Stops discovery; this node's entry stays until another node sweeps it. */
 	stop(): void {
 		this.#isStopped = true;
+		this.#unregisterEraListener();
 		clearTimeout(this.#timer);
 	}
 
+	/** Writes the entry again when the store was restored, as it may lack the entry. */
+	#handleEraChange({era, previous}: EraChange): void {
+		if (previous === undefined) {
+			return;
+		}
+
+		this.#options.logger.log('storeRestored', {era, previous});
+		this.#entry.forgetStored();
+		this.#checkSoon();
+	}
+
+	/** Calls the store at a random moment within the spread, without waiting for the next sweep. */
+	#checkSoon(): void {
+		if (this.#isRunning) {
+			this.#isCheckDue = true;
+		} else if (this.#isStarted) {
+			clearTimeout(this.#timer);
+			this.#startTimer(Math.random() * restoreSpreadMs);
+		}
+	}
+
 	#startTimer(delayMs: number): void {
 		if (!this.#isStopped) {
 			this.#timer = setTimeout(() => {
@@ -106,6 +152,7 @@
 
 	async #runDiscovery(): Promise<void> {
 		const {logger, listLiveIds, store} = this.#options;
+		this.#isRunning = true;
 		const list = store.list(nodeKeyPrefix);
 		const result = await this.#entry.write().chain(() => list).run();
 		result.ifRight(({objects}) => {
@@ -114,7 +161,11 @@
 		}).ifLeft(({code, detail}) => {
 			logger.log('discoveryFailed', {code, detail});
 		});
-		if (result.isLeft()) {
+		this.#isRunning = false;
+		if (this.#isCheckDue) {
+			this.#isCheckDue = false;
+			this.#checkSoon();
+		} else if (result.isLeft()) {
 			this.#startTimer(this.#retryMs * (0.5 + Math.random()));
 			this.#retryMs = Math.min(maxRetryMs, this.#retryMs * 2);
 		} else {
