--- a/packages/node/src/node-entry.ts
+++ b/packages/node/src/node-entry.ts
@@ -117,11 +117,12 @@
 
 	/**
 	 * Merges with the stored entry after a conflict. The previous process may have written it, or a call of this process whose
-	 * answer was lost.
+	 * answer was lost. An entry that is gone is created again.
 	 */
 	#handleConflict(call: EitherAsync<Failure, StoredObject>): EitherAsync<Failure, void> {
 		const {store, handleStoredDepartures} = this.#options;
 		return call
+			.chainLeft(failure => failure.name === 'platformNotFound' ? store.create(this.key, this.#formatEntry()) : EitherAsync.liftEither(Left(failure)))
 			.chainLeft(failure => failure.name === 'platformConflict'
 				? store.get(this.key).chain(stored => {
 					const fields = parseNodeEntry(stored.value);
