--- a/packages/soak/src/__tests__/unit/fault-plan.test.ts
+++ b/packages/soak/src/__tests__/unit/fault-plan.test.ts
@@ -14,7 +14,7 @@
 
 	it('holds every kind within two hundred seeds', () => {
 		const kinds = new Set(seeds.flatMap(seed => createFaultPlan({...options, seed}).map(({kind}) => kind)));
-		expect([...kinds].toSorted((a, b) => a.localeCompare(b))).to.deep.equal(['rollNodes', 'limitServer', ...domainKinds, ...plannedKinds, ...unplannedKinds].toSorted((a, b) => a.localeCompare(b)));
+		expect([...kinds].toSorted((a, b) => a.localeCompare(b))).to.deep.equal(['rollNodes', 'limitServer', 'restoreStore', ...domainKinds, ...plannedKinds, ...unplannedKinds].toSorted((a, b) => a.localeCompare(b)));
 	});
 
 	it('has planned work only in the runs that say so', () => {
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -32,10 +32,10 @@
 export const domainKinds = ['killDomainServers', 'resetServerAnswers'] as const;
 
 /**
- * What can happen in a soak run; `rollNodes` stops and starts all nodes in turn, each before the one before it is back, and
- * `limitServer` lets a backend server name a limit that falls.
+ * What can happen in a soak run; `rollNodes` stops and starts all nodes in turn, each before the one before it is back,
+ * `limitServer` lets a backend server name a limit that falls, and `restoreStore` brings the store back from a copy.
  */
-export type FaultKind = 'rollNodes' | 'limitServer' | typeof domainKinds[number] | typeof plannedKinds[number] | typeof unplannedKinds[number];
+export type FaultKind = 'rollNodes' | 'limitServer' | 'restoreStore' | typeof domainKinds[number] | typeof plannedKinds[number] | typeof unplannedKinds[number];
 
 /** One fault. */
 export type SoakFault = {
@@ -129,6 +129,17 @@
 	return Array.from({length: count}, () => createFault(pick, domainKinds, options)).flatMap(fault => createSeries(pick, fault, options));
 }
 
+/** Share of the runs in which the store is restored, once or twice, and the offset of the seed from which this is drawn. */
+const restoreShare = 0.3;
+const restoreSeedOffset = 19;
+const maxRestores = 2;
+
+function createRestores(options: FaultPlanOptions): readonly SoakFault[] {
+	const pick = createSeededRandom(options.seed + restoreSeedOffset);
+	const count = !isPlannedRun(options.seed) && pick() < restoreShare ? 1 + Math.floor(pick() * maxRestores) : 0;
+	return Array.from({length: count}, () => createFault(pick, ['restoreStore'], options));
+}
+
 /** The faults of a run, by time; the same for the same seed. */
 export function createFaultPlan(options: FaultPlanOptions): readonly SoakFault[] {
 	const pick = createSeededRandom(options.seed);
@@ -136,6 +147,6 @@
 	const count = minFaults + Math.floor(pick() * (maxFaults - minFaults + 1));
 	const faults = Array.from({length: count}, () => createFault(pick, kinds, options))
 		.flatMap(fault => createSeries(pick, fault, options));
-	return [...faults, ...createRoll(options), ...createLimits(options), ...createDomainFaults(options)]
+	return [...faults, ...createRoll(options), ...createLimits(options), ...createDomainFaults(options), ...createRestores(options)]
 		.toSorted((a, b) => a.atMs - b.atMs);
 }
