Gated server: move the started exchanges to a class of their own

Change: StartedExchanges holds those with and without a slot; names only else. No behaviour changes.

Measured: the checks of the tree, and the tests of crashed responses, limits, calls and the host's egress pass.

--- a/packages/node/src/__tests__/raw-backend.ts
+++ b/packages/node/src/__tests__/raw-backend.ts
@@ -61,7 +61,7 @@
 		});
 	}
 
-	resetConnections(): void {
+	closeConnectionsByReset(): void {
 		this.#sockets.forEach(socket => {
 			socket.resetAndDestroy();
 		});
--- a/packages/node/src/__tests__/unit/crashed-responses.test.ts
+++ b/packages/node/src/__tests__/unit/crashed-responses.test.ts
@@ -190,7 +190,7 @@
 					socket.write(formatUnframed(text, half));
 					setTimeout(() => {
 						socket.write(half.slice(1), () => {
-							fixture.backend.resetConnections();
+							fixture.backend.closeConnectionsByReset();
 						});
 					}, firstHalfPauseMs);
 				});
--- a/packages/node/src/crash-detector.ts
+++ b/packages/node/src/crash-detector.ts
@@ -61,7 +61,7 @@
 	/** Opens the spare connection unless it is open. */
 	openSpare(): void {
 		if (this.#spare === undefined && !this.#isClosed) {
-			this.#keepSpare(this.#connect());
+			this.#setSpare(this.#connect());
 		}
 	}
 
@@ -74,12 +74,12 @@
 		this.#pendingJudgements++;
 		const earlier = [...this.#earlierConnections];
 		const newConnection = this.#connect();
-		await this.#observe(newConnection);
+		await this.#waitForObservation(newConnection);
 		await waitForReadyEvents();
 		const reason = this.#findReason(earlier, newConnection);
 		this.#pendingJudgements--;
 		if (this.#spare === undefined && !this.#isClosed && !newConnection.destroyed) {
-			this.#keepSpare(newConnection);
+			this.#setSpare(newConnection);
 		} else {
 			newConnection.destroy();
 		}
@@ -95,7 +95,7 @@
 	}
 
 	/** Waits for the time of the observation, or until the new connection has ended. */
-	async #observe(newConnection: Socket): Promise<void> {
+	async #waitForObservation(newConnection: Socket): Promise<void> {
 		const timer = new AbortController();
 		newConnection.once('close', () => {
 			timer.abort();
@@ -138,7 +138,7 @@
 		return socket;
 	}
 
-	#keepSpare(socket: Socket): void {
+	#setSpare(socket: Socket): void {
 		this.#spare = socket;
 		socket.once('close', () => {
 			this.#spare = undefined;
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -10,9 +10,10 @@
 import {BackendExchange} from './backend-exchange.js';
 import {CrashDetector} from './crash-detector.js';
 import {ServerConnections} from './server-connections.js';
-import {type QueuedExchange, type RunningExchange, type SlotReservation} from './gated-exchanges.js';
+import {type QueuedExchange, type SlotReservation} from './gated-exchanges.js';
 import {type GatedServerOptions} from './gated-server-options.js';
 import {ServerOutcomes} from './server-outcomes.js';
+import {StartedExchanges} from './started-exchanges.js';
 import {ServerLimit, type LimitedHead} from './server-limit.js';
 
 /** Priority of requests that carry none; lower numbers go first. */
@@ -31,9 +32,7 @@
 	readonly #gate = new AdmissionController(performance.now());
 	readonly #outcomes: ServerOutcomes;
 	readonly #queue = new WaitQueue<QueuedExchange>();
-	readonly #running = new Map<BackendExchange, RunningExchange>();
-	/** Exchanges whose response has ended and is not known to be complete yet; they hold no slot. */
-	readonly #judged = new Map<BackendExchange, RunningExchange>();
+	readonly #started = new StartedExchanges();
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
 	readonly #connections: ServerConnections;
@@ -47,12 +46,12 @@
 		this.#announcement = server;
 		this.#limit = new ServerLimit(options.reportLimit);
 		this.#outcomes = new ServerOutcomes(this.#gate, options);
-		this.#crashDetector = new CrashDetector({address: server.address, isInUse: () => this.#running.size > 0});
+		this.#crashDetector = new CrashDetector({address: server.address, isInUse: () => this.#started.countRunning() > 0});
 		this.#connections = new ServerConnections({
 			address: server.address,
 			connections: this.#countSlots(),
 			handleEnd: () => {
-				[...this.#running.keys()].forEach(exchange => {
+				this.#started.listRunning().forEach(({exchange}) => {
 					exchange.resumeReading();
 				});
 			},
@@ -75,7 +74,8 @@
 				// The request is admitted before its body arrives; `handleBodyEnd` starts or queues it.
 			},
 			handleServerDone: () => {
-				this.#handleServerDone(exchange);
+				this.#started.releaseSlot(exchange);
+				this.#startNext();
 			},
 			judgeEnd: async () => this.#crashDetector.judgeEnd(),
 			handleBodyEnd: ended => {
@@ -103,7 +103,7 @@
 		const now = performance.now();
 		return {
 			serverId: this.#announcement.id,
-			freeSlots: Math.max(0, this.#countSlots() - this.#running.size),
+			freeSlots: Math.max(0, this.#countSlots() - this.#started.countRunning()),
 			queued: this.#queue.count(),
 			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad({priority}), now)),
 			workMs: Math.round(this.#gate.estimateWork(route, now)),
@@ -115,7 +115,7 @@
 
 	/** Finds the running request that caused a call with this id: the id of a call begins with its parent's id. */
 	findParentRequest(requestId: string): RequestHead | undefined {
-		return [...this.#running.values()].find(({head}) => requestId.length > head.requestId.length && requestId.startsWith(head.requestId))?.head;
+		return this.#started.findParentRequest(requestId);
 	}
 
 	/** Records that the backend server began a call for one of its running requests. */
@@ -136,7 +136,7 @@
 
 	/** Number of requests that are running, waiting, or whose body is arriving, and of responses whose end is being judged. */
 	countRequests(): number {
-		return this.#running.size + this.#judged.size + this.#queue.count() + this.#reservations.size;
+		return this.#started.count() + this.#queue.count() + this.#reservations.size;
 	}
 
 	/** Applies a newer announcement from the same address; waiting requests are refused if the backend server is leaving. */
@@ -172,7 +172,7 @@
 		const ahead = this.#queue.selectAhead(request.priority ?? defaultPriority);
 		return {
 			slots: this.#countSlots(),
-			running: [...this.#running.values(), ...this.#reservations.values()],
+			running: [...this.#started.listRunning(), ...this.#reservations.values()],
 			ahead,
 			waitingCount: this.#queue.count(),
 			limitWaitMs: this.#limit.computeWait(request, ahead.length + this.#reservations.size),
@@ -232,7 +232,7 @@
 		const {isHealthIgnored} = reservation;
 		if (this.#isUnfit({head, isHealthIgnored})) {
 			this.#refuseUnfit(exchange, head);
-		} else if (this.#running.size < this.#countSlots() && this.#queue.count() === 0 && this.#limit.computeWait(head) === 0) {
+		} else if (this.#started.countRunning() < this.#countSlots() && this.#queue.count() === 0 && this.#limit.computeWait(head) === 0) {
 			this.#start(exchange, head);
 		} else {
 			this.#enqueue(exchange, head, isHealthIgnored);
@@ -338,28 +338,15 @@
 			this.#outcomes.recordOverdue(head);
 			this.#refuseQueuedUnfit();
 		}, Math.max(minOverdueMs, workMs * overdueFactor));
-		this.#running.set(exchange, {
+		this.#started.add({
 			exchange, head, startedAt: now, workMs, overdueTimer,
 		});
 		this.#crashDetector.openSpare();
 		exchange.start(this.#connections.select(head.isRepeatable));
 	}
 
-	#handleServerDone(exchange: BackendExchange): void {
-		const done = this.#running.get(exchange);
-		if (done) {
-			clearTimeout(done.overdueTimer);
-			this.#running.delete(exchange);
-			this.#judged.set(exchange, done);
-			this.#startNext();
-		}
-	}
-
 	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
-		const finished = this.#running.get(exchange) ?? this.#judged.get(exchange);
-		this.#running.delete(exchange);
-		this.#judged.delete(exchange);
-		clearTimeout(finished?.overdueTimer);
+		const finished = this.#started.remove(exchange);
 		if (finished && failure) {
 			this.#options.reportFailure(finished.head, failure);
 		}
@@ -381,7 +368,7 @@
 			this.#removeQueued(queuedExchange);
 			this.#refuseExchange(queuedExchange.exchange, queuedExchange.head, createFailure('queueDeadline', 'too little time is left to complete the request'));
 		});
-		if (this.#queue.count() === 0 || this.#running.size >= this.#countSlots()) {
+		if (this.#queue.count() === 0 || this.#started.countRunning() >= this.#countSlots()) {
 			return;
 		}
 
