Write a node's entry again when the list of nodes lacks it

Cause: a node looked at the others' entries only.

Change: a node that doesn't find its entry in the list writes it again.

Measured: the new store-discovery.test.ts passes, and fails with the condition taken out.

--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/store-discovery.ts
@@ -181,6 +181,11 @@
 		const contacts = [...pickRandom(sameDomainEntries, maxSameDomainContacts), ...pickRandom(otherDomainEntries, maxOtherDomainContacts)].flatMap(({gossip}) => parseAddress(gossip) ?? []);
 		logger.log('discoveryDone', {nodes: otherEntries.length + 1, contacts: contacts.length, incarnation: this.#entry.getIncarnation()});
 		handlePeers(contacts);
+		if (!objects.some(({key}) => key === this.#entry.key)) {
+			this.#entry.forgetStored();
+			this.#checkSoon();
+		}
+
 		void this.#sweepStaleEntries(objects);
 	}
 
