--- a/packages/members/src/__tests__/unit/message-codec.test.ts
+++ b/packages/members/src/__tests__/unit/message-codec.test.ts
@@ -66,6 +66,20 @@
 			expect(decodeMessage(encodeMessage(message)).unsafeCoerce()).to.deep.equal(message);
 		});
 
+		it('preserves the era of the store, and a record without one', () => {
+			const eras = [undefined, 0, 7].map(storeEra => {
+				const parts = selectChangedParts({...record, ...(storeEra !== undefined && {storeEra})}, [], 1);
+				const message: MemberMessage = {
+					kind: 'rumor', sender, updates: parts.map(part => ({
+						kind: 'part', id: 'n2', incarnation: 1, part,
+					})),
+				};
+				const decoded = decodeMessage(encodeMessage(message)).unsafeCoerce();
+				return createRecord('n2', 1, 'updates' in decoded ? decoded.updates.flatMap(update => update.kind === 'part' ? [update.part] : []) : [])?.storeEra;
+			});
+			expect(eras).to.deep.equal([undefined, 0, 7]);
+		});
+
 		it('assembles the record from its parts in any order', () => {
 			const parts = selectChangedParts(record, [], 1);
 			expect(createRecord('n2', 1, parts.toReversed())).to.have.deep.property('poison', record.poison);
--- a/packages/node/src/started-exchanges.ts
+++ b/packages/node/src/started-exchanges.ts
@@ -12,7 +12,7 @@
 		this.#running.set(running.exchange, running);
 	}
 
-	/** Takes the slot of an exchange whose response has ended; its timer for an overdue response ends. */
+	/** Frees the slot of an exchange whose response has ended; its timer for an overdue response ends. */
 	releaseSlot(exchange: BackendExchange): void {
 		const done = this.#running.get(exchange);
 		if (done) {
