Relay: don't reset a connection whose shutdown is under way

Cause: three of four soak drivers stayed busy after their summary, with no process or server left and, in the one that was looked at, five sockets open. Suspected: libuv refuses a reset beside a shutdown and leaves the handle open, which then reports its hang-up again and again.

Change: a relay resets a connection only if its end hasn't been written.

--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -174,7 +174,8 @@
 	#closePair(pair: Pair): void {
 		this.#pairs.delete(pair);
 		[pair.near, pair.far].forEach(socket => {
-			if (pair.isReset) {
+			// A reset beside a shutdown that is under way fails and would leave the handle open.
+			if (pair.isReset && !socket.writableEnded) {
 				socket.resetAndDestroy();
 			} else {
 				socket.destroy();
