Bound what a node holds for callers by one account, before the parser

Cause: Node's http parses all that one read brings (64 KiB, up to 2,400 heads) before any limit of the node applies, and resumes a paused socket whenever the body of a message is read. Requests beyond the sixteen in progress were "left unread" as objects that never ended. Nothing added up what heads, bodies and unread responses take, and nothing bounded connections. Change: a paced connection between socket and parser feeds one head at a time, and nothing while the connection's requests hold 256 KiB; an account of heads as parsed, bodies, responses and unparsed bytes closes the worst connections above a bound from heap and memory; connections are bounded by the descriptors, the one idle for longest goes first. Control, readiness, metrics and admin serve one request of a connection at a time; the first frame of a link is at most 4 KiB; small parts of bodies are joined. The check of names takes those of Node's streams and sockets, as it does for other libraries' interfaces.

--- a/packages/checks/src/function-names.ts
+++ b/packages/checks/src/function-names.ts
@@ -40,8 +40,8 @@
 	return names;
 }
 
-/** Names given by the interfaces of libraries. */
-const foreignNames = /^(?:on[A-Z]|subscribe$|unsubscribe$|\[)/v;
+/** Names given by the interfaces of libraries, and of Node's streams and sockets. */
+const foreignNames = /^(?:on[A-Z]|subscribe$|unsubscribe$|\[|_(?:read|writev?|final|destroy)$|destroySoon$|resetAndDestroy$)/v;
 
 /** Finds the faults of one file. */
 export function findNameFaults({path, text}: SourceFile, verbs: ReadonlySet<string>): readonly NameFault[] {
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -31,6 +31,7 @@
 	settingsApplied: {number: 110, level: 'info', meaning: 'The settings were read again; the settings that are named have changed.'},
 	settingsNotApplied: {number: 111, level: 'warn', meaning: 'The settings could not be read again; the previous ones stay in force.'},
 	logLinesDropped: {number: 112, level: 'warn', meaning: 'Log lines were dropped because the limits of the log were reached.'},
+	callersClosed: {number: 113, level: 'warn', meaning: 'Connections were closed because the node holds too much for them or has too many; one line a second at most, with their number (`closed`).'},
 
 	// Links
 	linkOpened: {number: 201, level: 'info', meaning: 'A link session to another node began.'},
--- a/packages/link/src/constants.ts
+++ b/packages/link/src/constants.ts
@@ -4,6 +4,12 @@
 /** Size of the prefix before a frame's header, in bytes: the frame length (4) and the header length (2). */
 export const framePrefixBytes = 6;
 
+/** Largest frame before the handshake of a connection, in bytes: whoever connects may send it. */
+export const handshakeFrameBytes = 4096;
+
+/** Largest number of connections that have not sent their hello; a whole fleet that reconnects at once stays below it. */
+export const maxPendingConnections = 1024;
+
 /** Interval between heartbeats on a connection with exchanges in progress, in milliseconds. */
 export const heartbeatIntervalMs = 500;
 
--- a/packages/link/src/frame-codec.ts
+++ b/packages/link/src/frame-codec.ts
@@ -58,6 +58,13 @@
 	#chunks: Uint8Array[] = [];
 	#pendingBytes = 0;
 	#neededBytes = frameLengthFieldBytes;
+	/** Largest length of the next frame, in bytes. */
+	#maxBytes: number;
+
+	/** `maxFirstBytes` bounds the first frame, which whoever connects may send. */
+	constructor(maxFirstBytes = maxFrameBytes) {
+		this.#maxBytes = maxFirstBytes;
+	}
 
 	/** Adds bytes and returns the packets that they complete, up to and including the first malformed one. */
 	decode(chunk: Uint8Array): ReadonlyArray<Either<Failure, Packet>> {
@@ -73,7 +80,7 @@
 		let needed = frameLengthFieldBytes;
 		while (bytes.length - start >= frameLengthFieldBytes) {
 			const length = readUint32(bytes, start);
-			if (length < headerLengthFieldBytes || length > maxFrameBytes) {
+			if (length < headerLengthFieldBytes || length > this.#maxBytes) {
 				packets.push(Left(createFailure('frameTooLarge', `a frame length of ${length} bytes is out of range`)));
 				break;
 			}
@@ -90,6 +97,7 @@
 				break;
 			}
 
+			this.#maxBytes = maxFrameBytes;
 			start = end;
 		}
 
--- a/packages/link/src/frame-connection.ts
+++ b/packages/link/src/frame-connection.ts
@@ -3,6 +3,7 @@
 import {type Socket} from 'node:net';
 import {foldResult, type Unregister} from '@limpetbarrow/core';
 import {Connection, type ConnectionHandler} from './connection.js';
+import {handshakeFrameBytes} from './constants.js';
 import {encodePacketHeader, FrameDecoder} from './frame-codec.js';
 import {type Packet} from './types.js';
 
@@ -11,7 +12,7 @@
 /** Encodes and decodes packets on a socket. Packets sent in one turn of the event loop are written together. */
 export class FrameConnection extends Connection {
 	readonly #socket: Socket;
-	readonly #decoder = new FrameDecoder();
+	readonly #decoder = new FrameDecoder(handshakeFrameBytes);
 	#handler: ConnectionHandler | undefined;
 	#lastReceivedAt = performance.now();
 	#isRefused = false;
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -4,7 +4,9 @@
 	createFailure, MetricRegistry, type Address, type Carrier, type Failure, type Logger, type NodeIdentity, type RequestTarget,
 } from '@limpetbarrow/core';
 import {type Connection} from './connection.js';
-import {connectTimeoutMs, heartbeatIntervalMs, maxSessions} from './constants.js';
+import {
+	connectTimeoutMs, heartbeatIntervalMs, maxPendingConnections, maxSessions,
+} from './constants.js';
 import {FrameConnection} from './frame-connection.js';
 import {ServerSession} from './server-session.js';
 import {type HelloFrame, type Packet} from './types.js';
@@ -48,7 +50,7 @@
 
 	/** Accepts a connection. Its first frame must be a hello and arrive within `connectTimeoutMs`. */
 	acceptConnection(connection: Connection): void {
-		if (this.#pendingConnections.size >= maxSessions) {
+		if (this.#pendingConnections.size >= maxPendingConnections) {
 			connection.close();
 			return;
 		}
--- a/packages/node/src/admin-server.ts
+++ b/packages/node/src/admin-server.ts
@@ -1,7 +1,5 @@
 /** The admin API of a node: JSON over HTTP for operators, backend servers and other nodes. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {
 	createFailure, FailureError, foldResult, type Address, type Failure, type Logger, type MetricRegistry,
@@ -15,6 +13,7 @@
 import {type AdminRoute} from './admin-route.js';
 import {formatRawFailure, sendFailure, sendJson} from './http-responses.js';
 import {parseJsonBody, readBoundedText} from './read-body.js';
+import {createSequentialServer} from './sequential-server.js';
 
 /** Dependencies of the admin API. */
 export type AdminServerOptions = {
@@ -28,7 +27,7 @@
 };
 
 const requestTimeoutMs = 30_000;
-const maxConnections = 1000;
+const maxConnections = 256;
 
 function toFailure(error: unknown): Failure {
 	return error instanceof FailureError ? error.failure : createFailure('internalError', String(error));
@@ -46,10 +45,11 @@
 			...createFleetRoutes(options),
 			...new ReleaseRoutes(options.platform, options.releases, options.logger).list(),
 		];
-		this.#server = createServer({requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs}, (message, response) => {
+		this.#server = createSequentialServer({
+			name: 'admin', maxConnections, requestTimeoutMs, metrics: options.metrics, logger: options.logger,
+		}, (message, response) => {
 			void this.#handleRequest(message, response);
 		});
-		this.#server.maxConnections = maxConnections;
 		this.#server.on('clientError', (error, socket) => {
 			if (socket.writable) {
 				socket.end(formatRawFailure(createFailure('malformedRequest', error.message)));
--- a/packages/node/src/buffered-response.ts
+++ b/packages/node/src/buffered-response.ts
@@ -4,7 +4,7 @@
 /** Buffers one response. A response larger than a flow-control window is streamed once it has been selected. */
 export class BufferedResponse {
 	#head: ResponseHead | undefined;
-	#chunks: readonly Uint8Array[] = [];
+	#chunks: Uint8Array[] = [];
 	#bufferedBytes = 0;
 	#handler: ExchangeHandler | undefined;
 
@@ -25,7 +25,7 @@
 		}
 
 		this.#bufferedBytes += chunk.length;
-		this.#chunks = [...this.#chunks, chunk];
+		this.#chunks.push(chunk);
 		return this.#bufferedBytes < exchangeWindowBytes;
 	}
 
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -3,20 +3,31 @@
  * responses in the order of the requests.
  */
 import {type ServerResponse} from 'node:http';
-import {type Socket} from 'node:net';
 import {type Failure} from '@limpetbarrow/core';
+import {estimateRequestBytes, type ConnectionMemory} from './caller-memory.js';
+import {type PacedConnection} from './paced-connection.js';
 
 /** Maximum number of requests in progress on one connection; requests behind them are left unread. */
 export const maxPipelinedRequests = 16;
 
+/** How a connection learns of its node, and tells of itself. */
+export type CallerConnectionOptions = {
+	/** True once a planned stop of the node has begun. */
+	readonly isStopping: () => boolean;
+	/** Called when a request begins or ends. */
+	readonly recordActivity: () => void;
+};
+
 /**
  * Decides which requests are read, when they may be forwarded and which response closes the connection. The response that
  * closes it is always the last one, and nothing is forwarded behind a response that may still have to be reset, so a request
  * that was forwarded doesn't lose its response to the one before it.
  */
 export class CallerConnection {
-	readonly #socket: Socket;
+	readonly #socket: PacedConnection;
+	readonly #memory: ConnectionMemory;
 	readonly #isStopping: () => boolean;
+	readonly #recordActivity: () => void;
 	/** Responses still to be sent, in the order of their requests. */
 	#pendingResponses: readonly ServerResponse[] = [];
 	/** Callbacks of the pending responses that wait for those before them. */
@@ -29,15 +40,32 @@
 	#responseEndedByClose: ServerResponse | undefined;
 	#readFailure: Failure | undefined;
 
-	/** `isStopping` tells whether a planned stop of the node has begun. */
-	constructor(socket: Socket, isStopping: () => boolean) {
+	constructor(socket: PacedConnection, memory: ConnectionMemory, {isStopping, recordActivity}: CallerConnectionOptions) {
 		this.#socket = socket;
+		this.#memory = memory;
 		this.#isStopping = isStopping;
+		this.#recordActivity = recordActivity;
 		socket.once('close', () => {
+			memory.close();
 			this.#closePendingResponses();
 		});
 	}
 
+	/** The account of what is held for the connection. */
+	get memory(): ConnectionMemory {
+		return this.#memory;
+	}
+
+	/** True while bytes of the connection may be parsed: the rest of a body, or another request if there is room for one. */
+	isFeedable(): boolean {
+		const last = this.#pendingResponses.at(-1);
+		if (last?.req.complete === false) {
+			return true;
+		}
+
+		return !this.#isClosing && (last === undefined || this.#memory.hasRequestRoom());
+	}
+
 	/**
 	 * Accepts a request. Returns false, leaving it unread, if an earlier response closes the connection or too many are in
 	 * progress. A stopping node reads no request behind one in progress, whose response could come too late for it to follow.
@@ -51,11 +79,17 @@
 
 		this.#pendingResponses = [...this.#pendingResponses, response];
 		this.#isClosing = !response.shouldKeepAlive;
+		const bytes = estimateRequestBytes(response.req.rawHeaders, response.req.url ?? '');
+		this.#memory.addRequestBytes(bytes);
+		this.#recordActivity();
 		response.once('close', () => {
+			this.#recordActivity();
+			this.#memory.addRequestBytes(-bytes);
 			this.#pendingResponses = this.#pendingResponses.filter(other => other !== response);
 			this.#forwardHandlers.delete(response);
 			this.#startTurn();
 			this.#forwardRequests();
+			this.#socket.resumeFeeding();
 		});
 		return true;
 	}
@@ -125,12 +159,11 @@
 	closeIfIdle(): void {
 		if (!this.hasPendingResponses()) {
 			this.#isClosing = true;
-			this.#socket.pause();
 			this.#socket.destroySoon();
 		}
 	}
 
-	/** Closes the connection after the last pending response and stops reading from it. */
+	/** Closes the connection after the last pending response; later requests are left unread. */
 	closeAfterLastResponse(): void {
 		const last = this.#pendingResponses.at(-1);
 		if (last?.headersSent === true && !this.#isClosing) {
@@ -140,7 +173,6 @@
 		}
 
 		this.#isClosing = true;
-		this.#socket.pause();
 	}
 
 	#forwardRequests(): void {
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -53,6 +53,8 @@
 	/** Number of held parts, from the first one, for which the backend server has got credit, and the memory reserved for them. */
 	#creditedParts = 0;
 	#reservedBytes = 0;
+	/** Bytes of the parts that have not left yet, as the connection's account counts them. */
+	#chargedBytes = 0;
 	#isTurn = false;
 	#isStarted = false;
 	#isComplete = false;
@@ -67,6 +69,7 @@
 		});
 		response.once('close', () => {
 			this.#releaseHeldParts();
+			this.#releaseCharge(this.#chargedBytes);
 		});
 	}
 
@@ -79,8 +82,11 @@
 
 	/** Writes a part of the body; `handleWritten` is called when it has left. */
 	write(chunk: Uint8Array, handleWritten: () => void): void {
+		const bytes = chunk.length + partOverheadBytes;
+		this.#chargedBytes += bytes;
+		this.#options.connection.memory.addBytes(bytes);
 		if (this.#isStarted) {
-			this.#response.write(chunk, handleWritten);
+			this.#writePart(chunk, handleWritten);
 		} else {
 			this.#heldParts.push({chunk, handleWritten});
 			this.#startIfDue();
@@ -108,10 +114,24 @@
 		}
 
 		this.#releaseHeldParts();
+		this.#releaseCharge(this.#chargedBytes);
 		this.#failure = failure;
 		this.#startIfDue();
 	}
 
+	#writePart(chunk: Uint8Array, handleWritten: (() => void) | undefined): void {
+		this.#response.write(chunk, () => {
+			this.#releaseCharge(chunk.length + partOverheadBytes);
+			handleWritten?.();
+		});
+	}
+
+	#releaseCharge(bytes: number): void {
+		const released = Math.min(bytes, this.#chargedBytes);
+		this.#chargedBytes -= released;
+		this.#options.connection.memory.addBytes(-released);
+	}
+
 	#startIfDue(): void {
 		if (this.#isStarted) {
 			return;
@@ -206,7 +226,7 @@
 
 		this.#isStarted = true;
 		this.#heldParts.forEach(({chunk, handleWritten}, index) => {
-			this.#response.write(chunk, index < this.#creditedParts ? undefined : handleWritten);
+			this.#writePart(chunk, index < this.#creditedParts ? undefined : handleWritten);
 		});
 		this.#releaseHeldParts();
 		if (this.#isComplete) {
--- a/packages/node/src/control-server.ts
+++ b/packages/node/src/control-server.ts
@@ -1,14 +1,13 @@
 /** Serves announcements, readiness checks and metrics to backend servers, the platform and operators over HTTP. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {EitherAsync, type Either} from 'purify-ts';
 import {
-	foldResult, type Address, type Failure,
+	foldResult, type Address, type Failure, type Logger, type MetricRegistry,
 } from '@limpetbarrow/core';
 import {createFailureBody} from './http-responses.js';
 import {listenServer} from './listen-server.js';
 import {readBoundedText} from './read-body.js';
+import {createSequentialServer} from './sequential-server.js';
 
 /** A request that is addressed to the node itself. */
 export type ControlCall
@@ -33,22 +32,33 @@
 /** Executes a control call; `remoteHost` is the IP address that it came from. */
 export type HandleControlCall = (call: ControlCall, remoteHost: string) => EitherAsync<Failure, ControlAnswer>;
 
+/** Dependencies of a control server. */
+export type ControlServerOptions = {
+	readonly protocol: ControlProtocol;
+	readonly handleCall: HandleControlCall;
+	readonly metrics: MetricRegistry;
+	readonly logger: Logger;
+};
+
 const maxBodyBytes = 65_536;
+/** Largest number of connections to one address: those of the host's backend server, the platform and operators. */
+const maxConnections = 64;
 
 /** Listens on the addresses for control calls. */
 export class ControlServer {
-	readonly #protocol: ControlProtocol;
-	readonly #handleCall: HandleControlCall;
+	readonly #options: ControlServerOptions;
 	#servers: readonly Server[] = [];
 
-	constructor(dialect: ControlProtocol, handleCall: HandleControlCall) {
-		this.#protocol = dialect;
-		this.#handleCall = handleCall;
+	constructor(options: ControlServerOptions) {
+		this.#options = options;
 	}
 
-	/** Listens on one more address and resolves to the bound one; port 0 picks a free port. */
-	async listen(address: Address): Promise<Address> {
-		const server = createServer((message, response) => {
+	/** Listens on one more address, named in metrics and logs, and resolves to the bound one; port 0 picks a free port. */
+	async listen(name: string, address: Address): Promise<Address> {
+		const {metrics, logger} = this.#options;
+		const server = createSequentialServer({
+			name, maxConnections, metrics, logger,
+		}, (message, response) => {
 			void this.#answer(message, response);
 		});
 		this.#servers = [...this.#servers, server];
@@ -66,8 +76,8 @@
 	async #answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		try {
 			const body = await readBoundedText(message, maxBodyBytes);
-			const result = await EitherAsync.liftEither(this.#protocol.parseCall(message.method ?? 'GET', message.url ?? '/', body))
-				.chain(call => this.#handleCall(call, message.socket.remoteAddress ?? ''))
+			const result = await EitherAsync.liftEither(this.#options.protocol.parseCall(message.method ?? 'GET', message.url ?? '/', body))
+				.chain(call => this.#options.handleCall(call, message.socket.remoteAddress ?? ''))
 				.run();
 			const {status, contentType, body: text} = foldResult(result, toAnswer, answer => answer);
 			response.writeHead(status, {'content-type': contentType});
--- a/packages/node/src/ingress-exchange.ts
+++ b/packages/node/src/ingress-exchange.ts
@@ -8,6 +8,7 @@
 import {type CallerConnection} from './caller-connection.js';
 import {CallerResponse} from './caller-response.js';
 import {type HeldBytes} from './held-bytes.js';
+import {PartCollector} from './part-collector.js';
 
 /** Limits and callbacks of an ingress exchange. */
 export type IngressExchangeOptions = {
@@ -24,9 +25,16 @@
 	readonly #message: IncomingMessage;
 	readonly #response: CallerResponse;
 	readonly #options: IngressExchangeOptions;
+	/** Joins small parts of the body. */
+	readonly #parts = new PartCollector(part => {
+		this.#exchange?.writeBody(part);
+	});
+
 	#exchange: Exchange | undefined;
 	#creditBytes = exchangeWindowBytes;
 	#receivedBytes = 0;
+	/** Bytes of the body that the connection's account counts. */
+	#chargedBytes = 0;
 	#isFinished = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 
@@ -57,6 +65,7 @@
 		});
 		this.#message.once('end', () => {
 			if (!this.#isFinished) {
+				this.#parts.forward();
 				this.#exchange?.endBody();
 			}
 		});
@@ -93,12 +102,20 @@
 			return;
 		}
 
+		this.#recordBody(chunk.length);
+		this.#parts.add(chunk);
 		this.#creditBytes -= chunk.length;
 		if (this.#creditBytes <= 0) {
+			this.#parts.forward();
 			this.#message.pause();
 		}
+	}
 
-		this.#exchange?.writeBody(chunk);
+	/** Charges what is kept of the body until the request ends: at most one flow-control window. */
+	#recordBody(bytes: number): void {
+		const charged = Math.min(bytes, exchangeWindowBytes - this.#chargedBytes);
+		this.#chargedBytes += charged;
+		this.#options.connection.memory.addRequestBytes(charged);
 	}
 
 	#createHandler(): ExchangeHandler {
@@ -168,6 +185,8 @@
 	}
 
 	#handleClose(): void {
+		this.#options.connection.memory.addRequestBytes(-this.#chargedBytes);
+		this.#chargedBytes = 0;
 		if (!this.#isFinished) {
 			this.#finish();
 			this.#exchange?.cancel();
@@ -179,6 +198,7 @@
 	#finish(): void {
 		this.#isFinished = true;
 		clearTimeout(this.#deadlineTimer);
+		this.#parts.clear();
 		this.#message.resume();
 	}
 }
--- a/packages/node/src/ingress-request.ts
+++ b/packages/node/src/ingress-request.ts
@@ -83,7 +83,7 @@
 export function parseIngressRequest(message: IncomingMessage, protocol = defaultCallerProtocol): Either<Failure, IngressRequest> {
 	const headers = message.rawHeaders;
 	const url = message.url ?? '';
-	const contentLength = message.headers['content-length'];
+	const contentLength = findHeader(headers, 'content-length');
 	return parseTarget(url, listHeaderValues(headers, 'host'), message.httpVersion)
 		.chain(target => parseTimeout(findHeader(headers, protocol.timeoutHeader), protocol.timeoutHeader).map(timeoutMs => ({
 			requestId: protocol.requestIdHeader === undefined ? undefined : findHeader(headers, protocol.requestIdHeader),
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -4,14 +4,17 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as TcpServer, type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, createRandomId, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
+	createFailure, createRandomId, findHeader, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
 	type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestCause, type RequestHead,
 } from '@limpetbarrow/core';
 import {isRepeatable, pickService, RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
+import {CallerMemory} from './caller-memory.js';
+import {ConnectionLimit, type LimitedConnection} from './connection-limit.js';
 import {HeldBytes} from './held-bytes.js';
 import {formatRawFailure, sendFailure} from './http-responses.js';
 import {CallerConnection} from './caller-connection.js';
@@ -21,6 +24,9 @@
 } from './ingress-request.js';
 import {replaceUnprovenFailure} from './keyed-request.js';
 import {listenServer} from './listen-server.js';
+import {PacedConnection} from './paced-connection.js';
+import {replaceConnections} from './paced-server.js';
+import {computeResourceLimits, type ResourceLimits} from './resource-limits.js';
 
 /** Checks a request against the caller's terms; returns undefined terms when the caller has none. */
 export type AdmitRequest = (request: IngressRequest) => Either<Failure, Terms | undefined>;
@@ -40,6 +46,8 @@
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	readonly protocol?: CallerProtocol;
+	/** Bounds of what is held for callers; by default, those of the process's heap. */
+	readonly limits?: ResourceLimits;
 	/** Service that runs on this host, which is reported to backend servers as the calling service. */
 	readonly getCallerService?: () => string;
 	/** Finds by id the request that caused a call from this host's backend server; undefined for requests of callers. */
@@ -61,6 +69,8 @@
 const usPerMs = 1000;
 /** Time that an idle connection is kept open beyond the idle timeout announced to callers, in milliseconds. */
 const keepAliveMarginMs = 1000;
+/** Time between two checks for heads that take too long, in milliseconds. */
+const connectionsCheckPeriodMs = 1000;
 
 /** Accepts callers' requests, routes them and sends the responses. */
 export class Ingress {
@@ -74,28 +84,34 @@
 	readonly #exchanges = new Set<IngressExchange>();
 	#configuration: Configuration | undefined;
 	readonly #heldBytes: HeldBytes;
-	readonly #connections = new Map<Socket, CallerConnection>();
+	readonly #connections = new Map<Duplex, CallerConnection>();
+	readonly #memory: CallerMemory;
+	readonly #connectionLimit: ConnectionLimit;
 	#requestsInProgress = 0;
 	#isStopping = false;
 
 	constructor(options: IngressOptions) {
 		this.#options = options;
 		this.#protocol = options.protocol ?? defaultCallerProtocol;
-		this.#heldBytes = new HeldBytes(options.metrics);
-		this.#server = createServer({maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false}, (message, response) => {
-			this.#handleRequest(message, response);
+		const {metrics, logger, limits = computeResourceLimits()} = options;
+		this.#heldBytes = new HeldBytes(metrics);
+		this.#memory = new CallerMemory({limits: {totalBytes: limits.callerMemoryBytes, connectionBytes: limits.connectionMemoryBytes}, metrics, logger});
+		this.#connectionLimit = new ConnectionLimit({
+			name: 'ingress', maxConnections: limits.maxCallerConnections, metrics, logger,
 		});
-		this.#server.on('connection', socket => {
-			this.#connections.set(socket, new CallerConnection(socket, () => this.#isStopping));
-			socket.once('close', () => {
-				this.#connections.delete(socket);
-			});
+		this.#server = createServer({
+			maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false, connectionsCheckingInterval: connectionsCheckPeriodMs,
+		}, (message, response) => {
+			this.#handleRequest(message, response);
 		});
+		replaceConnections(this.#server, socket => this.#acceptSocket(socket));
 		this.#server.on('checkContinue', (message, response) => {
 			this.#handleRequest(message, response);
 		});
 		this.#server.on('checkExpectation', (message, response) => {
-			this.#refuse(message, response, createFailure('malformedRequest', '100-continue is the only supported expectation'));
+			if (this.#acceptRequest(message, response)) {
+				this.#refuse(message, response, createFailure('malformedRequest', '100-continue is the only supported expectation'));
+			}
 		});
 		this.#server.on('connect', (_message, socket) => {
 			this.#refuseSocket(socket as Socket, createFailure('malformedRequest', 'CONNECT is not supported'));
@@ -148,10 +164,58 @@
 		return this.#requestsInProgress;
 	}
 
+	/** Creates the connection of a new socket, or refuses the socket if there are too many. */
+	#acceptSocket(socket: Socket): PacedConnection | undefined {
+		const limited: LimitedConnection = {
+			isBusy: () => connection.hasPendingResponses(),
+			close() {
+				paced.destroy();
+			},
+			getPeer: () => `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`,
+		};
+		if (!this.#connectionLimit.add(limited)) {
+			socket.destroy();
+			return undefined;
+		}
+
+		const paced: PacedConnection = new PacedConnection(socket, {
+			server: this.#server,
+			isFeedable: () => connection.isFeedable(),
+			handleBacklog(change) {
+				memory.addBytes(change);
+			},
+		});
+		const memory = this.#memory.openShare({
+			closeConnection() {
+				paced.destroy();
+			},
+			getPeer: limited.getPeer,
+		});
+		const connection: CallerConnection = new CallerConnection(paced, memory, {
+			isStopping: () => this.#isStopping,
+			recordActivity: () => {
+				this.#connectionLimit.recordActivity(limited);
+			},
+		});
+		this.#connections.set(paced, connection);
+		paced.once('close', () => {
+			this.#connections.delete(paced);
+			this.#connectionLimit.remove(limited);
+		});
+		this.#applyLimits(this.#options.releases.getConfiguration());
+		return paced;
+	}
+
+	/** Returns false if the request is left unread, as its connection closes after an earlier one. */
+	#acceptRequest(message: IncomingMessage, response: ServerResponse): boolean {
+		const isAccepted = this.#connections.get(message.socket)?.acceptRequest(response) === true;
+		this.#options.metrics.addCount('ingress_unread_requests_total', Number(!isAccepted));
+		return isAccepted;
+	}
+
 	#handleRequest(message: IncomingMessage, response: ServerResponse): void {
 		const connection = this.#connections.get(message.socket);
-		if (connection?.acceptRequest(response) !== true) {
-			this.#options.metrics.addCount('ingress_unread_requests_total');
+		if (!this.#acceptRequest(message, response) || connection === undefined) {
 			return;
 		}
 
@@ -182,7 +246,7 @@
 			.chain(request => this.#admit(request))
 			.chain(admitted => this.#openExchange(admitted, received, waitedMs))
 			.ifLeft(failure => {
-				this.#refuse(message, response, message.headers[idempotencyHeader] === undefined ? failure : replaceUnprovenFailure(message.rawHeaders, failure));
+				this.#refuse(message, response, findHeader(message.rawHeaders, idempotencyHeader) === undefined ? failure : replaceUnprovenFailure(message.rawHeaders, failure));
 			});
 	}
 
@@ -233,7 +297,7 @@
 				this.#exchanges.delete(exchange);
 			});
 			exchange.open(carrier, head);
-			if (message.headers.expect !== undefined) {
+			if (findHeader(message.rawHeaders, 'expect') !== undefined) {
 				response.writeContinue();
 			}
 		});
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -1,18 +1,16 @@
 /** A sidecar node: serves the callers and the single backend server of its host, and links to the other nodes. */
 import {
-	MetricRegistry, type Address, type Carrier, type Failure, type Logger, type NodeRecord, type RequestTarget,
+	MetricRegistry, type Address, type Carrier, type Logger, type NodeRecord, type RequestTarget,
 } from '@limpetbarrow/core';
 import {WindowedRetryBudget} from '@limpetbarrow/choose';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {
-	announcementSweepMs, Announcements, Gossip, MemberTable, type AnnouncedServer, type LeftServers,
+	announcementSweepMs, Announcements, Gossip, MemberTable,
 } from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/object-store';
 import {ConfigurationWatcher, ReleaseState, type ConfigurationSource} from '@limpetbarrow/releases';
-import {EitherAsync, Right, type Either} from 'purify-ts';
-import {
-	ControlServer, type ControlAnswer, type ControlCall, type ControlProtocol,
-} from './control-server.js';
+import {Right} from 'purify-ts';
+import {ControlServer, type ControlProtocol} from './control-server.js';
 import {registerConfigurationMetrics} from './configuration-metrics.js';
 import {HostEgress} from './host-egress.js';
 import {type CallerProtocol} from './ingress-request.js';
@@ -23,9 +21,9 @@
 import {RequestRouter} from './request-router.js';
 import {ServerDirectory} from './server-directory.js';
 import {type ServerProtocol} from './server-protocol.js';
-import {acceptHostAnnouncement} from './host-announcement.js';
+import {SidecarCalls} from './sidecar-calls.js';
 import {createSidecarRecord} from './sidecar-record.js';
-import {type SidecarSettings} from './sidecar-settings.js';
+import {selectResourceLimits, type SidecarSettings} from './sidecar-settings.js';
 import {StoreDiscovery} from './store-discovery.js';
 import {WatcherRole} from './watcher-role.js';
 
@@ -132,7 +130,18 @@
 		this.#gossip = new Gossip(this.#table, [], {logger, metrics: this.#metrics});
 		this.#router = this.#createRouter();
 		this.#ingress = this.#createIngress(this.#router);
-		this.#controlServer = new ControlServer(platform.control, (call, remoteHost) => this.#handleCall(call, remoteHost));
+		const calls = new SidecarCalls({
+			announcements,
+			discovery,
+			releases: this.#releases,
+			metrics: this.#metrics,
+			logger,
+			getServerAddress: () => options.getSettings().serverAddress,
+			isReady: () => !this.#isStopping && this.#releases.getNumber() > 0,
+		});
+		this.#controlServer = new ControlServer({
+			protocol: platform.control, handleCall: (call, remoteHost) => calls.handleCall(call, remoteHost), metrics: this.#metrics, logger,
+		});
 		const role = new WatcherRole(this.#table, this.#gossip);
 		this.#configurationWatcher = new ConfigurationWatcher({
 			source: platform.source,
@@ -217,9 +226,9 @@
 		await Promise.all([
 			this.#linkServer.listen(settings.link),
 			this.#gossip.start(settings.gossip),
-			this.#controlServer.listen(settings.readiness),
-			this.#controlServer.listen(settings.announcements),
-			this.#controlServer.listen(settings.metrics),
+			this.#controlServer.listen('readiness', settings.readiness),
+			this.#controlServer.listen('announcements', settings.announcements),
+			this.#controlServer.listen('metrics', settings.metrics),
 			this.#ingress.listen(settings.ingress),
 		]);
 		this.#discovery.start();
@@ -287,6 +296,7 @@
 			protocol: platform.callers,
 			getCallerService: () => getSettings().service,
 			findCause: requestId => this.#egress.findRequestCause(requestId),
+			limits: selectResourceLimits(getSettings()),
 			metrics: this.#metrics,
 			logger,
 		});
@@ -336,50 +346,6 @@
 		return this.#isTakingWork ? servers : servers.map(server => ({...server, state: 'leaving'}));
 	}
 
-	#handleCall(call: ControlCall, remoteHost: string): EitherAsync<Failure, ControlAnswer> {
-		switch (call.kind) {
-			case 'announce': {
-				return EitherAsync.liftEither(this.#acceptAnnouncement(call.announcement, remoteHost))
-					.chain(({id, generation, isLeaving}) => isLeaving ? this.#recordDepartures(new Map([[id, generation]])) : EitherAsync.liftEither(Right(undefined)))
-					.map(() => createJsonAnswer(200));
-			}
-
-			case 'leave': {
-				return this.#recordDepartures(this.#announcements.leave(call.serverId, call.generation)).map(() => createJsonAnswer(200));
-			}
-
-			case 'readiness': {
-				return EitherAsync.liftEither(Right(createJsonAnswer(!this.#isStopping && this.#releases.getNumber() > 0 ? 200 : 503)));
-			}
-
-			case 'metrics': {
-				return EitherAsync.liftEither(Right({status: 200, contentType: 'text/plain; version=0.0.4', body: this.#metrics.formatReport()}));
-			}
-		}
-	}
-
-	/**
-	 * Stores that backend servers have left. They stop receiving new requests before this call; the departure is acknowledged
-	 * only once it is stored, so that the next process of this node honours it as well.
-	 */
-	#recordDepartures(left: LeftServers): EitherAsync<Failure, void> {
-		const {logger} = this.#options;
-		const servers = [...left].map(([id, generation]) => `${id}@${generation}`).join(',');
-		return this.#discovery.recordDepartures(left).ifRight(() => {
-			logger.log('leaveKept', {servers});
-		}).ifLeft(({code, detail}) => {
-			logger.log('leaveNotKept', {servers, code, detail});
-		});
-	}
-
-	#acceptAnnouncement(input: unknown, remoteHost: string): Either<Failure, AnnouncedServer> {
-		const {serverAddress} = this.#options.getSettings();
-		const {services} = this.#releases.getConfiguration();
-		return acceptHostAnnouncement(this.#announcements, input, {serverAddress, remoteHost, services}).ifLeft(failure => {
-			this.#options.logger.log('announcementRefused', {code: failure.code, detail: failure.detail});
-		});
-	}
-
 	#listInProgressCounts(): readonly InProgressCount[] {
 		return [
 			{name: 'ingress_requests', count: () => this.#ingress.countRequests()},
@@ -393,7 +359,3 @@
 		return this.#listInProgressCounts().reduce((sum, {count}) => sum + count(), 0);
 	}
 }
-
-function createJsonAnswer(status: number): ControlAnswer {
-	return {status, contentType: 'application/json', body: '{}'};
-}
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -2,8 +2,10 @@
 import {Left, Right, type Either} from 'purify-ts';
 import * as z from 'zod';
 import {createFailure, parseAddress, type Failure} from '@limpetbarrow/core';
+import {computeResourceLimits, type ResourceLimits} from './resource-limits.js';
 
 const maxDurationMs = 3_600_000;
+const bytesPerMb = 1_048_576;
 
 const addressSchema = z.string().transform((text, context) => {
 	const address = parseAddress(text);
@@ -55,6 +57,16 @@
 	stopTimeoutMs: z.number().min(0).max(maxDurationMs),
 	/** Time for which a stopping node keeps listening, in milliseconds. */
 	lameDuckMs: z.number().min(0).max(maxDurationMs).default(3000),
+	/** Memory of the host that the process may use, in MiB; unknown by default. */
+	memoryMb: z.number().min(1).optional(),
+	/** File descriptors that the process may have open; unknown by default. */
+	maxDescriptors: z.int().min(1).optional(),
+	/** Largest sum of what is held for all callers, in bytes; by default derived from the heap and the memory of the host. */
+	callerMemoryBytes: z.int().min(1).optional(),
+	/** Bytes of requests in progress from which on a caller's connection is not read further. */
+	connectionMemoryBytes: z.int().min(1).optional(),
+	/** Largest number of callers' connections; by default derived from the descriptors. */
+	maxCallerConnections: z.int().min(1).optional(),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 }).readonly();
 
@@ -77,6 +89,16 @@
 		: Left(createFailure('settingsInvalid', result.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; ')));
 }
 
+/** Returns the bounds of what is held for callers: those that are set, else the ones that follow from memory and descriptors. */
+export function selectResourceLimits({memoryMb, maxDescriptors, callerMemoryBytes, connectionMemoryBytes, maxCallerConnections}: SidecarSettings): ResourceLimits {
+	const defaults = computeResourceLimits({memoryBytes: memoryMb === undefined ? undefined : memoryMb * bytesPerMb, maxDescriptors});
+	return {
+		callerMemoryBytes: callerMemoryBytes ?? defaults.callerMemoryBytes,
+		connectionMemoryBytes: connectionMemoryBytes ?? defaults.connectionMemoryBytes,
+		maxCallerConnections: maxCallerConnections ?? defaults.maxCallerConnections,
+	};
+}
+
 /** Lists the names of the settings that differ. */
 export function listChangedSettings(before: SidecarSettings, after: SidecarSettings): ReadonlyArray<keyof SidecarSettings> {
 	return (Object.keys(after) as ReadonlyArray<keyof SidecarSettings>)
