Forward all header lines of a request

Callers saw: of a head of 16 KB in one-letter lines, the backend server got the first thousand lines; the rest was dropped without a word, a request id or a length among them. Cause: Node's http keeps 1,000 header lines by default (`maxHeadersCount`), also in `rawHeaders`.

--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -104,6 +104,8 @@
 		}, (message, response) => {
 			this.#handleRequest(message, response);
 		});
+		// By default, Node's `http` drops the lines behind the first 1,000. The size of the head bounds their number.
+		this.#server.maxHeadersCount = 0;
 		replaceConnections(this.#server, socket => this.#acceptSocket(socket));
 		this.#server.on('checkContinue', (message, response) => {
 			this.#handleRequest(message, response);
