Identify callers by keys where the configuration has organisations with keys

Change: the platform's tenants become organisations with digests of their keys; the ingress finds the organisation by the key (401 keyInvalid otherwise), drops the caller's key and organisation headers, and sends the organisation in the request's head; the egress names it to the backend server. The organisation's priority goes before the route's. Public routes and calls of the host's backend server need none; a call whose parent has ended is refused as not run. Configurations without tenants leave requests as they were. The ingress gets rooms of its own for connections and for the head of a request, and an interface for quotas, which nothing implements yet.

--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -161,6 +161,15 @@
 	limitExceeded: {
 		code: 5003, status: 429, ran: 'not-run', resend: 'later', meaning: 'The caller sent more than its terms allow.',
 	},
+	keyInvalid: {
+		code: 5005, status: 401, ran: 'not-run', resend: 'never', meaning: 'The key of the request is missing, malformed or unknown.',
+	},
+	configurationUnproven: {
+		code: 5006, status: 503, ran: 'not-run', resend: 'later', meaning: 'The node can\'t prove that its configuration is fresh enough to accept keys.',
+	},
+	callOrphaned: {
+		code: 5007, status: 503, ran: 'not-run', resend: 'anywhere', meaning: 'The request that caused the call of a backend server has ended.',
+	},
 	unknownOrganisation: {
 		code: 5004, status: 403, ran: 'not-run', resend: 'never', meaning: 'The organisation is unknown or its secret is wrong.',
 	},
--- a/packages/node/src/__tests__/raw-backend.ts
+++ b/packages/node/src/__tests__/raw-backend.ts
@@ -89,5 +89,5 @@
 
 /** Header names that the tests' backend servers use. */
 export const testServerHeaders = {
-	requestId: 'x-id', deadline: 'x-deadline', callerService: 'x-caller', expectedServer: 'x-expected', signature: 'x-signature', notRun: 'x-not-run', limit: 'x-limit', leaving: 'x-leaving',
+	requestId: 'x-id', deadline: 'x-deadline', callerService: 'x-caller', expectedServer: 'x-expected', signature: 'x-signature', notRun: 'x-not-run', limit: 'x-limit', leaving: 'x-leaving', organisation: 'x-organisation',
 } as const;
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -118,6 +118,11 @@
 		return this.#started.findParentRequest(requestId);
 	}
 
+	/** True for a call of a request that has ended a short time ago. */
+	isCallOfEnded(requestId: string): boolean {
+		return this.#started.isCallOfEnded(requestId);
+	}
+
 	/** Records that the backend server began a call for one of its running requests. */
 	recordCallStart(callId: string): void {
 		const parent = this.findParentRequest(callId);
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -71,9 +71,19 @@
 		return this.#localServers.get(serverId)?.server.getLoad(priority, route);
 	}
 
+	/** Finds the running request that caused a call of this host's backend server; undefined for a request of a caller. */
+	findParentRequest(requestId: string): RequestHead | undefined {
+		return this.#listAllServers().map(server => server.findParentRequest(requestId)).find(head => head !== undefined);
+	}
+
+	/** True for a call whose parent has ended a short time ago. */
+	isCallOfEnded(requestId: string): boolean {
+		return this.#listAllServers().some(server => server.isCallOfEnded(requestId));
+	}
+
 	/** Finds why the backend server of this host sent a request; undefined for a request of a caller. */
 	findRequestCause(requestId: string): RequestCause | undefined {
-		const parent = this.#listAllServers().map(server => server.findParentRequest(requestId)).find(head => head !== undefined);
+		const parent = this.findParentRequest(requestId);
 		if (!parent) {
 			return undefined;
 		}
--- a/packages/node/src/ingress-request.ts
+++ b/packages/node/src/ingress-request.ts
@@ -4,6 +4,7 @@
 import {
 	createFailure, findHeader, idempotencyHeader, selectHeaders, termsHeader, timeoutHeader, type Failure,
 } from '@limpetbarrow/core';
+import {type OrganisationHeaderNames} from './caller-identity.js';
 
 /** The headers that the ingress reads from callers' requests, and the format of its responses. */
 export type CallerProtocol = {
@@ -13,6 +14,8 @@
 	readonly requestIdHeader: string | undefined;
 	/** True when callers accept fractions of a second in `retry-after`. */
 	readonly hasFractionalRetryAfter: boolean;
+	/** Headers that concern organisations with keys; undefined if callers have none. */
+	readonly organisationHeaders?: OrganisationHeaderNames;
 };
 
 /** The limpetbarrow protocol. */
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -4,28 +4,27 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as TcpServer, type Socket} from 'node:net';
-import {type Duplex} from 'node:stream';
 import {Left, Right, type Either} from 'purify-ts';
 import {
-	createFailure, createRandomId, findHeader, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
-	type Address, type Carrier, type Failure, type Logger, type MetricRegistry, type RequestCause, type RequestHead,
+	createFailure, findHeader, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
+	type Address, type Carrier, type Failure, type Logger, type MetricRegistry,
 } from '@limpetbarrow/core';
-import {isRepeatable, pickService, RouteTable} from '@limpetbarrow/choose';
+import {RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
-import {CallerMemory} from './caller-memory.js';
-import {ConnectionLimit, type LimitedConnection} from './connection-limit.js';
+import {type CallerIdentifier, type CallerIdentity} from './caller-identity.js';
+import {type CallerConnection} from './caller-connection.js';
+import {CallerConnections} from './caller-connections.js';
 import {HeldBytes} from './held-bytes.js';
 import {formatRawFailure, sendFailure} from './http-responses.js';
-import {CallerConnection} from './caller-connection.js';
+import {createRequestHead, type AdmittedRequest, type RequestOrigin} from './ingress-head.js';
 import {IngressExchange} from './ingress-exchange.js';
 import {
 	defaultCallerProtocol, parseIngressRequest, type CallerProtocol, type IngressRequest,
 } from './ingress-request.js';
 import {replaceUnprovenFailure} from './keyed-request.js';
 import {listenServer} from './listen-server.js';
-import {PacedConnection} from './paced-connection.js';
-import {replaceConnections} from './paced-server.js';
+import {type HandlePermit, type OrganisationQuotas} from './organisation-quotas.js';
 import {computeResourceLimits, type ResourceLimits} from './resource-limits.js';
 
 /** Checks a request against the caller's terms; returns undefined terms when the caller has none. */
@@ -38,7 +37,7 @@
 export type HandleReserved = (message: IncomingMessage, response: ServerResponse) => void;
 
 /** Dependencies of an ingress. */
-export type IngressOptions = {
+export type IngressOptions = RequestOrigin & {
 	readonly releases: ReleaseState;
 	readonly admitRequest: AdmitRequest;
 	readonly selectCarrier: SelectCarrier;
@@ -46,24 +45,20 @@
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 	readonly protocol?: CallerProtocol;
+	/** Identifies callers by their keys; without it, requests carry none. */
+	readonly identifier?: CallerIdentifier;
+	/** Holds requests to the quotas of their organisations; without it, there are none. */
+	readonly quotas?: OrganisationQuotas;
 	/** Bounds of what is held for callers; by default, those of the process's heap. */
 	readonly limits?: ResourceLimits;
-	/** Service that runs on this host, which is reported to backend servers as the calling service. */
-	readonly getCallerService?: () => string;
-	/** Finds by id the request that caused a call from this host's backend server; undefined for requests of callers. */
-	readonly findCause?: (requestId: string) => RequestCause | undefined;
 };
 
 type ReceivedRequest = {
 	readonly message: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly connection: CallerConnection;
-};
-
-type AdmittedRequest = {
-	readonly request: IngressRequest;
-	readonly route: Route;
-	readonly terms: Terms | undefined;
+	/** Monotonic time, in milliseconds. */
+	readonly receivedAt: number;
 };
 
 const usPerMs = 1000;
@@ -84,9 +79,7 @@
 	readonly #exchanges = new Set<IngressExchange>();
 	#configuration: Configuration | undefined;
 	readonly #heldBytes: HeldBytes;
-	readonly #connections = new Map<Duplex, CallerConnection>();
-	readonly #memory: CallerMemory;
-	readonly #connectionLimit: ConnectionLimit;
+	readonly #connections: CallerConnections;
 	#requestsInProgress = 0;
 	#isStopping = false;
 
@@ -95,10 +88,6 @@
 		this.#protocol = options.protocol ?? defaultCallerProtocol;
 		const {metrics, logger, limits = computeResourceLimits()} = options;
 		this.#heldBytes = new HeldBytes(metrics);
-		this.#memory = new CallerMemory({limits: {totalBytes: limits.callerMemoryBytes, connectionBytes: limits.connectionMemoryBytes}, metrics, logger});
-		this.#connectionLimit = new ConnectionLimit({
-			name: 'ingress', maxConnections: limits.maxCallerConnections, metrics, logger,
-		});
 		this.#server = createServer({
 			maxHeaderSize: maxHeaderBytes, noDelay: true, requireHostHeader: false, connectionsCheckingInterval: connectionsCheckPeriodMs,
 		}, (message, response) => {
@@ -106,7 +95,12 @@
 		});
 		// By default, Node's `http` drops the lines behind the first 1,000. The size of the head bounds their number.
 		this.#server.maxHeadersCount = 0;
-		replaceConnections(this.#server, socket => this.#acceptSocket(socket));
+		this.#connections = new CallerConnections({
+			server: this.#server, limits, isStopping: () => this.#isStopping, metrics, logger,
+		});
+		this.#server.on('connection', () => {
+			this.#applyLimits(options.releases.getConfiguration());
+		});
 		this.#server.on('checkContinue', (message, response) => {
 			this.#handleRequest(message, response);
 		});
@@ -136,14 +130,12 @@
 	stopListening(): void {
 		// The HTTP server's own `close` also destroys connections whose last response has ended but is not sent yet.
 		TcpServer.prototype.close.call(this.#server);
-		this.#connections.forEach(connection => {
-			connection.closeIfIdle();
-		});
+		this.#connections.closeIdle();
 	}
 
 	/** Number of open connections of callers. */
 	countConnections(): number {
-		return this.#connections.size;
+		return this.#connections.countConnections();
 	}
 
 	/** Ends the requests in progress. Any of them may have run. */
@@ -155,9 +147,7 @@
 
 	/** Closes all connections at once, whatever is in progress on them. */
 	close(): void {
-		this.#connections.forEach(connection => {
-			connection.closeAtOnce();
-		});
+		this.#connections.close();
 		this.#server.close();
 	}
 
@@ -166,57 +156,15 @@
 		return this.#requestsInProgress;
 	}
 
-	/** Creates the connection of a new socket, or refuses the socket if there are too many. */
-	#acceptSocket(socket: Socket): PacedConnection | undefined {
-		const limited: LimitedConnection = {
-			isBusy: () => connection.hasPendingResponses(),
-			close() {
-				paced.destroy();
-			},
-			getPeer: () => `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`,
-		};
-		if (!this.#connectionLimit.add(limited)) {
-			socket.destroy();
-			return undefined;
-		}
-
-		const paced: PacedConnection = new PacedConnection(socket, {
-			server: this.#server,
-			isFeedable: () => connection.isFeedable(),
-			handleBacklog(change) {
-				memory.addBytes(change);
-			},
-		});
-		const memory = this.#memory.openShare({
-			closeConnection() {
-				paced.destroy();
-			},
-			getPeer: limited.getPeer,
-		});
-		const connection: CallerConnection = new CallerConnection(paced, memory, {
-			isStopping: () => this.#isStopping,
-			recordActivity: () => {
-				this.#connectionLimit.recordActivity(limited);
-			},
-		});
-		this.#connections.set(paced, connection);
-		paced.once('close', () => {
-			this.#connections.delete(paced);
-			this.#connectionLimit.remove(limited);
-		});
-		this.#applyLimits(this.#options.releases.getConfiguration());
-		return paced;
-	}
-
 	/** Returns false if the request is left unread, as its connection closes after an earlier one. */
 	#acceptRequest(message: IncomingMessage, response: ServerResponse): boolean {
-		const isAccepted = this.#connections.get(message.socket)?.acceptRequest(response) === true;
+		const isAccepted = this.#connections.findConnection(message.socket)?.acceptRequest(response) === true;
 		this.#options.metrics.addCount('ingress_unread_requests_total', Number(!isAccepted));
 		return isAccepted;
 	}
 
 	#handleRequest(message: IncomingMessage, response: ServerResponse): void {
-		const connection = this.#connections.get(message.socket);
+		const connection = this.#connections.findConnection(message.socket);
 		if (!this.#acceptRequest(message, response) || connection === undefined) {
 			return;
 		}
@@ -234,22 +182,50 @@
 		}
 
 		connection.waitToForward(response, () => {
-			this.#forwardRequest({message, response, connection}, Math.round(performance.now() - startedAt));
+			this.#forwardRequest({
+				message, response, connection, receivedAt: startedAt,
+			});
 		});
 	}
 
-	/** Forwards or refuses a request that has waited so many milliseconds for the responses before it. */
-	#forwardRequest(received: ReceivedRequest, waitedMs: number): void {
+	/** Forwards or refuses a request whose turn it is. */
+	#forwardRequest(received: ReceivedRequest): void {
 		const {message, response} = received;
+		const refuse = (failure: Failure): void => {
+			this.#refuse(message, response, findHeader(message.rawHeaders, idempotencyHeader) === undefined ? failure : replaceUnprovenFailure(message.rawHeaders, failure));
+		};
+
 		this.#options.metrics.addCount('ingress_requests_total');
-		this.#options.metrics.addCount('ingress_delayed_requests_total', Number(waitedMs > 0));
+		this.#options.metrics.addCount('ingress_delayed_requests_total', Number(computeWaitedMs(received) > 0));
 		checkBodyReadable(received)
 			.chain(() => parseIngressRequest(message, this.#protocol))
 			.chain(request => this.#admit(request))
-			.chain(admitted => this.#openExchange(admitted, received, waitedMs))
-			.ifLeft(failure => {
-				this.#refuse(message, response, findHeader(message.rawHeaders, idempotencyHeader) === undefined ? failure : replaceUnprovenFailure(message.rawHeaders, failure));
-			});
+			.ifRight(admitted => {
+				this.#takePermit(admitted, response, permit => {
+					permit.chain(() => this.#openExchange(admitted, received)).ifLeft(refuse);
+				});
+			})
+			.ifLeft(refuse);
+	}
+
+	/** Takes a permit from the quota of the request's organisation, if it has one. A caller that leaves meanwhile takes none. */
+	#takePermit({identity}: AdmittedRequest, response: ServerResponse, handlePermit: HandlePermit): void {
+		const {quotas} = this.#options;
+		const organisation = identity?.organisation;
+		if (!quotas || organisation?.ratePerSecond === undefined) {
+			handlePermit(Right(undefined));
+			return;
+		}
+
+		const cancel = quotas.takePermit(organisation, permit => {
+			response.removeListener('close', handleClose);
+			handlePermit(permit);
+		});
+		const handleClose = (): void => {
+			cancel();
+		};
+
+		response.once('close', handleClose);
 	}
 
 	#admit(request: IngressRequest): Either<Failure, AdmittedRequest> {
@@ -266,7 +242,14 @@
 
 		return this.#routes.findRoute(request)
 			.chain(route => checkBodySize(request, route))
-			.chain(route => this.#options.admitRequest(request).map(terms => ({request, route, terms})));
+			.chain(route => this.#findIdentity(request, route, configuration).map(identity => ({route, identity})))
+			.chain(({route, identity}) => this.#options.admitRequest(request).map(terms => ({
+				request, route, terms, identity,
+			})));
+	}
+
+	#findIdentity(request: IngressRequest, route: Route, configuration: Configuration): Either<Failure, CallerIdentity | undefined> {
+		return this.#options.identifier?.findIdentity(request, route, configuration) ?? Right(undefined);
 	}
 
 	/** Keeps idle connections open slightly longer than callers may reuse them, so that none is closed while a request arrives. */
@@ -277,9 +260,10 @@
 		}
 	}
 
-	#openExchange(admitted: AdmittedRequest, {message, response, connection}: ReceivedRequest, waitedMs: number): Either<Failure, Carrier> {
-		const {request, route, terms} = admitted;
-		const head = createRequestHead(admitted, waitedMs, this.#options);
+	#openExchange(admitted: AdmittedRequest, received: ReceivedRequest): Either<Failure, Carrier> {
+		const {message, response, connection} = received;
+		const {request, route, terms, identity} = admitted;
+		const head = createRequestHead(admitted, computeWaitedMs(received), this.#options);
 		if (head.remainingMs <= 0) {
 			return Left(createFailure('deadlinePassed', 'an earlier response on the connection took too long'));
 		}
@@ -291,6 +275,7 @@
 				maxBodyBytes: route.maxBodyBytes,
 				hasFractionalRetryAfter: this.#protocol.hasFractionalRetryAfter,
 				recordFailure: failure => {
+					this.#releasePermit(identity, failure);
 					this.#recordFailure(failure);
 				},
 			});
@@ -305,6 +290,13 @@
 		});
 	}
 
+	/** Gives back the permit of a request that has not run. */
+	#releasePermit(identity: CallerIdentity | undefined, {ran}: Failure): void {
+		if (ran === 'not-run' && identity?.organisation?.ratePerSecond !== undefined) {
+			this.#options.quotas?.releasePermit(identity.organisation);
+		}
+	}
+
 	#refuse(message: IncomingMessage, response: ServerResponse, failure: Failure): void {
 		this.#recordFailure(failure);
 		this.#updateKeepAlive(message, response);
@@ -312,7 +304,7 @@
 	}
 
 	#updateKeepAlive({socket}: IncomingMessage, response: ServerResponse): void {
-		this.#connections.get(socket)?.updateKeepAlive(response);
+		this.#connections.findConnection(socket)?.updateKeepAlive(response);
 	}
 
 	#recordFailure(failure: Failure): void {
@@ -323,7 +315,7 @@
 	/** Handles a parse error, after which nothing more can be read from the connection. */
 	#handleClientError(error: Error & {readonly code?: string}, socket: Socket): void {
 		const failure = createFailure('bodyBroken', error.message);
-		this.#connections.get(socket)?.recordReadFailure(failure);
+		this.#connections.findConnection(socket)?.recordReadFailure(failure);
 		[...this.#exchanges].filter(exchange => exchange.isOnSocket(socket)).forEach(exchange => {
 			exchange.failIncompleteBody(failure);
 		});
@@ -335,7 +327,7 @@
 	 * instead: the caller would take the refusal, which says "not run", for the response to its first pending request.
 	 */
 	#refuseSocket(socket: Socket, failure: Failure): void {
-		const connection = this.#connections.get(socket);
+		const connection = this.#connections.findConnection(socket);
 		if (connection?.hasPendingResponses() === true) {
 			connection.closeAfterLastResponse();
 			return;
@@ -351,6 +343,11 @@
 	}
 }
 
+/** Time since the request was received, in milliseconds: it may have waited for earlier responses and for a permit. */
+function computeWaitedMs({receivedAt}: ReceivedRequest): number {
+	return Math.round(performance.now() - receivedAt);
+}
+
 function checkBodySize({contentLength}: IngressRequest, route: Route): Either<Failure, Route> {
 	return contentLength !== undefined && contentLength > route.maxBodyBytes
 		? Left(createFailure('bodyTooLarge', `the body has ${contentLength} bytes, the route accepts at most ${route.maxBodyBytes}`))
@@ -362,27 +359,3 @@
 	const failure = connection.getReadFailure();
 	return failure && !message.complete ? Left(failure) : Right(message);
 }
-
-function createRequestHead({request, route, terms}: AdmittedRequest, waitedMs: number, {getCallerService, findCause}: Pick<IngressOptions, 'getCallerService' | 'findCause'>): RequestHead {
-	const callerService = getCallerService?.();
-	const cause = request.requestId === undefined ? undefined : findCause?.(request.requestId);
-	const timeoutsMs = [request.timeoutMs, terms?.timeoutMs, route.timeoutMs].filter(bound => bound !== undefined);
-	return {
-		requestId: request.requestId ?? createRandomId(),
-		target: request.idempotencyKey === undefined ? {kind: 'egress', serverId: ''} : {kind: 'sequencer'},
-		service: pickService(route, Math.random()),
-		method: request.method,
-		path: request.path,
-		headers: request.headers,
-		remainingMs: Math.min(...timeoutsMs) - waitedMs,
-		isRepeatable: isRepeatable(route, request.method),
-		organisation: terms?.organisation ?? '',
-		route: route.name,
-		...(route.priority !== undefined && {priority: route.priority}),
-		...(route.maxAttempts !== undefined && {maxAttempts: route.maxAttempts}),
-		...(route.objectiveMs !== undefined && {objectiveMs: route.objectiveMs}),
-		...(callerService !== undefined && {callerService}),
-		...(cause !== undefined && {cause}),
-		...(request.idempotencyKey !== undefined && {idempotencyKey: request.idempotencyKey}),
-	};
-}
--- a/packages/node/src/server-protocol.ts
+++ b/packages/node/src/server-protocol.ts
@@ -54,6 +54,8 @@
 	readonly deadline: string;
 	/** Service of the host on which the request originated. */
 	readonly callerService: string;
+	/** Organisation of the caller, if it has proved one. */
+	readonly organisation: string;
 	/** Id of the intended backend server; any other refuses the request. */
 	readonly expectedServer: string;
 	/** Present on every response that a backend server created itself. */
@@ -77,17 +79,19 @@
 export class VerifyingServerProtocol extends ServerProtocol {
 	readonly #headerNames: ServerHeaderNames;
 	readonly #protocolHeaderNames: ReadonlySet<string>;
+	readonly #organisationHeaderName: string;
 
 	constructor(names: ServerHeaderNames) {
 		super();
 		this.#headerNames = names;
 		this.#protocolHeaderNames = new Set([names.requestId, names.deadline, names.callerService, names.expectedServer].map(name => name.toLowerCase()));
+		this.#organisationHeaderName = names.organisation.toLowerCase();
 	}
 
-	override createRequestHeaders({headers, requestId, callerService = ''}: RequestHead, remainingMs: number, serverId: string): RawHeaders {
+	override createRequestHeaders({headers, requestId, organisation, callerService = ''}: RequestHead, remainingMs: number, serverId: string): RawHeaders {
 		const names = this.#headerNames;
 		return [
-			...selectHeaders(selectRequestHeaders(headers), name => !this.#protocolHeaderNames.has(name)),
+			...selectHeaders(selectRequestHeaders(headers), name => !this.#protocolHeaderNames.has(name) && (organisation === '' || name !== this.#organisationHeaderName)),
 			names.requestId,
 			requestId,
 			names.deadline,
@@ -96,6 +100,7 @@
 			serverId,
 			names.callerService,
 			callerService,
+			...(organisation === '' ? [] : [names.organisation, organisation]),
 		];
 	}
 
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -11,6 +11,7 @@
 import {ConfigurationWatcher, ReleaseState, type ConfigurationSource} from '@limpetbarrow/releases';
 import {Right} from 'purify-ts';
 import {ControlServer, type ControlProtocol} from './control-server.js';
+import {CallerIdentifier} from './caller-identity.js';
 import {registerConfigurationMetrics} from './configuration-metrics.js';
 import {HostEgress} from './host-egress.js';
 import {type CallerProtocol} from './ingress-request.js';
@@ -296,12 +297,28 @@
 			protocol: platform.callers,
 			getCallerService: () => getSettings().service,
 			findCause: requestId => this.#egress.findRequestCause(requestId),
+			...this.#createIdentifier(),
 			limits: selectResourceLimits(getSettings()),
 			metrics: this.#metrics,
 			logger,
 		});
 	}
 
+	/** Creates the identifier of callers, on platforms where they may have keys. */
+	#createIdentifier(): {readonly identifier?: CallerIdentifier} {
+		const {organisationHeaders: headerNames} = this.#options.platform.callers;
+		return headerNames
+			? {
+				identifier: new CallerIdentifier({
+					headerNames,
+					findParent: requestId => this.#egress.findParentRequest(requestId),
+					isCallOfEnded: requestId => this.#egress.isCallOfEnded(requestId),
+					isConfigurationProven: () => true,
+				}),
+			}
+			: {};
+	}
+
 	/** Selects the egress, or the configuration carrier: requests that name no backend server are for the node itself. */
 	#selectCarrier(target: RequestTarget, configurations: Carrier): Carrier {
 		return target.kind === 'egress' && target.serverId !== '' ? this.#egress : configurations;
--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -6,6 +6,7 @@
 export * from './validate-note.js';
 export * from './release-keys.js';
 export * from './release-codec.js';
+export * from './organisation-keys.js';
 export * from './release-log.js';
 export * from './release-state.js';
 export * from './release-reader.js';
--- a/packages/releases/src/release-codec.ts
+++ b/packages/releases/src/release-codec.ts
@@ -6,7 +6,7 @@
 import {maxValueBytes} from '@limpetbarrow/object-store';
 import {hashText} from './text-parts.js';
 import {
-	callerLimitsSchema, organisationSchema, releaseNoteSchema, routeSchema, serviceSchema, termsSchema,
+	callerLimitsSchema, keyedOrganisationSchema, organisationSchema, releaseNoteSchema, routeSchema, serviceSchema, termsSchema,
 } from './release-note.js';
 import {type Configuration, type Release, type ReleaseNote} from './types.js';
 
@@ -34,6 +34,7 @@
 	terms: z.array(termsSchema),
 	organisations: z.array(organisationSchema),
 	callerLimits: callerLimitsSchema.optional(),
+	keyedOrganisations: z.array(keyedOrganisationSchema).optional(),
 });
 
 /** A stored release whose note is too large for one value and is stored in parts. */
@@ -87,7 +88,7 @@
 }
 
 /** Encodes a configuration as a JSON value. */
-export function encodeConfiguration({release, services, routes, terms, organisations, callerLimits}: Configuration): unknown {
+export function encodeConfiguration({release, services, routes, terms, organisations, callerLimits, keyedOrganisations}: Configuration): unknown {
 	return {
 		release,
 		services: [...services.values()],
@@ -95,6 +96,7 @@
 		terms: [...terms.values()],
 		organisations: [...organisations.values()],
 		...(callerLimits && {callerLimits}),
+		...(keyedOrganisations && {keyedOrganisations: [...keyedOrganisations.values()]}),
 	};
 }
 
@@ -104,13 +106,14 @@
 
 /** Validates a configuration that another node sent or that a snapshot holds. */
 export function parseConfiguration(input: unknown): Either<Failure, Configuration> {
-	return parseWithSchema(configurationSchema, input, 'configuration').map(({release, services, routes, terms, organisations, callerLimits}) => ({
+	return parseWithSchema(configurationSchema, input, 'configuration').map(({release, services, routes, terms, organisations, callerLimits, keyedOrganisations}) => ({
 		release,
 		services: groupByName(services),
 		routes: groupByName(routes),
 		terms: groupByName(terms),
 		organisations: groupByName(organisations),
 		...(callerLimits && {callerLimits}),
+		...(keyedOrganisations && {keyedOrganisations: groupByName(keyedOrganisations)}),
 	}));
 }
 
--- a/packages/releases/src/release-note.ts
+++ b/packages/releases/src/release-note.ts
@@ -10,6 +10,8 @@
 const maxWeight = 1_000_000;
 const maxPriority = 1000;
 const maxAttempts = 100;
+const maxOrganisationNameLength = 255;
+const maxQuota = 10_000_000;
 
 const nameSchema = z.string().regex(/^[a-z\d][a-z\d.\-]*$/v, 'use lower-case letters, digits, dots and hyphens').max(maxNameLength);
 
@@ -45,6 +47,8 @@
 	maxBodyBytes: z.int().min(0).max(maxBodyBytes).default(defaultMaxBodyBytes),
 	/** Services among which the route's requests are divided, in place of `service`. */
 	shares: z.array(routeShareSchema).readonly().optional(),
+	/** True when requests need no key although the configuration has organisations with keys. */
+	isPublic: z.boolean().optional(),
 	/** True when `isRepeatable` alone decides whether a request is repeatable, whatever its method. */
 	ignoresMethod: z.boolean().optional(),
 	/** Priority of the route's requests; 0 is the most urgent. */
@@ -78,6 +82,18 @@
 	secretHash: z.string().regex(/^[\da-f]{64}$/v, 'use 64 hexadecimal digits').optional(),
 }).readonly();
 
+/** An organisation whose callers prove themselves by keys. */
+export const keyedOrganisationSchema = z.strictObject({
+	name: z.string().min(1).max(maxOrganisationNameLength),
+	/** Digests of its keys, as `hashKey` creates them. */
+	keyDigests: z.array(z.string().min(1).max(64)).readonly(),
+	/** Priority of its requests, which goes before the route's; 0 is the most urgent. */
+	priority: z.int().min(0).max(maxPriority).optional(),
+	/** Requests per second that all nodes together accept, and how many more at once; without a rate there is no limit. */
+	ratePerSecond: z.number().positive().max(maxQuota).optional(),
+	burst: z.number().min(0).max(maxQuota).optional(),
+}).readonly();
+
 /** Limits for all callers; a node whose configuration has none applies its own limits. */
 export const callerLimitsSchema = z.strictObject({
 	/** Maximum size of a request's header section, in bytes. */
--- a/packages/releases/src/types.ts
+++ b/packages/releases/src/types.ts
@@ -1,7 +1,7 @@
 /** Types of the configuration and of the release notes that change it. */
 import {type z} from 'zod';
 import {
-	type callerLimitsSchema, type organisationSchema, type releaseNoteSchema, type routeSchema, type serviceSchema, type termsSchema,
+	type callerLimitsSchema, type keyedOrganisationSchema, type organisationSchema, type releaseNoteSchema, type routeSchema, type serviceSchema, type termsSchema,
 } from './release-note.js';
 
 /** A service with its floor, its failure detection setting and its queue limit. */
@@ -16,6 +16,9 @@
 /** An organisation whose callers hold terms. */
 export type Organisation = z.output<typeof organisationSchema>;
 
+/** An organisation whose callers prove themselves by keys. */
+export type KeyedOrganisation = z.output<typeof keyedOrganisationSchema>;
+
 /** Limits on requests and connections that apply to all callers. */
 export type CallerLimits = z.output<typeof callerLimitsSchema>;
 
@@ -39,6 +42,8 @@
 	readonly terms: ReadonlyMap<string, TermsOffer>;
 	readonly organisations: ReadonlyMap<string, Organisation>;
 	readonly callerLimits?: CallerLimits;
+	/** Organisations with keys by name; absent where requests carry no keys. */
+	readonly keyedOrganisations?: ReadonlyMap<string, KeyedOrganisation>;
 	/** Entries that this node could not read and left out, each with its path and the reason. */
 	readonly skipped?: readonly string[];
 };
