Questions between members over gossip datagrams

The freshness of a configuration is proved by an answer to a question: an unsolicited message may have waited in a buffer. The members' protocol had no question that other components can ask. Adds the message kinds query (8) and reply (9) and PeerQueries, reachable as Gossip.queries. Older builds reject both kinds as gossipMalformed and count them.

--- a/packages/members/src/__tests__/unit/message-codec.test.ts
+++ b/packages/members/src/__tests__/unit/message-codec.test.ts
@@ -42,6 +42,12 @@
 	},
 	{kind: 'pull', sender, wants: [{id: 'n2', incarnation: 1, versions: [0, 1, 3, 2]}]},
 	{kind: 'parts', sender, updates},
+	{
+		kind: 'query', sender, sequence: 281_474_976_710_655, topic: 'freshness', body: [7, 'text', true, -0.5],
+	},
+	{
+		kind: 'reply', sender, sequence: 9, body: [],
+	},
 ];
 
 function listPrefixes(bytes: Uint8Array): readonly Uint8Array[] {
@@ -117,6 +123,13 @@
 			expect(decodeMessage(codec.encode(['length', ['n1', 1, 0], []])).isLeft()).to.equal(true);
 		});
 
+		// A body is kept and answered by components that only check its items' meaning, so its size must be limited here.
+		it('give gossipMalformed for a question whose body has too many items, too long a text or an item of another type', () => {
+			const bodies = [Array.from({length: 17}, () => 1), ['x'.repeat(129)], [null], [[1]], [{}], 'text'];
+			expect(bodies.filter(body => !isRejected(codec.encode([8, ['n1', 1, 0], 1, 'topic', body])))).to.deep.equal([]);
+			expect(bodies.filter(body => !isRejected(codec.encode([9, ['n1', 1, 0], 1, body])))).to.deep.equal([]);
+		});
+
 		it('give gossipMalformed for truncated messages', () => {
 			const truncated = messages.map(message => encodeMessage(message)).flatMap(bytes => listPrefixes(bytes));
 			expect(truncated.filter(bytes => !isRejected(bytes))).to.deep.equal([]);
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -6,6 +6,7 @@
 import {type MemberTable} from './member-table.js';
 import {Membership} from './membership.js';
 import {type MessageTransport} from './message-transport.js';
+import {type PeerQueries} from './peer-queries.js';
 import {UdpTransport} from './udp-transport.js';
 
 /** Optional dependencies of `Gossip`. */
@@ -17,6 +18,8 @@
 
 /** Runs a node's membership over UDP, or over the given transport. */
 export class Gossip {
+	/** Questions to other members, and the answers to theirs. */
+	readonly queries: PeerQueries;
 	readonly #membership: Membership;
 	readonly #transport: MessageTransport;
 	readonly #hasSeeds: boolean;
@@ -30,6 +33,7 @@
 		this.#membership = new Membership({
 			...options, table, seeds, metrics, transport: this.#transport,
 		});
+		this.queries = this.#membership.queries;
 		metrics.registerGauge('gossip_health_factor', () => this.#membership.getHealthFactor());
 		metrics.registerGauge('gossip_queued_updates', () => this.#membership.countUpdates());
 	}
--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -12,6 +12,7 @@
 export * from './prober.js';
 export * from './repair.js';
 export * from './peer-choice.js';
+export * from './peer-queries.js';
 export * from './membership.js';
 export * from './gossip.js';
 export * from './announcements.js';
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -12,6 +12,7 @@
 import {type MemberTable} from './member-table.js';
 import {type EntrySummary, type MemberMessage, type Sender} from './message.js';
 import {type MessageTransport, type ReceivedMessage} from './message-transport.js';
+import {PeerQueries} from './peer-queries.js';
 import {pickSample} from './probe-schedule.js';
 import {Prober} from './prober.js';
 import {profileSlot} from './record-parts.js';
@@ -46,6 +47,8 @@
 
 /** Keeps the member table up to date and spreads this node's own record. The caller runs `runStep` once per gossip period. */
 export class Membership {
+	/** Questions to other members, and the answers to theirs. */
+	readonly queries: PeerQueries;
 	readonly #context: MembershipContext;
 	#seeds: readonly Address[];
 	readonly #logger: Logger;
@@ -62,6 +65,7 @@
 
 	constructor({table, transport, seeds, logger, metrics, getRandomNumber}: MembershipOptions) {
 		this.#context = {table, transport, getRandomNumber: getRandomNumber ?? Math.random};
+		this.queries = new PeerQueries(this.#context, metrics);
 		this.#seeds = seeds;
 		this.#logger = logger ?? new SilentLogger();
 		this.#metrics = metrics;
@@ -115,6 +119,7 @@
 		const {table, transport, getRandomNumber} = this.#context;
 		const update = {...toStatusUpdate(table.getSelfEntry()), status: 'dead'} as const;
 		this.#unregister();
+		this.queries.close();
 		pickSample(listPeers(table), leaveFanout, getRandomNumber).forEach(address => {
 			transport.send(address, {kind: 'rumor', sender: createSender(table), updates: [update]});
 		});
@@ -186,6 +191,16 @@
 				this.#applyParts(message.updates, message.sender);
 				break;
 			}
+
+			case 'query': {
+				this.queries.handleQuery(message, from);
+				break;
+			}
+
+			case 'reply': {
+				this.queries.handleReply(message);
+				break;
+			}
 		}
 	}
 
--- a/packages/members/src/message-codec.ts
+++ b/packages/members/src/message-codec.ts
@@ -13,10 +13,13 @@
 import {type MemberUpdate} from './types.js';
 
 const codec = new Encoder({useRecords: false, mapsAsObjects: true});
-const messageKinds = ['ping', 'ack', 'indirect', 'rumor', 'digest', 'summary', 'pull', 'parts'] as const;
+const messageKinds = ['ping', 'ack', 'indirect', 'rumor', 'digest', 'summary', 'pull', 'parts', 'query', 'reply'] as const;
 const statuses = ['alive', 'suspect', 'dead'] as const;
 const profileStates = ['serving', 'stopping'] as const;
 const maxListItems = 1024;
+const maxQueryItems = 16;
+const maxQueryTextLength = 128;
+const maxTopicLength = 32;
 
 const shortKeys: ReadonlyMap<string, string> = new Map([
 	['id', 'i'], ['service', 's'], ['slots', 'n'], ['state', 't'], ['generation', 'g'], ['badness', 'b'],
@@ -92,6 +95,8 @@
 const recordRequestSchema = z.tuple([idSchema, countSchema, z.array(countSchema).max(2 * maxParts)])
 	.transform(([id, incarnation, versions]) => ({id, incarnation, versions}));
 
+const queryBodySchema = z.array(z.union([z.number(), z.boolean(), z.string().max(maxQueryTextLength)])).max(maxQueryItems);
+
 const probeSchema = z.tuple([z.int(), senderSchema, countSchema, updatesSchema])
 	.transform(([kind, sender, sequence, updates]) => ({
 		kind: messageKinds[kind]! as 'ping' | 'ack', sender, sequence, updates,
@@ -118,6 +123,14 @@
 		.transform(([, sender, wants]) => ({kind: 'pull' as const, sender, wants})),
 	z.tuple([z.literal(7), senderSchema, updatesSchema])
 		.transform(([, sender, updates]) => ({kind: 'parts' as const, sender, updates})),
+	z.tuple([z.literal(8), senderSchema, countSchema, z.string().min(1).max(maxTopicLength), queryBodySchema])
+		.transform(([, sender, sequence, topic, body]) => ({
+			kind: 'query' as const, sender, sequence, topic, body,
+		})),
+	z.tuple([z.literal(9), senderSchema, countSchema, queryBodySchema])
+		.transform(([, sender, sequence, body]) => ({
+			kind: 'reply' as const, sender, sequence, body,
+		})),
 ];
 
 function selectValueSchema(slot: number): z.ZodType {
@@ -220,6 +233,14 @@
 		case 'pull': {
 			return [message.wants.map(({id, incarnation, versions}) => [id, incarnation, versions])];
 		}
+
+		case 'query': {
+			return [message.sequence, message.topic, message.body];
+		}
+
+		case 'reply': {
+			return [message.sequence, message.body];
+		}
 	}
 }
 
--- a/packages/members/src/message.ts
+++ b/packages/members/src/message.ts
@@ -74,6 +74,25 @@
 	readonly updates: readonly MemberUpdate[];
 };
 
+/** Asks the receiver a question about a topic. */
+export type QueryMessage = {
+	readonly kind: 'query';
+	readonly sender: Sender;
+	readonly sequence: number;
+	readonly topic: string;
+	/** Texts, finite numbers and booleans. */
+	readonly body: readonly unknown[];
+};
+
+/** Answers a question and repeats its sequence number. */
+export type ReplyMessage = {
+	readonly kind: 'reply';
+	readonly sender: Sender;
+	readonly sequence: number;
+	/** Texts, finite numbers and booleans. */
+	readonly body: readonly unknown[];
+};
+
 /** Any message between members. */
 export type MemberMessage
 	= | PingMessage
@@ -83,4 +102,6 @@
 		| DigestMessage
 		| SummaryMessage
 		| PullMessage
-		| PartsMessage;
+		| PartsMessage
+		| QueryMessage
+		| ReplyMessage;
