Proofs of how fresh the configuration in force is

A node that serves requests with keys must know that no newer configuration was acknowledged longer ago than the bound on revocations. Adds ConfigurationFreshness: proofs dated by the start of a call to the store or by a question to a peer minus the age in its answer, on both clocks.

--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -19,3 +19,4 @@
 export * from './memory-fleet.js';
 export * from './configuration-source.js';
 export * from './configuration-watcher.js';
+export * from './configuration-freshness.js';
