Calls to the store for proofs of freshness

A long watch proves only what held at its start, up to 10 s ago. Where freshness is needed, the prover of a failure domain now asks every 800 ms by a watch that waits 1 ms, and a watcher whose proof is older than 2 s asks once beside its watch. Each successful call records a proof for its start.

--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -6,10 +6,19 @@
 import {type Either} from 'purify-ts';
 import {type Failure, type Logger, type Unregister} from '@limpetbarrow/core';
 import {computeBackOffMs} from './back-off.js';
+import {type ClockReading, type ConfigurationFreshness} from './configuration-freshness.js';
 import {type ConfigurationSource, type SourceReadResult} from './configuration-source.js';
 import {type ReleaseState} from './release-state.js';
 import {WatchSchedule} from './watch-schedule.js';
 
+/** What a node must do for the proofs of its failure domain. */
+export type FreshnessDuty = {
+	/** True while requests are served only under a configuration that is proven fresh. */
+	readonly isNeeded: boolean;
+	/** True for the one node of the failure domain that asks the source regularly. */
+	readonly isProver: boolean;
+};
+
 /** Dependencies of a configuration watcher. */
 export type ConfigurationWatcherOptions = {
 	readonly source: ConfigurationSource;
@@ -22,6 +31,10 @@
 	readonly countWatchers?: () => number;
 	/** Returns the number of live nodes; the rate of each node's occasional reads is divided by it. */
 	readonly countLiveNodes?: () => number;
+	/** Gets a proof from each successful call, for the time at which the call began. */
+	readonly freshness?: ConfigurationFreshness;
+	/** Tells whether this node asks the source for proofs; without it, and while none are needed, it makes no calls for them. */
+	readonly getFreshnessDuty?: () => FreshnessDuty;
 };
 
 /** A call to the source. */
@@ -29,6 +42,8 @@
 	readonly name: 'read' | 'watch';
 	/** Monotonic time, in milliseconds. */
 	readonly startedAt: number;
+	/** Both clocks as the call began. */
+	readonly clocks: ClockReading | undefined;
 	/** Time that a watch waits for a change, in milliseconds; 0 for a read. */
 	readonly waitMs: number;
 };
@@ -43,6 +58,14 @@
 /** Time after the start in which a node learns of the others before it may consider itself selected, in milliseconds. */
 const joinGracePeriodMs = 3000;
 
+/** Time between the starts of two calls of a prover, in milliseconds. */
+export const proofPeriodMs = 800;
+/** Age of the proof above which a watching node asks the source itself, in milliseconds. */
+export const maxWatcherProofAgeMs = 2000;
+/** Wait of a watch that is only to prove that there was no change, in milliseconds. */
+const proofWaitMs = 1;
+const noDuty: FreshnessDuty = {isNeeded: false, isProver: false};
+
 /** Reads the source, then watches from the version it has read; reads again after a failure. */
 export class ConfigurationWatcher {
 	readonly #options: ConfigurationWatcherOptions;
@@ -53,6 +76,9 @@
 	/** Version to watch from; undefined while the source must be read first. */
 	#version: number | undefined;
 	#isRunning = false;
+	/** Release of the newest configuration that the source has returned since it was last read; 0 if it holds none. */
+	#sourceRelease = 0;
+	#askedForProofAt = Number.NEGATIVE_INFINITY;
 	#watchAllowedAt = 0;
 	#isWatching = false;
 	#isInStandby = false;
@@ -156,9 +182,7 @@
 
 		this.#isInStandby = false;
 		this.#updateWatching(this.#version !== undefined);
-		const call: SourceCall = {
-			name: this.#version === undefined ? 'read' : 'watch', startedAt: performance.now(), waitMs: this.#version === undefined ? 0 : this.#schedule.chooseWaitMs(),
-		};
+		const call = this.#startCall();
 		const result = await this.#runCall(call, signal);
 		if (signal.aborted) {
 			return;
@@ -173,7 +197,62 @@
 		// A watch without an answer tells of its connection, not of the platform, so the platform is read without delay.
 		const isSilent = result.isLeft() && call.name === 'watch' && performance.now() - call.startedAt >= call.waitMs;
 		const failureDelayMs = isSilent ? 0 : computeBackOffMs(this.#failureCount, random);
-		this.#startTimer(this.#failureCount === 0 ? (hasChanged ? changePauseMs : 0) : failureDelayMs);
+		this.#startTimer(this.#failureCount === 0 ? this.#computePauseMs(hasChanged) : failureDelayMs);
+	}
+
+	#startCall(): SourceCall {
+		const {freshness} = this.#options;
+		const times = {startedAt: performance.now(), clocks: freshness?.readClocks()};
+		if (this.#version === undefined) {
+			return {name: 'read', waitMs: 0, ...times};
+		}
+
+		if (this.#isProver()) {
+			this.#askedForProofAt = times.startedAt;
+			return {name: 'watch', waitMs: proofWaitMs, ...times};
+		}
+
+		return {name: 'watch', waitMs: this.#schedule.chooseWaitMs(), ...times};
+	}
+
+	/** Computes the pause after a successful call, in milliseconds. */
+	#computePauseMs(hasChanged: boolean): number {
+		const untilProofMs = this.#isProver() ? Math.max(0, Math.ceil(this.#askedForProofAt + proofPeriodMs - performance.now())) : 0;
+		return Math.max(hasChanged ? changePauseMs : 0, untilProofMs);
+	}
+
+	#getDuty(): FreshnessDuty {
+		return this.#options.getFreshnessDuty?.() ?? noDuty;
+	}
+
+	/** True while this node asks the source for proofs in place of watching it. */
+	#isProver(): boolean {
+		const {isNeeded, isProver} = this.#getDuty();
+		return isNeeded && isProver;
+	}
+
+	/** Asks the source for a proof beside the watch in progress, once it is needed and the present one is too old. */
+	#askIfStale(signal: AbortSignal): void {
+		const {freshness} = this.#options;
+		const now = performance.now();
+		if (freshness && this.#getDuty().isNeeded && now - this.#askedForProofAt >= proofPeriodMs && !freshness.isProven(maxWatcherProofAgeMs)) {
+			this.#askedForProofAt = now;
+			void this.#askForProof(freshness, signal);
+		}
+	}
+
+	/** Asks the source once. A failure says nothing here: that of the watch in progress is reported. */
+	async #askForProof(freshness: ConfigurationFreshness, signal: AbortSignal): Promise<void> {
+		const release = this.#sourceRelease;
+		const clocks = freshness.readClocks();
+		const result = await this.#options.source.watch(this.#version!, {waitMs: proofWaitMs, signal}).run();
+		result.ifRight(({configuration}) => {
+			if (configuration) {
+				this.#options.state.applyConfiguration(configuration, 'watch');
+			}
+
+			freshness.recordProof(clocks, configuration?.release ?? release);
+		});
 	}
 
 	async #runCall({startedAt, waitMs}: SourceCall, signal: AbortSignal): Promise<Either<Failure, SourceReadResult>> {
@@ -183,9 +262,15 @@
 		}
 
 		const check = setInterval(() => {
-			if (!signal.aborted && this.#schedule.isOverdue(waitMs, performance.now() - startedAt)) {
+			if (signal.aborted) {
+				return;
+			}
+
+			if (this.#schedule.isOverdue(waitMs, performance.now() - startedAt) || (waitMs > proofWaitMs && this.#isProver())) {
 				this.#abortController.abort();
 				this.#startTimer(0);
+			} else if (waitMs > proofWaitMs) {
+				this.#askIfStale(signal);
 			}
 		}, checkPeriodMs);
 		const result = await source.watch(this.#version, {waitMs, signal}).run();
@@ -194,8 +279,8 @@
 	}
 
 	/** Records a result. `platformHistoryGone` is no outage: it adds no back-off, and the source is read again at once. */
-	#recordResult(result: Either<Failure, SourceReadResult>, {name: call, startedAt}: SourceCall): void {
-		const {logger, state} = this.#options;
+	#recordResult(result: Either<Failure, SourceReadResult>, {name: call, startedAt, clocks}: SourceCall): void {
+		const {logger, state, freshness} = this.#options;
 		const fields = {call, version: this.#version ?? 0, ms: Math.round(performance.now() - startedAt)};
 		result.ifRight(({configuration, version}) => {
 			this.#answeredAt = performance.now();
@@ -208,6 +293,11 @@
 			if (configuration) {
 				state.applyConfiguration(configuration, call);
 			}
+
+			this.#sourceRelease = configuration?.release ?? (call === 'read' ? 0 : this.#sourceRelease);
+			if (freshness && clocks) {
+				freshness.recordProof(clocks, this.#sourceRelease);
+			}
 		}).ifLeft(({name, detail}) => {
 			const isGone = name === 'platformHistoryGone';
 			if (isGone) {
