Nodes exchange proofs of freshness; strict revocation in the settings

A node can't ask the store for every request, and 730 nodes can't ask it every second. SidecarNode has isConfigurationProven() and askForProof(), a gauge for the age of the proof and the log events 611 and 612.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -70,6 +70,8 @@
 	watchStopped: {number: 607, level: 'info', meaning: 'This node no longer watches the platform.'},
 	snapshotWritten: {number: 608, level: 'info', meaning: 'A snapshot of the configuration was written.'},
 	releasePartSkipped: {number: 610, level: 'warn', meaning: 'An entry of the configuration could not be read; the others are in force.'},
+	proofLost: {number: 611, level: 'warn', meaning: 'The configuration is no longer proven fresh, so requests with keys are rejected; `ageMs` is the age of the last proof.'},
+	proofRegained: {number: 612, level: 'info', meaning: 'The configuration is proven fresh again; `ms` is how long it was not.'},
 	snapshotFailed: {number: 609, level: 'warn', meaning: 'A snapshot could not be written; the release log has everything that it would contain.'},
 
 	// Platform
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -14,12 +14,14 @@
 	ControlServer, type ControlAnswer, type ControlCall, type ControlProtocol,
 } from './control-server.js';
 import {registerConfigurationMetrics} from './configuration-metrics.js';
+import {ConfigurationProof} from './configuration-proof.js';
 import {HostEgress} from './host-egress.js';
 import {type CallerProtocol} from './ingress-request.js';
 import {Ingress} from './ingress.js';
 import {ConfigurationCarrier, PeerConfigurationFetcher} from './peer-configurations.js';
 import {drainNode} from './planned-stop.js';
 import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './process-gauges.js';
+import {registerEraUpdates, registerReleaseUpdates} from './record-updates.js';
 import {RequestRouter} from './request-router.js';
 import {ServerDirectory} from './server-directory.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -55,8 +57,6 @@
 
 /** Announcement periods for which an announcement is valid; a backend server that misses that many in a row is dropped. */
 const announcementsPerLease = 6;
-/** Largest number of log lines about entries of one configuration that can't be read. */
-const maxSkippedLogLines = 20;
 /** Share of the configured retry ratio and allowance that is used; the rest is room for requests that are counted late. */
 const usedRetryShare = 0.85;
 
@@ -109,6 +109,7 @@
 	readonly #router: RequestRouter;
 	readonly #ingress: Ingress;
 	readonly #controlServer: ControlServer;
+	readonly #configurationProof: ConfigurationProof;
 	readonly #configurationWatcher: ConfigurationWatcher;
 	readonly #peerConfigurationFetcher: PeerConfigurationFetcher;
 	readonly #discovery: StoreDiscovery;
@@ -134,6 +135,9 @@
 		this.#ingress = this.#createIngress(this.#router);
 		this.#controlServer = new ControlServer(platform.control, (call, remoteHost) => this.#handleCall(call, remoteHost));
 		const role = new WatcherRole(this.#table, this.#gossip);
+		this.#configurationProof = new ConfigurationProof({
+			table: this.#table, state: this.#releases, queries: this.#gossip.queries, role, getSettings: options.getSettings, metrics: this.#metrics, logger,
+		});
 		this.#configurationWatcher = new ConfigurationWatcher({
 			source: platform.source,
 			state: this.#releases,
@@ -141,6 +145,8 @@
 			isSelectedWatcher: () => role.isWatcher(),
 			countWatchers: () => role.countWatchers(),
 			countLiveNodes: () => this.#table.listLive().length,
+			freshness: this.#configurationProof.freshness,
+			getFreshnessDuty: () => this.#configurationProof.getDuty(),
 		});
 		this.#peerConfigurationFetcher = new PeerConfigurationFetcher({
 			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#configurationWatcher.isWatching(), readPlatform: () => {
@@ -159,6 +165,16 @@
 		return this.#table.listLive().map(({record}) => record.id);
 	}
 
+	/** True while requests with keys may be served; always true unless the settings and the configuration ask for proofs. */
+	isConfigurationProven(): boolean {
+		return this.#configurationProof.isProven();
+	}
+
+	/** Asks for a proof at once, after a request with a key was rejected for want of one. */
+	askForProof(): void {
+		this.#configurationProof.askForProof();
+	}
+
 	/**
 	 * Performs a planned stop: announces it, stops listening, and waits for requests in progress. Takes at most the stop
 	 * timeout of the settings.
@@ -196,6 +212,7 @@
 	async close(): Promise<void> {
 		clearInterval(this.#sweepTimer);
 		this.#configurationWatcher.stop();
+		this.#configurationProof.stop();
 		this.#peerConfigurationFetcher.stop();
 		this.#discovery.stop();
 		this.#gossip.stop();
@@ -224,6 +241,7 @@
 		]);
 		this.#discovery.start();
 		this.#peerConfigurationFetcher.start();
+		this.#configurationProof.start();
 		this.#sweepTimer = setInterval(() => {
 			this.#announcements.sweep();
 			this.#egress.sweep();
@@ -306,29 +324,8 @@
 		this.#announcements.store.registerListener(() => {
 			this.#table.updateSelf(() => ({servers: this.#listServers(), poison: this.#egress.listPoison()}));
 		});
-		const {store} = this.#options.platform;
-		const publishEra = (era: number): void => {
-			this.#table.updateSelf(() => ({storeEra: era}));
-		};
-
-		store.eraChanges.registerListener(({era}) => {
-			publishEra(era);
-		});
-		const era = store.getEra();
-		if (era !== undefined) {
-			publishEra(era);
-		}
-
-		this.#releases.store.registerListener(({before, after}) => {
-			const {release, routes, skipped = []} = after.configuration;
-			this.#options.logger.log('releaseInForce', {
-				release, previous: before.configuration.release, routes: routes.size, source: after.source ?? '',
-			});
-			skipped.slice(0, maxSkippedLogLines).forEach(detail => {
-				this.#options.logger.log('releasePartSkipped', {release, detail});
-			});
-			this.#table.updateSelf(() => ({release: after.configuration.release}));
-		});
+		registerEraUpdates(this.#table, this.#options.platform.store);
+		registerReleaseUpdates(this.#table, this.#releases, this.#options.logger);
 	}
 
 	#listServers(): NodeRecord['servers'] {
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -55,6 +55,10 @@
 	stopTimeoutMs: z.number().min(0).max(maxDurationMs),
 	/** Time for which a stopping node keeps listening, in milliseconds. */
 	lameDuckMs: z.number().min(0).max(maxDurationMs).default(3000),
+	/** Serves requests with keys only while the configuration is proven fresh, so that a revoked key stops working in time. */
+	isRevocationStrict: z.boolean().default(false),
+	/** Time in which a revoked key must stop working, in milliseconds. */
+	revocationMs: z.number().min(1).max(maxDurationMs).optional(),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 }).readonly();
 
--- a/packages/node/src/watcher-role.ts
+++ b/packages/node/src/watcher-role.ts
@@ -1,6 +1,8 @@
 /** Whether this node is one of those that watch the configuration for the fleet, and how many there are. */
-import {type Gossip, type MemberTable} from '@limpetbarrow/members';
-import {countWatchers, selectWatchers, type ReleasePeer} from '@limpetbarrow/releases';
+import {type Gossip, type Member, type MemberTable} from '@limpetbarrow/members';
+import {
+	countWatchers, listRankedIds, selectWatchers, type ReleasePeer,
+} from '@limpetbarrow/releases';
 
 /** Time without a gossip message from any other node after which a node watches the configuration itself, in milliseconds. */
 const maxGossipSilenceMs = 1500;
@@ -11,6 +13,8 @@
 export class WatcherRole {
 	readonly #table: MemberTable;
 	readonly #gossip: Gossip;
+	#members: ReadonlyMap<string, Member> | undefined;
+	#peers: readonly ReleasePeer[] = [];
 
 	constructor(table: MemberTable, gossip: Gossip) {
 		this.#table = table;
@@ -21,21 +25,35 @@
 	isWatcher(): boolean {
 		const {failureDomain} = this.#table.getSelf().placement;
 		return this.#isOutOfTouch()
-			|| selectWatchers(this.#listAlivePeers().filter(peer => peer.failureDomain === failureDomain), watchersPerDomain).has(this.#table.self.id);
+			|| selectWatchers(this.listAlivePeers().filter(peer => peer.failureDomain === failureDomain), watchersPerDomain).has(this.#table.self.id);
 	}
 
 	/** Returns the number of nodes that watch the configuration, this one included. */
 	countWatchers(): number {
-		return this.#isOutOfTouch() ? 1 : Math.max(1, countWatchers(this.#listAlivePeers(), watchersPerDomain));
+		return this.#isOutOfTouch() ? 1 : Math.max(1, countWatchers(this.listAlivePeers(), watchersPerDomain));
 	}
 
-	#isOutOfTouch(): boolean {
-		return performance.now() - this.#gossip.getLastMessageAt() > maxGossipSilenceMs;
+	/** Returns whether this node is the first of its failure domain's watchers. A node that hears from no other is none. */
+	isProver(): boolean {
+		const {failureDomain} = this.#table.getSelf().placement;
+		const [first] = listRankedIds(this.listAlivePeers().filter(peer => peer.failureDomain === failureDomain));
+		return !this.#isOutOfTouch() && first === this.#table.self.id;
+	}
+
+	/** Lists the nodes that are alive, this one included; the same list until a member changes. */
+	listAlivePeers(): readonly ReleasePeer[] {
+		const {members} = this.#table.store.getState();
+		if (this.#members !== members) {
+			this.#members = members;
+			this.#peers = [...members.values()].filter(({status}) => status === 'alive').map(({record}) => ({
+				id: record.id, failureDomain: record.placement.failureDomain, release: record.release, isServing: record.state === 'serving',
+			}));
+		}
+
+		return this.#peers;
 	}
 
-	#listAlivePeers(): readonly ReleasePeer[] {
-		return this.#table.listLive().filter(({status}) => status === 'alive').map(({record}) => ({
-			id: record.id, failureDomain: record.placement.failureDomain, release: record.release, isServing: record.state === 'serving',
-		}));
+	#isOutOfTouch(): boolean {
+		return performance.now() - this.#gossip.getLastMessageAt() > maxGossipSilenceMs;
 	}
 }
--- a/packages/releases/src/__tests__/unit/configuration-freshness.test.ts
+++ b/packages/releases/src/__tests__/unit/configuration-freshness.test.ts
@@ -41,7 +41,7 @@
 		return {now: this.trueNow - suspendedMs, wallNow: this.trueNow + jumpedMs};
 	}
 
-	restart(node: ModelNode): void {
+	replaceProcess(node: ModelNode): void {
 		node.process++;
 		node.version = 0;
 		node.freshness = new ConfigurationFreshness(() => node.version, () => this.readClocks(node));
@@ -55,7 +55,7 @@
 		});
 	}
 
-	jump(node: ModelNode, ms: number): void {
+	setWallClock(node: ModelNode, ms: number): void {
 		node.jumpedMs += ms;
 		this.jumpedBackMs += Math.max(0, -ms);
 	}
@@ -78,7 +78,7 @@
 	}
 
 	/** Delivers an answer to the process that asked, in any order. */
-	deliver(node: ModelNode, index: number): void {
+	handleAnswer(node: ModelNode, index: number): void {
 		const [call] = node.calls.splice(index, 1);
 		if (call?.version !== undefined && call.process === node.process) {
 			node.freshness.recordProof(call.startedAt, call.version, call.ageMs);
@@ -132,7 +132,7 @@
 	}),
 	fc.tuple(nodeIndex, callIndex).map(([index, call]) => world => {
 		if (!world.nodes[index]!.isSuspended) {
-			world.deliver(world.nodes[index]!, call);
+			world.handleAnswer(world.nodes[index]!, call);
 		}
 	}),
 	// A whole question at once, so that many runs hold proofs.
@@ -143,18 +143,18 @@
 				startedAt: node.freshness.readClocks(), version: undefined, ageMs: 0, peer, process: node.process,
 			});
 			world.answer(node, node.calls.length - 1);
-			world.deliver(node, node.calls.length - 1);
+			world.handleAnswer(node, node.calls.length - 1);
 		}
 	})),
 	nodeIndex.map(index => world => {
-		world.restart(world.nodes[index]!);
+		world.replaceProcess(world.nodes[index]!);
 	}),
 ];
 const suspension: fc.Arbitrary<Step> = nodeIndex.map(index => ({nodes}) => {
 	nodes[index]!.isSuspended = !nodes[index]!.isSuspended;
 });
 const jump: fc.Arbitrary<Step> = fc.tuple(nodeIndex, fc.oneof(fc.integer({min: -600, max: 600}), fc.integer({min: -20_000, max: 20_000}))).map(([index, ms]) => world => {
-	world.jump(world.nodes[index]!, ms);
+	world.setWallClock(world.nodes[index]!, ms);
 });
 
 describe('the freshness of a configuration', () => {
--- a/packages/releases/src/configuration-freshness.ts
+++ b/packages/releases/src/configuration-freshness.ts
@@ -18,6 +18,13 @@
 	readonly version: number;
 };
 
+/** A version that was the newest one at a time that lies `ageMs` back, or later. */
+export type ProvenVersion = {
+	readonly version: number;
+	/** In milliseconds. */
+	readonly ageMs: number;
+};
+
 /** Difference of the two ages of a proof above which it is dropped, in milliseconds. */
 const maxClockDifferenceMs = 500;
 /** Maximum number of proofs kept for versions above the node's own, which count once the node has them. */
@@ -58,23 +65,35 @@
 	recordProof(startedAt: ClockReading, version: number, ageMs = 0): void {
 		const at = {now: startedAt.now - ageMs, wallNow: startedAt.wallNow - ageMs};
 		const clocks = this.#readClocks();
-		this.#dropDisagreeing(clocks);
+		this.#forgetDisagreeing(clocks);
 		const added = {at, version};
 		const addedAgeMs = computeAgeMs(added, clocks);
 		const isWorse = this.#proofs.some(proof => proof.version <= version && computeAgeMs(proof, clocks) <= addedAgeMs);
 		if (!isWorse && Number.isFinite(addedAgeMs)) {
 			const kept = this.#proofs.filter(proof => proof.version < version || computeAgeMs(proof, clocks) < addedAgeMs);
-			this.#keepBest([...kept, added].toSorted((a, b) => computeAgeMs(a, clocks) - computeAgeMs(b, clocks)));
+			this.#replaceProofs([...kept, added].toSorted((a, b) => computeAgeMs(a, clocks) - computeAgeMs(b, clocks)));
 		}
 	}
 
 	/** Returns the age of the best proof that covers the configuration in force, in milliseconds; infinite if there is none. */
 	getAgeMs(now: number, wallNow: number): number {
-		this.#dropDisagreeing({now, wallNow});
+		this.#forgetDisagreeing({now, wallNow});
 		const proof = this.#findCovering();
 		return proof ? computeAgeMs(proof, {now, wallNow}) : Number.POSITIVE_INFINITY;
 	}
 
+	/**
+	 * Lists the proofs that are worth passing on: the best one that covers the configuration in force, and the newest one for
+	 * a version that this node lacks, which may cover the asking node.
+	 */
+	listProofs(): readonly ProvenVersion[] {
+		const clocks = this.#readClocks();
+		this.#forgetDisagreeing(clocks);
+		const covering = this.#findCovering();
+		const [newest] = this.#proofs;
+		return [...new Set([covering, newest])].flatMap(proof => proof ? [{version: proof.version, ageMs: computeAgeMs(proof, clocks)}] : []);
+	}
+
 	/** True while a proof of at most this age covers the configuration in force. */
 	isProven(maxAgeMs: number): boolean {
 		const {now, wallNow} = this.#readClocks();
@@ -92,7 +111,7 @@
 	}
 
 	/** Keeps the best proof that covers the configuration in force, and the newest of those for higher versions. */
-	#keepBest(proofs: readonly Proof[]): void {
+	#replaceProofs(proofs: readonly Proof[]): void {
 		const version = this.#getVersion();
 		const covering = proofs.find(proof => proof.version <= version);
 		const pending = proofs.filter(proof => proof.version > version).slice(0, maxPendingProofs);
@@ -100,7 +119,7 @@
 	}
 
 	/** Drops proofs whose ages disagree. They must not count again when the wall clock is set back later. */
-	#dropDisagreeing(clocks: ClockReading): void {
+	#forgetDisagreeing(clocks: ClockReading): void {
 		if (this.#proofs.some(proof => computeAgeMs(proof, clocks) === Number.POSITIVE_INFINITY)) {
 			this.#proofs = this.#proofs.filter(proof => computeAgeMs(proof, clocks) !== Number.POSITIVE_INFINITY);
 		}
--- a/packages/releases/src/select-watchers.ts
+++ b/packages/releases/src/select-watchers.ts
@@ -27,17 +27,22 @@
 	return a.rank - b.rank || (a.id < b.id ? -1 : 1);
 }
 
+/** Lists the ids of the serving nodes of one failure domain in the order in which they are selected to watch. */
+export function listRankedIds(peers: readonly ReleasePeer[]): readonly string[] {
+	return peers
+		.filter(({isServing}) => isServing)
+		.map(({id}) => ({id, rank: hashId(id)}))
+		.toSorted(compareRanks)
+		.map(({id}) => id);
+}
+
 /**
  * Selects the ids of the nodes that watch: the serving nodes of each failure domain with the lowest hashes. Nodes with the
  * same view of the fleet select the same ids; while views differ, a few more or a few less nodes watch.
  */
 export function selectWatchers(peers: readonly ReleasePeer[], nodesPerDomain = watchersPerDomain): ReadonlySet<string> {
 	const domains = groupItems(peers.filter(({isServing}) => isServing), ({failureDomain}) => failureDomain);
-	return new Set([...domains.values()].flatMap(members => members
-		.map(({id}) => ({id, rank: hashId(id)}))
-		.toSorted(compareRanks)
-		.slice(0, nodesPerDomain)
-		.map(({id}) => id)));
+	return new Set([...domains.values()].flatMap(members => listRankedIds(members).slice(0, nodesPerDomain)));
 }
 
 /** Counts the nodes that `selectWatchers` selects. */
