--- a/packages/node/src/configuration-proof.ts
+++ b/packages/node/src/configuration-proof.ts
@@ -19,7 +19,7 @@
 export type ConfigurationProofOptions = {
 	readonly table: MemberTable;
 	readonly state: ReleaseState;
-	readonly queries: PeerQueries;
+	readonly queries: Pick<PeerQueries, 'ask' | 'registerTopic'>;
 	readonly role: ProofRole;
 	readonly getSettings: () => {readonly isRevocationStrict: boolean; readonly revocationMs?: number | undefined};
 	/** Tells whether requests need keys under a configuration; `hasKeys` by default. */
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -14,7 +14,7 @@
 	ControlServer, type ControlAnswer, type ControlCall, type ControlProtocol,
 } from './control-server.js';
 import {registerConfigurationMetrics} from './configuration-metrics.js';
-import {ConfigurationProof} from './configuration-proof.js';
+import {ConfigurationProof, type ConfigurationProofOptions} from './configuration-proof.js';
 import {HostEgress} from './host-egress.js';
 import {type CallerProtocol} from './ingress-request.js';
 import {Ingress} from './ingress.js';
@@ -46,6 +46,8 @@
 	readonly getSettings: () => SidecarSettings;
 	readonly platform: SidecarPlatform;
 	readonly logger: Logger;
+	/** Tells whether requests need keys under a configuration; `hasKeys` by default. */
+	readonly hasKeys?: NonNullable<ConfigurationProofOptions['hasKeys']>;
 };
 
 /** Components that are created before the node itself, and the incarnation of its process. */
@@ -136,7 +138,7 @@
 		this.#controlServer = new ControlServer(platform.control, (call, remoteHost) => this.#handleCall(call, remoteHost));
 		const role = new WatcherRole(this.#table, this.#gossip);
 		this.#configurationProof = new ConfigurationProof({
-			table: this.#table, state: this.#releases, queries: this.#gossip.queries, role, getSettings: options.getSettings, metrics: this.#metrics, logger,
+			table: this.#table, state: this.#releases, queries: this.#gossip.queries, role, ...options, metrics: this.#metrics,
 		});
 		this.#configurationWatcher = new ConfigurationWatcher({
 			source: platform.source,
