--- a/packages/node/src/__tests__/freshness-model.ts
+++ b/packages/node/src/__tests__/freshness-model.ts
@@ -113,6 +113,8 @@
 	readonly storeCuts = new Set<string>();
 	/** Ids of the nodes whose datagrams are lost in both directions. */
 	readonly cutIds = new Set<string>();
+	/** Ids of the nodes of older builds, which know no questions. */
+	readonly oldIds = new Set<string>();
 	/** Ids of the nodes that the others hold for dead. */
 	deadIds: ReadonlySet<string> = new Set();
 	release = 1;
@@ -247,7 +249,7 @@
 		const state = new ReleaseState();
 		const freshness = new ConfigurationFreshness(() => state.getNumber());
 		transport.messages.registerListener(({message, from}) => {
-			if (message.kind === 'query') {
+			if (message.kind === 'query' && !this.oldIds.has(id)) {
 				queries.handleQuery(message, from);
 			} else if (message.kind === 'reply') {
 				queries.handleReply(message);
--- a/packages/node/src/__tests__/unit/freshness-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/freshness-exchange.test.ts
@@ -109,6 +109,15 @@
 				expect(await measure('dead prover', plan, other => other !== id)).to.have.property('unprovenShare', 0);
 			});
 
+			it('are never too old while the first node of a domain and a third of the others run older builds, which don\'t answer', async () => {
+				await startFleet(plan);
+				const [first] = fleet.listRankedIds(0);
+				fleet.nodes.filter(({id}, index) => id === first || index % 3 === 2).forEach(({id}) => {
+					fleet.oldIds.add(id);
+				});
+				expect(await measure('older builds', plan)).to.have.property('unprovenShare', 0);
+			});
+
 			it('end at a node that is cut off, and at no other', async () => {
 				await startFleet(plan);
 				const id = fleet.listRankedIds(0).at(-1)!;
