--- a/packages/node/src/__tests__/freshness-model.ts
+++ b/packages/node/src/__tests__/freshness-model.ts
@@ -117,6 +117,8 @@
 	readonly oldIds = new Set<string>();
 	/** Ids of the nodes that the others hold for dead. */
 	deadIds: ReadonlySet<string> = new Set();
+	/** True while the nodes need proofs. */
+	isNeeded = true;
 	release = 1;
 	storeCalls = 0;
 	readonly #plan: FreshnessPlan;
@@ -256,7 +258,7 @@
 			}
 		});
 		const exchange = new FreshnessExchange({
-			selfId: id, failureDomain, freshness, queries, random, isNeeded: () => true, listNodes: () => {
+			selfId: id, failureDomain, freshness, queries, random, isNeeded: () => this.isNeeded, listNodes: () => {
 				this.#updatePeers();
 				return this.#peers;
 			},
@@ -275,7 +277,7 @@
 			countWatchers: () => this.#plan.domains * watchersPerDomain,
 			countLiveNodes: () => this.#plan.nodes,
 			freshness,
-			getFreshnessDuty: () => ({isNeeded: true, isProver: getRank() === 0}),
+			getFreshnessDuty: () => ({isNeeded: this.isNeeded, isProver: getRank() === 0}),
 		});
 		exchange.start();
 		watcher.start();
--- a/packages/node/src/__tests__/unit/freshness-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/freshness-exchange.test.ts
@@ -75,6 +75,17 @@
 				expect(await measure('calm', plan)).to.have.property('unprovenShare', 0);
 			});
 
+			it('come soon once they are needed', async () => {
+				fleet = new FreshnessFleet(plan);
+				fleet.isNeeded = false;
+				await advance(startMs);
+				expect(fleet.takeTraffic(startMs).busiestDatagramsPerS).to.equal(0);
+				fleet.isNeeded = true;
+				const ms = await measureRecovery();
+				reportFigures('needed from now on', plan, {ms});
+				expect(ms).to.be.at.most(recoveryMs);
+			});
+
 			it('are never too old while 1 % of the datagrams is lost', async () => {
 				await startFleet({...plan, loss: 0.01});
 				expect(await measure('loss', plan)).to.have.property('unprovenShare', 0);
