--- a/packages/node/src/paced-connection.ts
+++ b/packages/node/src/paced-connection.ts
@@ -66,6 +66,8 @@
 		socket.once('error', error => {
 			this.destroy(error);
 		});
+		// The HTTP server removes its own listener when it hands a connection over, as for CONNECT.
+		this.on('error', () => undefined);
 		socket.once('close', () => {
 			this.destroy();
 		});
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -67,6 +67,10 @@
 	connectionMemoryBytes: z.int().min(1).optional(),
 	/** Largest number of callers' connections; by default derived from the descriptors. */
 	maxCallerConnections: z.int().min(1).optional(),
+	/** Serves requests with keys only while the configuration is proven fresh, so that a revoked key stops working in time. */
+	isRevocationStrict: z.boolean().default(false),
+	/** Time in which a revoked key must stop working, in milliseconds. */
+	revocationMs: z.number().min(1).max(maxDurationMs).optional(),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 }).readonly();
 
