Add quotas of organisations over all nodes: home buckets, node client, rendezvous ranking

An organisation's rate applies to the whole fleet, and the existing limiter only reports usage after the fact. The home of an organisation now grants permits before requests run.

--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -26,3 +26,48 @@
 
 /** Share of their lifetime that terms must have been held for before a renewal raises their limits. */
 export const minHeldLifetimeShare = 0.5;
+
+/** Time for which a node asks ahead for the permits of steady demand, in milliseconds. */
+export const quotaAskAheadMs = 250;
+
+/** Lifetime of an unused permit, in milliseconds. */
+export const quotaPermitLifetimeMs = 1000;
+
+/** Time to wait for a home's answer before the next attempt, in milliseconds; above the round trip between regions of 120 ms. */
+export const quotaAskTimeoutMs = 150;
+
+/** Time constant of the demand estimate, in milliseconds. */
+export const quotaDemandMs = 1000;
+
+/** Time for which a home that didn't answer is asked last, and a node without a home spends its own share, in milliseconds. */
+export const quotaSilenceMs = 1000;
+
+/** Time after which all nodes know of a membership change, in milliseconds; views of members differ for up to 3 s. */
+export const quotaSettleMs = 3500;
+
+/**
+ * Time for which a member that is new in a node's view doesn't replace the home before it, in milliseconds. The newcomer refers
+ * nodes to that home until it has settled, and is asked first by all nodes afterwards.
+ */
+export const quotaNewcomerMs = 4000;
+
+/**
+ * Share of the rate that a home grants while another node may still be granting the whole rate. Over the 3 s for which views
+ * differ this amounts to 0.3 s of the rate, of the 0.5 s that the bound allows above the quota.
+ */
+export const quotaProvisionalShare = 0.1;
+
+/** Permits per second added to the provisional share: 7 in 3.5 s, of the 20 that the bound allows above the quota. */
+export const quotaProvisionalRate = 2;
+
+/** Least capacity of a bucket, as milliseconds of the rate, so that a quota without burst can be taken in batches. */
+export const quotaMinBurstMs = 150;
+
+/** Longest wait that a home gives to a node, in milliseconds. */
+export const maxQuotaWaitMs = 2000;
+
+/** Most organisations that a node tracks as home or as client; 27,000 are planned. */
+export const maxQuotaEntries = 30_000;
+
+/** Most requests of a node that wait for answers of homes. */
+export const maxQuotaWaiting = 4096;
--- /dev/null
+++ b/packages/limits/src/home-history.ts
@@ -0,0 +1,105 @@
+/** What a node's recent views of the members say about its role as home of organisations. */
+import {quotaNewcomerMs, quotaSettleMs} from './constants.js';
+import {rankHomes} from './rank-homes.js';
+
+/** A node's view of the members. */
+export type MembersView = {
+	/** Ids of the live members, this node included. The list must not be changed in place. */
+	readonly memberIds: readonly string[];
+	/** Number of known members, dead ones included. */
+	readonly known: number;
+	/** Ids of members that announced their leaving; they no longer grant permits. */
+	readonly leftIds?: readonly string[];
+};
+
+/** A share of the fleet and the last monotonic time at which it was seen, in milliseconds. */
+type SeenShare = {
+	readonly share: number;
+	readonly until: number;
+};
+
+/** Times since which members are in the view or out of it, in monotonic milliseconds. */
+type Times = ReadonlyMap<string, number>;
+
+function selectRecent(times: Times, since: number): Times {
+	return new Map([...times].filter(([_id, at]) => at > since));
+}
+
+/**
+ * Follows the views of one node. A member that has just joined doesn't end the tenure of the home before it, because it
+ * refers nodes to that home until it has settled. A member that died or became unreachable may still be granting, so the
+ * tenure of its successor starts again.
+ */
+export class HomeHistory {
+	readonly #selfId: string;
+	readonly #startedAt: number;
+	#view: MembersView;
+	#joinedAt: Times = new Map();
+	#lostAt: Times = new Map();
+	#shares: readonly SeenShare[] = [];
+	#established: readonly string[];
+	#establishedUntil = Infinity;
+
+	/** `now` is the monotonic time at which the process started to listen, in milliseconds. */
+	constructor(selfId: string, view: MembersView, now: number) {
+		this.#selfId = selfId;
+		this.#startedAt = now;
+		this.#view = view;
+		this.#established = view.memberIds;
+	}
+
+	/** Replaces the view of the members. */
+	updateView(view: MembersView, now: number): void {
+		const share = this.#computeViewShare();
+		this.#shares = [...this.#shares.filter(seen => seen.until > now - quotaSettleMs), {share, until: now}];
+		const before = new Set(this.#view.memberIds);
+		const after = new Set(view.memberIds);
+		const left = new Set(view.leftIds);
+		this.#joinedAt = new Map([
+			...selectRecent(this.#joinedAt, now - quotaNewcomerMs),
+			...view.memberIds.filter(id => !before.has(id)).map(id => [id, now] as const),
+		]);
+		this.#lostAt = new Map([
+			...[...selectRecent(this.#lostAt, now - quotaSettleMs)].filter(([id]) => !after.has(id)),
+			...this.#view.memberIds.filter(id => !after.has(id) && !left.has(id)).map(id => [id, now] as const),
+		]);
+		this.#view = view;
+		this.#establishedUntil = -Infinity;
+	}
+
+	/** Computes the share of the known members that were alive in this view and in all others of the last 3.5 s. */
+	computeShare(now: number): number {
+		const shares = this.#shares.filter(({until}) => until > now - quotaSettleMs).map(({share}) => share);
+		return Math.min(this.#computeViewShare(), ...shares);
+	}
+
+	/** Computes for how long this node has been the home of an organisation, in milliseconds; 0 when it isn't. */
+	computeHomeForMs(organisation: string, now: number): number {
+		const established = this.#getEstablished(now);
+		if (rankHomes(organisation, established, 1)[0] !== this.#selfId) {
+			return 0;
+		}
+
+		const since = [...this.#lostAt]
+			.filter(([id, at]) => at > now - quotaSettleMs && rankHomes(organisation, [id, this.#selfId], 1)[0] === id)
+			.map(([_id, at]) => at);
+		return now - Math.max(this.#startedAt, ...since);
+	}
+
+	#computeViewShare(): number {
+		return Math.min(1, this.#view.memberIds.length / Math.max(1, this.#view.known));
+	}
+
+	/** The members without the newcomers, as a list that stays the same while it holds. */
+	#getEstablished(now: number): readonly string[] {
+		if (now >= this.#establishedUntil) {
+			this.#joinedAt = selectRecent(this.#joinedAt, now - quotaNewcomerMs);
+			this.#establishedUntil = Math.min(Infinity, ...[...this.#joinedAt.values()].map(at => at + quotaNewcomerMs));
+			this.#established = this.#joinedAt.size === 0
+				? this.#view.memberIds
+				: this.#view.memberIds.filter(id => id === this.#selfId || !this.#joinedAt.has(id));
+		}
+
+		return this.#established;
+	}
+}
--- /dev/null
+++ b/packages/limits/src/organisation-quota.ts
@@ -0,0 +1,283 @@
+/** The permits of one organisation at one node: stock, questions to homes, and requests that wait for the answers. */
+import {Left, Right, type Either} from 'purify-ts';
+import {type Failure} from '@limpetbarrow/core';
+import {
+	maxQuotaWaitMs, msPerS, quotaAskTimeoutMs, quotaProvisionalShare, quotaSettleMs, quotaSilenceMs,
+} from './constants.js';
+import {PermitDemand, PermitStock} from './permit-stock.js';
+import {type QuotaAnswer} from './quota-book.js';
+import {createLimitFailure} from './rate-limiter.js';
+
+/** An organisation and its quota over all nodes. */
+export type OrganisationLimit = {
+	readonly organisation: string;
+	/** Requests per second. */
+	readonly rate: number;
+	/** Requests that may be saved up. */
+	readonly burst: number;
+};
+
+/** Gets the result for one request: a permit, or `limitExceeded`. */
+export type HandlePermit = (result: Either<Failure, void>) => void;
+
+/** Carries questions to homes. */
+export abstract class QuotaTransport {
+	/**
+	 * Asks the home of the given rank, 0 or 1, for permits. Calls `handleAnswer` when the answer arrives, at once if this node
+	 * is the home, or never; answers after the first are ignored.
+	 */
+	abstract askHome(rank: number, organisation: string, wanted: number, handleAnswer: (answer: QuotaAnswer) => void): void;
+
+	/** Counts the known members, dead ones included. */
+	abstract countMembers(): number;
+}
+
+/** A request that waits for an answer. */
+export type WaitingRequest = {
+	readonly handleResult: HandlePermit;
+};
+
+/** What the parts of one client share. */
+export type QuotaContext = {
+	readonly transport: QuotaTransport;
+	/** Requests of all organisations that wait. */
+	readonly waiting: Set<WaitingRequest>;
+	readonly maxWaiting: number;
+	/** Returns a number from 0 up to 1. */
+	readonly random: () => number;
+};
+
+/** A question in progress. */
+type Question = {
+	readonly wanted: number;
+	/** Ranks of the homes to ask after this one, in turn. */
+	readonly nextRanks: readonly number[];
+	/** Wait given by a home that had not settled, in milliseconds. */
+	readonly unsettledWaitMs?: number;
+	readonly timer: NodeJS.Timeout;
+};
+
+/** The permits of one organisation at one node. */
+export class OrganisationQuota {
+	readonly #context: QuotaContext;
+	readonly #stock = new PermitStock();
+	readonly #demand = new PermitDemand();
+	readonly #waiting = new Set<WaitingRequest>();
+	#limit: OrganisationLimit;
+	#question: Question | undefined;
+	#refusedUntil = -Infinity;
+	/** Time until which the first-ranked home is asked last. */
+	#silentUntil = -Infinity;
+	/** Time until which this node spends its own share, and since which no home has answered. */
+	#lostUntil = -Infinity;
+	#lostSince: number | undefined;
+	#ownPermits: number;
+	#ownAt = -Infinity;
+
+	constructor(limit: OrganisationLimit, context: QuotaContext) {
+		this.#limit = limit;
+		this.#context = context;
+		// Nodes begin at different parts of a permit, so that together they spend their shares and not one permit each at once.
+		this.#ownPermits = context.random();
+	}
+
+	/** Takes a permit, refuses, or adds the request to those that wait; returns the latter. */
+	takePermit(limit: OrganisationLimit, now: number, handleResult: HandlePermit): WaitingRequest | undefined {
+		this.#setLimit(limit, now);
+		if (this.#waiting.size === 0 && this.#stock.takePermit(now)) {
+			this.#demand.recordPermits(1, now);
+			this.#askAhead(now);
+			handleResult(Right(undefined));
+			return undefined;
+		}
+
+		if (now < this.#refusedUntil) {
+			handleResult(Left(this.#createFailure(this.#refusedUntil - now)));
+			return undefined;
+		}
+
+		if (now < this.#lostUntil) {
+			handleResult(this.#takeOwnPermit(now));
+			return undefined;
+		}
+
+		return this.#addWaiting({handleResult}, now);
+	}
+
+	/** Returns the permit of a request that didn't run to the stock, as far as this node is expected to use it. */
+	returnPermit(now: number): void {
+		this.#demand.recordPermits(-1, now);
+		this.#stock.addPermits(1, now);
+		this.#dispatchStock(now);
+		this.#stock.sweepAbove(Math.max(1, this.#computeAhead(now)), now);
+	}
+
+	/** Removes a waiting request; its permit goes to the next one or into the stock. */
+	cancelRequest(request: WaitingRequest): void {
+		this.#waiting.delete(request);
+		this.#context.waiting.delete(request);
+	}
+
+	/** Ends the question and refuses the requests that wait. */
+	close(): void {
+		clearTimeout(this.#question?.timer);
+		this.#question = undefined;
+		this.#refuseWaiting(() => Left(this.#createFailure(quotaAskTimeoutMs)));
+	}
+
+	#setLimit(limit: OrganisationLimit, now: number): void {
+		const isLowered = limit.rate < this.#limit.rate || limit.burst < this.#limit.burst;
+		this.#limit = limit;
+		if (isLowered) {
+			this.#stock.sweepAbove(this.#computeAhead(now), now);
+		}
+	}
+
+	#addWaiting(request: WaitingRequest, now: number): WaitingRequest | undefined {
+		const {rate, burst} = this.#limit;
+		const {waiting, maxWaiting} = this.#context;
+		if (waiting.size >= maxWaiting || this.#waiting.size >= 1 + burst + rate) {
+			request.handleResult(Left(this.#createFailure(quotaAskTimeoutMs)));
+			return undefined;
+		}
+
+		this.#waiting.add(request);
+		waiting.add(request);
+		if (!this.#question) {
+			this.#ask(now);
+		}
+
+		return request;
+	}
+
+	#askAhead(now: number): void {
+		const ahead = this.#computeAhead(now);
+		const isDue = this.#stock.countPermits(now) <= ahead / 2;
+		if (ahead > 0 && isDue && !this.#question && now >= this.#refusedUntil && now >= this.#lostUntil) {
+			this.#ask(now);
+		}
+	}
+
+	#ask(now: number): void {
+		const wanted = Math.max(1, this.#waiting.size + this.#computeAhead(now) - this.#stock.countPermits(now));
+		this.#sendQuestion(now < this.#silentUntil ? [1, 0] : [0, 0, 1], wanted);
+	}
+
+	#sendQuestion([rank, ...nextRanks]: readonly number[], wanted: number, unsettledWaitMs?: number): void {
+		if (rank === undefined) {
+			this.#handleSilence(unsettledWaitMs, performance.now());
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			if (rank === 0 && !nextRanks.includes(0)) {
+				this.#silentUntil = performance.now() + quotaSilenceMs;
+			}
+
+			this.#sendQuestion(nextRanks, wanted, unsettledWaitMs);
+		}, quotaAskTimeoutMs);
+		this.#question = {
+			wanted, nextRanks, timer, ...(unsettledWaitMs !== undefined && {unsettledWaitMs}),
+		};
+		let isAnswered = false;
+		this.#context.transport.askHome(rank, this.#limit.organisation, wanted, answer => {
+			if (!isAnswered) {
+				isAnswered = true;
+				this.#handleAnswer(answer, rank, timer);
+			}
+		});
+	}
+
+	/** Handles an answer. One to an earlier attempt only adds to the stock. */
+	#handleAnswer({granted, waitMs, isSettled}: QuotaAnswer, rank: number, timer: NodeJS.Timeout): void {
+		const now = performance.now();
+		const question = this.#question;
+		this.#stock.addPermits(Math.max(0, granted), now);
+		if (question?.timer !== timer) {
+			this.#dispatchStock(now);
+			this.#stock.sweepAbove(this.#computeAhead(now), now);
+			return;
+		}
+
+		clearTimeout(timer);
+		this.#question = undefined;
+		this.#lostSince = undefined;
+		const missing = question.wanted - granted;
+		if (missing > 0 && !isSettled && rank === 0 && question.nextRanks.includes(1)) {
+			this.#sendQuestion([1], missing, waitMs);
+			this.#dispatchStock(now);
+			return;
+		}
+
+		this.#finishQuestion(missing, waitMs, now);
+	}
+
+	#finishQuestion(missing: number, waitMs: number, now: number): void {
+		if (missing > 0) {
+			this.#refusedUntil = now + waitMs;
+		}
+
+		this.#dispatchStock(now);
+		if (missing > 0) {
+			this.#refuseWaiting(() => Left(this.#createFailure(waitMs)));
+		} else if (this.#waiting.size > 0 && !this.#question) {
+			this.#ask(now);
+		}
+	}
+
+	/** Handles that no home answered: this node spends its own share for a second. */
+	#handleSilence(unsettledWaitMs: number | undefined, now: number): void {
+		this.#question = undefined;
+		if (unsettledWaitMs !== undefined) {
+			this.#finishQuestion(1, unsettledWaitMs, now);
+			return;
+		}
+
+		this.#lostSince ??= now;
+		this.#lostUntil = now + quotaSilenceMs;
+		this.#refuseWaiting(() => this.#takeOwnPermit(now));
+	}
+
+	/** Takes a permit of this node's own share: a tenth of it until a home would know that this node can't reach it. */
+	#takeOwnPermit(now: number): Either<Failure, void> {
+		const {rate, burst} = this.#limit;
+		const members = Math.max(1, this.#context.transport.countMembers());
+		const since = this.#lostSince ?? now;
+		const ownRate = rate / members * (now - since < quotaSettleMs ? quotaProvisionalShare : 1);
+		const elapsed = Math.max(0, now - Math.max(this.#ownAt, since));
+		const filled = Math.min(Math.max(1, burst / members), this.#ownPermits + (elapsed * ownRate / msPerS));
+		this.#ownPermits = filled >= 1 ? filled - 1 : filled;
+		this.#ownAt = now;
+		return filled >= 1 ? Right(undefined) : Left(this.#createFailure(Math.min(maxQuotaWaitMs, (1 - filled) / ownRate * msPerS)));
+	}
+
+	/** Gives permits in stock to the requests that wait, in order. */
+	#dispatchStock(now: number): void {
+		const served = [...this.#waiting].slice(0, this.#stock.countPermits(now)).filter(() => this.#stock.takePermit(now));
+		this.#demand.recordPermits(served.length, now);
+		this.#finishRequests(served, () => Right(undefined));
+	}
+
+	#refuseWaiting(getResult: () => Either<Failure, void>): void {
+		this.#finishRequests([...this.#waiting], getResult);
+	}
+
+	/** Calls back each request once; those that were cancelled by an earlier callback are passed over. */
+	#finishRequests(requests: readonly WaitingRequest[], getResult: () => Either<Failure, void>): void {
+		requests.forEach(request => {
+			if (this.#waiting.has(request)) {
+				this.cancelRequest(request);
+				request.handleResult(getResult());
+			}
+		});
+	}
+
+	#computeAhead(now: number): number {
+		return this.#demand.computeAhead(this.#limit.rate, now);
+	}
+
+	/** The delay varies by half, so that callers don't return at the same time. */
+	#createFailure(waitMs: number): Failure {
+		return createLimitFailure(this.#limit.rate, Math.ceil(waitMs * (1 + (this.#context.random() / 2))));
+	}
+}
--- /dev/null
+++ b/packages/limits/src/quota-book.ts
@@ -0,0 +1,114 @@
+/** Quotas of the organisations whose home is this node. */
+import {
+	maxQuotaEntries, maxQuotaWaitMs, msPerS, quotaAskAheadMs, quotaMinBurstMs, quotaProvisionalRate, quotaProvisionalShare, quotaSettleMs,
+} from './constants.js';
+
+/** A node's question for permits, with what the home knows about the organisation and about itself. */
+export type QuotaQuestion = {
+	readonly organisation: string;
+	readonly wanted: number;
+	/** Permits per second of the whole fleet. */
+	readonly rate: number;
+	/** Most permits that the whole fleet may save up. */
+	readonly burst: number;
+	/** Share of the known members that this node has seen alive for the last 3.5 s, from 0 to 1. */
+	readonly share: number;
+	/** Time for which this node has been the organisation's home, in milliseconds; 0 when it isn't. */
+	readonly homeForMs: number;
+};
+
+/** The home's answer. */
+export type QuotaAnswer = {
+	readonly granted: number;
+	/** Time after which it is worthwhile to ask again, in milliseconds; 0 when all that was wanted is granted. */
+	readonly waitMs: number;
+	/** False while another node may be granting permits of the same organisation; the next-ranked home may then know more. */
+	readonly isSettled: boolean;
+};
+
+type Bucket = {
+	readonly permits: number;
+	/** Permits that nodes were told to wait for. */
+	readonly awaited: number;
+	/** Monotonic time of the last change, in milliseconds. */
+	readonly at: number;
+};
+
+/** Speed and size of a bucket at this home, as opposed to those of the whole quota. */
+type Terms = {
+	readonly rate: number;
+	readonly capacity: number;
+	/** Time for which the bucket has filled at this rate, in milliseconds. */
+	readonly filledForMs: number;
+	readonly isSettled: boolean;
+};
+
+function computeTerms({rate, burst, share, homeForMs}: QuotaQuestion): Terms {
+	const ownRate = rate * share;
+	if (homeForMs >= quotaSettleMs) {
+		const capacity = Math.max(1, burst * share, ownRate * quotaMinBurstMs / msPerS);
+		return {
+			rate: ownRate, capacity, filledForMs: homeForMs - quotaSettleMs, isSettled: true,
+		};
+	}
+
+	const provisionalRate = Math.min(ownRate, (rate * quotaProvisionalShare) + quotaProvisionalRate);
+	return {
+		rate: provisionalRate, capacity: Math.max(1, provisionalRate * quotaAskAheadMs / msPerS), filledForMs: Infinity, isSettled: false,
+	};
+}
+
+/**
+ * Token buckets of organisations. A bucket of a home that has settled is as full as its time as home allows. Any other bucket
+ * begins with one permit and fills at a tenth of the rate, because the previous home may still be granting. The least recently
+ * used bucket is evicted when there are too many; new buckets then count as filled only since the last use of an evicted one.
+ */
+export class QuotaBook {
+	readonly #maxEntries: number;
+	readonly #buckets = new Map<string, Bucket>();
+	#evictedAt = -Infinity;
+
+	constructor(maxEntries = maxQuotaEntries) {
+		this.#maxEntries = maxEntries;
+	}
+
+	/** Grants up to `wanted` whole permits. `now` is monotonic, in milliseconds. */
+	takePermits(question: QuotaQuestion, now: number): QuotaAnswer {
+		const {organisation, wanted} = question;
+		const terms = computeTerms(question);
+		const {permits, awaited} = this.#getFilled(organisation, terms, now);
+		const granted = Math.max(0, Math.min(wanted, Math.floor(permits)));
+		const missing = wanted - granted;
+		const left = permits - granted;
+		const maxAwaited = terms.rate * maxQuotaWaitMs / msPerS;
+		// A node counts in the order of waits with at most what it uses until it asks again.
+		const added = Math.min(missing, Math.max(1, terms.rate * quotaAskAheadMs / msPerS));
+		this.#setBucket(organisation, {permits: left, awaited: Math.min(maxAwaited, awaited + added), at: now});
+		const waitMs = terms.rate > 0 ? Math.min(maxQuotaWaitMs, (Math.max(0, 1 - left) + awaited) / terms.rate * msPerS) : maxQuotaWaitMs;
+		return {granted, waitMs: missing > 0 ? Math.max(1, Math.ceil(waitMs)) : 0, isSettled: terms.isSettled};
+	}
+
+	/** Counts the buckets. */
+	countBuckets(): number {
+		return this.#buckets.size;
+	}
+
+	#getFilled(organisation: string, {rate, capacity, filledForMs, isSettled}: Terms, now: number): Bucket {
+		const known = this.#buckets.get(organisation);
+		const since = known ? known.at : this.#evictedAt;
+		const elapsed = Math.max(0, Math.min(now - since, filledForMs));
+		const added = known ?? isSettled ? elapsed * rate / msPerS : 0;
+		const permits = Math.min(capacity, (known?.permits ?? 1) + added);
+		return {permits, awaited: Math.max(0, (known?.awaited ?? 0) - added), at: now};
+	}
+
+	#setBucket(organisation: string, bucket: Bucket): void {
+		this.#buckets.delete(organisation);
+		this.#buckets.set(organisation, bucket);
+		const [oldest] = this.#buckets.size > this.#maxEntries ? this.#buckets : [];
+		if (oldest) {
+			this.#buckets.delete(oldest[0]);
+			this.#evictedAt = Math.max(this.#evictedAt, oldest[1].at);
+		}
+	}
+}
