--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -51,15 +51,22 @@
  */
 export const quotaNewcomerMs = 4000;
 
+/** Time for which a home counts the known members that another node reported, in milliseconds. */
+export const quotaReportedKnownMs = 10_000;
+
 /**
  * Share of the rate that a home grants while another node may still be granting the whole rate. Over the 3 s for which views
- * differ this amounts to 0.3 s of the rate, of the 0.5 s that the bound allows above the quota.
+ * differ this amounts to 0.36 s of the rate, of the 0.5 s that the bound allows above the quota.
  */
-export const quotaProvisionalShare = 0.1;
+export const quotaProvisionalShare = 0.12;
 
 /** Permits per second added to the provisional share: 7 in 3.5 s, of the 20 that the bound allows above the quota. */
 export const quotaProvisionalRate = 2;
 
+/** Share of the burst, and number of permits, with which a new home begins; the bound allows 0.1 of the burst and 20 permits. */
+export const quotaStartShare = 0.05;
+export const quotaStartPermits = 3;
+
 /** Least capacity of a bucket, as milliseconds of the rate, so that a quota without burst can be taken in batches. */
 export const quotaMinBurstMs = 150;
 
--- a/packages/limits/src/home-history.ts
+++ b/packages/limits/src/home-history.ts
@@ -1,5 +1,5 @@
 /** What a node's recent views of the members say about its role as home of organisations. */
-import {quotaNewcomerMs, quotaSettleMs} from './constants.js';
+import {quotaNewcomerMs, quotaReportedKnownMs, quotaSettleMs} from './constants.js';
 import {rankHomes} from './rank-homes.js';
 
 /** A node's view of the members. */
@@ -8,7 +8,10 @@
 	readonly memberIds: readonly string[];
 	/** Number of known members, dead ones included. */
 	readonly known: number;
-	/** Ids of members that announced their leaving; they no longer grant permits. */
+	/**
+	 * Ids of members that have certainly stopped to grant: they announced their leaving, or their process is known to have
+	 * ended, for example because the host reset its connections. Silence alone is no evidence.
+	 */
 	readonly leftIds?: readonly string[];
 };
 
@@ -18,6 +21,12 @@
 	readonly until: number;
 };
 
+/** A number of known members, and the monotonic time at which another node last reported it, in milliseconds. */
+type ReportedKnown = {
+	readonly known: number;
+	readonly at: number;
+};
+
 /** Times since which members are in the view or out of it, in monotonic milliseconds. */
 type Times = ReadonlyMap<string, number>;
 
@@ -33,6 +42,8 @@
 export class HomeHistory {
 	readonly #selfId: string;
 	readonly #startedAt: number;
+	#isLeaving = false;
+	#reported: ReportedKnown = {known: 0, at: -Infinity};
 	#view: MembersView;
 	#joinedAt: Times = new Map();
 	#lostAt: Times = new Map();
@@ -50,7 +61,7 @@
 
 	/** Replaces the view of the members. */
 	updateView(view: MembersView, now: number): void {
-		const share = this.#computeViewShare();
+		const share = this.#computeViewShare(now);
 		this.#shares = [...this.#shares.filter(seen => seen.until > now - quotaSettleMs), {share, until: now}];
 		const before = new Set(this.#view.memberIds);
 		const after = new Set(view.memberIds);
@@ -67,16 +78,36 @@
 		this.#establishedUntil = -Infinity;
 	}
 
+	/**
+	 * Records the number of members that another node knows, as its questions say. A node that was started during a partition
+	 * doesn't know the members on the other side, and would take its side for the whole fleet.
+	 */
+	recordKnown(known: number, now: number): void {
+		if (known >= this.#reported.known || now - this.#reported.at > quotaReportedKnownMs) {
+			this.#reported = {known, at: now};
+		}
+	}
+
+	/** Counts the known members: those of this node's view, or of the node that recently reported most. */
+	countKnown(now: number): number {
+		return Math.max(1, this.#view.known, now - this.#reported.at > quotaReportedKnownMs ? 0 : this.#reported.known);
+	}
+
+	/** Ends the tenure of this node for all organisations. To be called before the leaving is announced to any other node. */
+	leave(): void {
+		this.#isLeaving = true;
+	}
+
 	/** Computes the share of the known members that were alive in this view and in all others of the last 3.5 s. */
 	computeShare(now: number): number {
 		const shares = this.#shares.filter(({until}) => until > now - quotaSettleMs).map(({share}) => share);
-		return Math.min(this.#computeViewShare(), ...shares);
+		return Math.min(this.#computeViewShare(now), ...shares);
 	}
 
 	/** Computes for how long this node has been the home of an organisation, in milliseconds; 0 when it isn't. */
 	computeHomeForMs(organisation: string, now: number): number {
 		const established = this.#getEstablished(now);
-		if (rankHomes(organisation, established, 1)[0] !== this.#selfId) {
+		if (this.#isLeaving || rankHomes(organisation, established, 1)[0] !== this.#selfId) {
 			return 0;
 		}
 
@@ -86,8 +117,8 @@
 		return now - Math.max(this.#startedAt, ...since);
 	}
 
-	#computeViewShare(): number {
-		return Math.min(1, this.#view.memberIds.length / Math.max(1, this.#view.known));
+	#computeViewShare(now: number): number {
+		return Math.min(1, this.#view.memberIds.length / this.countKnown(now));
 	}
 
 	/** The members without the newcomers, as a list that stays the same while it holds. */
--- a/packages/limits/src/organisation-quota.ts
+++ b/packages/limits/src/organisation-quota.ts
@@ -50,9 +50,7 @@
 /** A question in progress. */
 type Question = {
 	readonly wanted: number;
-	/** Ranks of the homes to ask after this one, in turn. */
-	readonly nextRanks: readonly number[];
-	/** Wait given by a home that had not settled, in milliseconds. */
+	/** Wait given by a home that had not settled and referred to the other one, in milliseconds. */
 	readonly unsettledWaitMs?: number;
 	readonly timer: NodeJS.Timeout;
 };
@@ -66,6 +64,8 @@
 	#limit: OrganisationLimit;
 	#question: Question | undefined;
 	#refusedUntil = -Infinity;
+	/** Time from which permits may be asked ahead. */
+	#aheadAt = -Infinity;
 	/** Time until which the first-ranked home is asked last. */
 	#silentUntil = -Infinity;
 	/** Time until which this node spends its own share, and since which no home has answered. */
@@ -153,13 +153,14 @@
 	#askAhead(now: number): void {
 		const ahead = this.#computeAhead(now);
 		const isDue = this.#stock.countPermits(now) <= ahead / 2;
-		if (ahead > 0 && isDue && !this.#question && now >= this.#refusedUntil && now >= this.#lostUntil) {
+		if (ahead > 0 && isDue && !this.#question && now >= this.#aheadAt && now >= this.#lostUntil) {
 			this.#ask(now);
 		}
 	}
 
 	#ask(now: number): void {
-		const wanted = Math.max(1, this.#waiting.size + this.#computeAhead(now) - this.#stock.countPermits(now));
+		const ahead = now < this.#aheadAt ? 0 : this.#computeAhead(now);
+		const wanted = Math.max(1, this.#waiting.size + ahead - this.#stock.countPermits(now));
 		this.#sendQuestion(now < this.#silentUntil ? [1, 0] : [0, 0, 1], wanted);
 	}
 
@@ -177,7 +178,7 @@
 			this.#sendQuestion(nextRanks, wanted, unsettledWaitMs);
 		}, quotaAskTimeoutMs);
 		this.#question = {
-			wanted, nextRanks, timer, ...(unsettledWaitMs !== undefined && {unsettledWaitMs}),
+			wanted, timer, ...(unsettledWaitMs !== undefined && {unsettledWaitMs}),
 		};
 		let isAnswered = false;
 		this.#context.transport.askHome(rank, this.#limit.organisation, wanted, answer => {
@@ -188,9 +189,10 @@
 		});
 	}
 
-	/** Handles an answer. One to an earlier attempt only adds to the stock. */
+	/** Handles an answer. One to an earlier attempt only adds to the stock. A home that has not settled refers to the other one. */
 	#handleAnswer({granted, waitMs, isSettled}: QuotaAnswer, rank: number, timer: NodeJS.Timeout): void {
 		const now = performance.now();
+		this.#silentUntil = rank === 0 ? -Infinity : this.#silentUntil;
 		const question = this.#question;
 		this.#stock.addPermits(Math.max(0, granted), now);
 		if (question?.timer !== timer) {
@@ -203,8 +205,8 @@
 		this.#question = undefined;
 		this.#lostSince = undefined;
 		const missing = question.wanted - granted;
-		if (missing > 0 && !isSettled && rank === 0 && question.nextRanks.includes(1)) {
-			this.#sendQuestion([1], missing, waitMs);
+		if (missing > 0 && !isSettled && question.unsettledWaitMs === undefined) {
+			this.#sendQuestion([1 - rank], missing, waitMs);
 			this.#dispatchStock(now);
 			return;
 		}
@@ -212,13 +214,12 @@
 		this.#finishQuestion(missing, waitMs, now);
 	}
 
+	/** Requests are refused only if some are left without a permit; else just the permits asked ahead are missing. */
 	#finishQuestion(missing: number, waitMs: number, now: number): void {
-		if (missing > 0) {
-			this.#refusedUntil = now + waitMs;
-		}
-
 		this.#dispatchStock(now);
 		if (missing > 0) {
+			this.#aheadAt = now + waitMs;
+			this.#refusedUntil = this.#waiting.size > 0 ? now + waitMs : this.#refusedUntil;
 			this.#refuseWaiting(() => Left(this.#createFailure(waitMs)));
 		} else if (this.#waiting.size > 0 && !this.#question) {
 			this.#ask(now);
@@ -238,7 +239,7 @@
 		this.#refuseWaiting(() => this.#takeOwnPermit(now));
 	}
 
-	/** Takes a permit of this node's own share: a tenth of it until a home would know that this node can't reach it. */
+	/** Takes a permit of this node's own share: only part of it until a home would know that this node can't reach it. */
 	#takeOwnPermit(now: number): Either<Failure, void> {
 		const {rate, burst} = this.#limit;
 		const members = Math.max(1, this.#context.transport.countMembers());
--- a/packages/limits/src/quota-book.ts
+++ b/packages/limits/src/quota-book.ts
@@ -1,6 +1,7 @@
 /** Quotas of the organisations whose home is this node. */
 import {
 	maxQuotaEntries, maxQuotaWaitMs, msPerS, quotaAskAheadMs, quotaMinBurstMs, quotaProvisionalRate, quotaProvisionalShare, quotaSettleMs,
+	quotaStartPermits, quotaStartShare,
 } from './constants.js';
 
 /** A node's question for permits, with what the home knows about the organisation and about itself. */
@@ -30,6 +31,8 @@
 	readonly permits: number;
 	/** Permits that nodes were told to wait for. */
 	readonly awaited: number;
+	/** True when the home had settled at the last change. */
+	readonly isSettled: boolean;
 	/** Monotonic time of the last change, in milliseconds. */
 	readonly at: number;
 };
@@ -38,6 +41,8 @@
 type Terms = {
 	readonly rate: number;
 	readonly capacity: number;
+	/** Permits in a new bucket, and added when the home settles. */
+	readonly startPermits: number;
 	/** Time for which the bucket has filled at this rate, in milliseconds. */
 	readonly filledForMs: number;
 	readonly isSettled: boolean;
@@ -45,22 +50,24 @@
 
 function computeTerms({rate, burst, share, homeForMs}: QuotaQuestion): Terms {
 	const ownRate = rate * share;
+	const startPermits = (burst * share * quotaStartShare) + quotaStartPermits;
 	if (homeForMs >= quotaSettleMs) {
 		const capacity = Math.max(1, burst * share, ownRate * quotaMinBurstMs / msPerS);
 		return {
-			rate: ownRate, capacity, filledForMs: homeForMs - quotaSettleMs, isSettled: true,
+			rate: ownRate, capacity, startPermits, filledForMs: homeForMs - quotaSettleMs, isSettled: true,
 		};
 	}
 
 	const provisionalRate = Math.min(ownRate, (rate * quotaProvisionalShare) + quotaProvisionalRate);
+	const capacity = Math.max(1, provisionalRate * quotaAskAheadMs / msPerS);
 	return {
-		rate: provisionalRate, capacity: Math.max(1, provisionalRate * quotaAskAheadMs / msPerS), filledForMs: Infinity, isSettled: false,
+		rate: provisionalRate, capacity, startPermits: 1, filledForMs: Infinity, isSettled: false,
 	};
 }
 
 /**
  * Token buckets of organisations. A bucket of a home that has settled is as full as its time as home allows. Any other bucket
- * begins with one permit and fills at a tenth of the rate, because the previous home may still be granting. The least recently
+ * begins with one permit and fills at part of the rate, because the previous home may still be granting. The least recently
  * used bucket is evicted when there are too many; new buckets then count as filled only since the last use of an evicted one.
  */
 export class QuotaBook {
@@ -83,7 +90,9 @@
 		const maxAwaited = terms.rate * maxQuotaWaitMs / msPerS;
 		// A node counts in the order of waits with at most what it uses until it asks again.
 		const added = Math.min(missing, Math.max(1, terms.rate * quotaAskAheadMs / msPerS));
-		this.#setBucket(organisation, {permits: left, awaited: Math.min(maxAwaited, awaited + added), at: now});
+		this.#setBucket(organisation, {
+			permits: left, awaited: Math.min(maxAwaited, awaited + added), isSettled: terms.isSettled, at: now,
+		});
 		const waitMs = terms.rate > 0 ? Math.min(maxQuotaWaitMs, (Math.max(0, 1 - left) + awaited) / terms.rate * msPerS) : maxQuotaWaitMs;
 		return {granted, waitMs: missing > 0 ? Math.max(1, Math.ceil(waitMs)) : 0, isSettled: terms.isSettled};
 	}
@@ -93,13 +102,17 @@
 		return this.#buckets.size;
 	}
 
-	#getFilled(organisation: string, {rate, capacity, filledForMs, isSettled}: Terms, now: number): Bucket {
+	#getFilled(organisation: string, terms: Terms, now: number): Bucket {
+		const {rate, capacity, startPermits, filledForMs, isSettled} = terms;
 		const known = this.#buckets.get(organisation);
-		const since = known ? known.at : this.#evictedAt;
-		const elapsed = Math.max(0, Math.min(now - since, filledForMs));
-		const added = known ?? isSettled ? elapsed * rate / msPerS : 0;
-		const permits = Math.min(capacity, (known?.permits ?? 1) + added);
-		return {permits, awaited: Math.max(0, (known?.awaited ?? 0) - added), at: now};
+		const elapsed = Math.max(0, Math.min(now - (known?.at ?? this.#evictedAt), filledForMs));
+		const isFilling = known !== undefined || isSettled;
+		const added = isFilling ? elapsed * rate / msPerS : 0;
+		const started = known && (known.isSettled || !isSettled) ? 0 : startPermits;
+		const permits = Math.min(capacity, (known?.permits ?? 0) + started + added);
+		return {
+			permits, awaited: Math.max(0, (known?.awaited ?? 0) - added), isSettled, at: now,
+		};
 	}
 
 	#setBucket(organisation: string, bucket: Bucket): void {
