--- a/packages/limits/src/__tests__/quota-model.ts
+++ b/packages/limits/src/__tests__/quota-model.ts
@@ -6,53 +6,13 @@
 import {
 	HomeHistory, QuotaBook, QuotaClient, QuotaTransport, rankHomes, type OrganisationLimit, type QuotaAnswer,
 } from '../index.js';
+import {
+	computeExcess, createOrganisations, createRandom, windowMs, type Disruption, type Organisation, type OrganisationFigures, type QuotaFigures, type QuotaRun, type Usage,
+} from './quota-loads.js';
+import {startCallers} from './quota-callers.js';
 
-/** What disturbs the fleet: nothing, changes of members (one a second), one cut in two, or both. */
-export type Disruption = 'none' | 'churn' | 'cut' | 'churnAndCut';
-
-/** How callers of an organisation send: below its quota, above it, or above it while it is lowered. */
-type Load = 'steady' | 'bursts' | 'hot' | 'lowered';
-
-/** Where they send: to one node, to two, to all, to one after the other. */
-type Spread = 'one' | 'two' | 'all' | 'moving';
-
-/** Requests of one organisation. */
-export type OrganisationFigures = OrganisationLimit & {
-	readonly load: Load;
-	readonly spread: Spread;
-	readonly admitted: number;
-	readonly refused: number;
-	/** Largest number of requests above the bound in any window of 5 s; negative when below in all. */
-	readonly excess: number;
-	/** Requests in the fullest window as a share of its bound. */
-	readonly fullest: number;
-	/** Time for which the slowest admitted request waited, in milliseconds. */
-	readonly longestWaitMs: number;
-};
-
-/** Figures of one run. */
-export type QuotaFigures = {
-	readonly organisations: readonly OrganisationFigures[];
-	readonly durationMs: number;
-	readonly messages: number;
-	readonly requests: number;
-};
-
-/** One run. */
-export type QuotaRun = {
-	readonly seed: number;
-	readonly size: number;
-	readonly disruption: Disruption;
-};
-
-const loadFactors: Readonly<Record<Load, number>> = {
-	steady: 1, bursts: 0.5, hot: 7.5, lowered: 7.5,
-};
-
-const windowMs = 5000;
 const durationMs = 22_000;
 const loweredAtMs = 8000;
-const usualShare = 1 / 1.6;
 /** Time after which all nodes know of a leave, as measured in docs/design/members.md. */
 const leaveKnownMs = 700;
 const lossShare = 0.01;
@@ -61,18 +21,6 @@
 
 type AskHome = QuotaTransport['askHome'];
 
-type Organisation = OrganisationLimit & {
-	readonly load: Load;
-	readonly spread: Spread;
-};
-
-/** Requests that ran: the time of admission of each. */
-type Usage = {
-	readonly admittedAt: number[];
-	refused: number;
-	longestWaitMs: number;
-};
-
 type Node = {
 	readonly id: string;
 	readonly client: QuotaClient;
@@ -87,44 +35,6 @@
 	isLowered: boolean;
 };
 
-function createRandom(seed: number): () => number {
-	let state = (seed * 2_654_435_761) % 4_294_967_296;
-	const next = (): number => {
-		state = ((state * 1_664_525) + 1_013_904_223) % 4_294_967_296;
-		return state / 4_294_967_296;
-	};
-
-	Array.from({length: 10}, next);
-	return next;
-}
-
-function createOrganisations(random: () => number): readonly Organisation[] {
-	const loads: ReadonlyArray<readonly [Load, Spread]> = [
-		['steady', 'one'], ['steady', 'all'], ['steady', 'moving'], ['bursts', 'one'], ['bursts', 'all'], ['hot', 'one'], ['hot', 'two'], ['hot', 'all'], ['hot', 'moving'], ['lowered', 'all'],
-	];
-	const rates = [5, 20, 60, 150, 300];
-	return loads.map(([load, spread]) => {
-		const rate = rates[Math.floor(random() * rates.length)]!;
-		return {
-			organisation: `${load}-${spread}`, load, spread, rate, burst: Math.ceil(rate * (0.5 + (random() * 1.5))),
-		};
-	});
-}
-
-/** Computes the largest excess, and the share of the fullest window, over the windows that begin in a period. */
-function computeExcess(times: readonly number[], {rate, burst}: OrganisationLimit, from: number, to: number): readonly [number, number] {
-	const bound = (((rate * windowMs / 1000) + burst) * 1.1) + 20;
-	let end = 0;
-	const fullest = times.reduce((most, start, index) => {
-		while (end < times.length && times[end]! < start + windowMs) {
-			end++;
-		}
-
-		return start >= from && start + windowMs <= to ? Math.max(most, end - index) : most;
-	}, 0);
-	return [fullest - bound, fullest / bound];
-}
-
 /** A fleet in fake time. */
 class QuotaFleet {
 	readonly #clock: Clock;
@@ -133,6 +43,7 @@
 	readonly #organisations: readonly Organisation[];
 	readonly #nodes = new Map<string, Node>();
 	readonly #usages = new Map<string, Usage>();
+	readonly #messagesById = new Map<string, number>();
 	readonly #lists = new Map<string, readonly string[]>();
 	#loweredEverywhereAt = Infinity;
 	#names = 0;
@@ -154,31 +65,41 @@
 	runAll(): QuotaFigures {
 		this.#organisations.forEach(organisation => {
 			this.#usages.set(organisation.organisation, {admittedAt: [], refused: 0, longestWaitMs: 0});
-			this.#startCallers(organisation);
+			startCallers(organisation, {
+				random: this.#random,
+				setTimer: (delayMs, run) => {
+					this.#setTimer(delayMs, run);
+				},
+				pickNode: () => this.#pickNode(),
+				sendRequest: node => {
+					this.#sendRequest(node, organisation);
+				},
+			});
 		});
 		this.#setTimer(loweredAtMs, () => {
-			this.#lowerQuota();
+			this.#applyLowerQuota();
 		});
 		if (this.#run.disruption === 'churn' || this.#run.disruption === 'churnAndCut') {
 			Array.from({length: 10}, (_value, index) => 5000 + (index * 1000)).forEach(at => {
 				this.#setTimer(at, () => {
-					this.#changeMember();
+					this.#playChange();
 				});
 			});
 		}
 
 		if (this.#run.disruption === 'cut' || this.#run.disruption === 'churnAndCut') {
 			this.#setTimer(6000 + (this.#random() * 1000), () => {
-				this.#cutFleet();
+				this.#startCut();
 			});
 			this.#setTimer(13_000 + (this.#random() * 2000), () => {
-				this.#healFleet();
+				this.#stopCut();
 			});
 		}
 
 		this.#clock.tick(durationMs);
 		return {
-			durationMs, messages: this.#messages, requests: this.#requests, organisations: this.#organisations.map(organisation => this.#computeFigures(organisation)),
+			durationMs, messages: this.#messages, requests: this.#requests, messagesOfBusiest: Math.max(...this.#messagesById.values()),
+			organisations: this.#organisations.map(organisation => this.#computeFigures(organisation)),
 		};
 	}
 
@@ -243,7 +164,7 @@
 		return organisation.load === 'lowered' && node.isLowered ? this.#getLowered(organisation) : organisation;
 	}
 
-	#lowerQuota(): void {
+	#applyLowerQuota(): void {
 		const delays = this.#listAlive().map(node => {
 			const delayMs = this.#random() * 2000;
 			this.#setTimer(delayMs, () => {
@@ -258,6 +179,7 @@
 
 	#sendMessage(from: Node, to: Node, handleArrival: () => void): void {
 		this.#messages++;
+		this.#messagesById.set(from.id, (this.#messagesById.get(from.id) ?? 0) + 1);
 		const isLost = this.#random() < lossShare;
 		this.#setTimer(1 + (this.#random() * 59), () => {
 			if (!isLost && to.isAlive && from.side === to.side) {
@@ -299,66 +221,6 @@
 
 	// Callers
 
-	#startCallers(organisation: Organisation): void {
-		const {load, spread, rate, burst} = organisation;
-		let targets = Array.from({length: spread === 'two' ? 2 : 1}, () => this.#pickNode());
-		const pickTarget = (): Node => {
-			if (spread === 'all') {
-				return this.#pickNode();
-			}
-
-			targets = targets.map(target => target.isAlive && !target.isLeaving ? target : this.#pickNode());
-			return targets[Math.floor(this.#random() * targets.length)]!;
-		};
-
-		if (spread === 'moving') {
-			const moveCallers = (): void => {
-				targets = [this.#pickNode()];
-				this.#setTimer(300 + (this.#random() * 2700), moveCallers);
-			};
-
-			this.#setTimer(1000, moveCallers);
-		}
-
-		// Callers below the quota send only what an ideal bucket admits.
-		const ideal = {permits: burst, at: 0};
-		const fillIdeal = (): void => {
-			const now = performance.now();
-			ideal.permits = Math.min(burst, ideal.permits + ((now - ideal.at) * rate / 1000));
-			ideal.at = now;
-		};
-
-		const isHot = load === 'hot' || load === 'lowered';
-		const perS = rate * usualShare * loadFactors[load];
-		const sendOne = (): void => {
-			fillIdeal();
-			if (isHot || ideal.permits >= 1) {
-				ideal.permits--;
-				this.#sendRequest(pickTarget(), organisation);
-			}
-
-			this.#setTimer(-Math.log(1 - this.#random()) * 1000 / perS, sendOne);
-		};
-
-		const sendBurst = (): void => {
-			fillIdeal();
-			const count = Math.max(0, Math.floor(ideal.permits * 0.8));
-			ideal.permits -= count;
-			Array.from({length: count}, () => this.#random() * 50).forEach(delayMs => {
-				this.#setTimer(delayMs, () => {
-					this.#sendRequest(pickTarget(), organisation);
-				});
-			});
-			this.#setTimer(2000 + (this.#random() * 3000), sendBurst);
-		};
-
-		// Hot organisations start from their usual rate; one of three is silent before, so that its bucket is full.
-		this.#setTimer(isHot && this.#random() < 0.33 ? 5000 : this.#random() * 100, sendOne);
-		if (load === 'bursts') {
-			this.#setTimer(1500, sendBurst);
-		}
-	}
-
 	#sendRequest(node: Node, organisation: Organisation): void {
 		const usage = this.#usages.get(organisation.organisation)!;
 		const sentAt = performance.now();
@@ -435,7 +297,7 @@
 	}
 
 	/** Half of the changes hit a home of an organisation in use. */
-	#changeMember(): void {
+	#playChange(): void {
 		const alive = this.#listAlive().map(({id}) => id);
 		const organisation = this.#organisations[Math.floor(this.#random() * this.#organisations.length)]!;
 		const victim = this.#random() < 0.5 ? this.#nodes.get(rankHomes(organisation.organisation, alive, 1)[0]!)! : this.#pickNode();
@@ -450,7 +312,7 @@
 			victim.isLeaving = true;
 			victim.history.leave();
 			this.#removeMember(victim.id, victim.side, true);
-			this.#restartMember(victim, 1500, 500 + (this.#random() * 5000));
+			this.#runRestart(victim, 1500, 500 + (this.#random() * 5000));
 			return;
 		}
 
@@ -459,10 +321,10 @@
 			this.#removeMember(victim.id, victim.side, false);
 		}
 
-		this.#restartMember(victim, 0, isNoticed ? 500 + (this.#random() * 5000) : 200);
+		this.#runRestart(victim, 0, isNoticed ? 500 + (this.#random() * 5000) : 200);
 	}
 
-	#restartMember(victim: Node, stopAfterMs: number, startAfterMs: number): void {
+	#runRestart(victim: Node, stopAfterMs: number, startAfterMs: number): void {
 		this.#setTimer(stopAfterMs, () => {
 			victim.isAlive = false;
 			this.#setTimer(startAfterMs, () => {
@@ -471,7 +333,7 @@
 		});
 	}
 
-	#cutFleet(): void {
+	#startCut(): void {
 		const share = this.#random() < 0.5 ? 0.5 : 0.02 + (this.#random() * 0.48);
 		this.#listAlive().forEach(node => {
 			node.side = this.#random() < share ? 1 : 0;
@@ -483,7 +345,7 @@
 		});
 	}
 
-	#healFleet(): void {
+	#stopCut(): void {
 		this.#nodes.forEach(node => {
 			node.side = 0;
 		});
--- a/packages/limits/src/organisation-quota.ts
+++ b/packages/limits/src/organisation-quota.ts
@@ -184,7 +184,7 @@
 		this.#context.transport.askHome(rank, this.#limit.organisation, wanted, answer => {
 			if (!isAnswered) {
 				isAnswered = true;
-				this.#handleAnswer(answer, rank, timer);
+				this.#handleAnswer({...answer, granted: Math.max(0, Math.min(wanted, answer.granted))}, rank, timer);
 			}
 		});
 	}
@@ -194,7 +194,7 @@
 		const now = performance.now();
 		this.#silentUntil = rank === 0 ? -Infinity : this.#silentUntil;
 		const question = this.#question;
-		this.#stock.addPermits(Math.max(0, granted), now);
+		this.#stock.addPermits(granted, now);
 		if (question?.timer !== timer) {
 			this.#dispatchStock(now);
 			this.#stock.sweepAbove(this.#computeAhead(now), now);
--- a/packages/limits/src/rank-homes.ts
+++ b/packages/limits/src/rank-homes.ts
@@ -38,8 +38,9 @@
 }
 
 function computeRanking(organisation: string, memberIds: readonly string[], hashes: readonly number[], count: number): readonly string[] {
-	const organisationHash = hashName(organisation);
-	const scores = hashes.map(hash => hashNumber(hash + organisationHash));
+	// Odd factors keep all 32 bits. A sum of the hashes would favour members whose hashes have wide gaps before them.
+	const organisationFactor = (hashName(organisation) * 2) + 1;
+	const scores = hashes.map(hash => hashNumber(Math.imul((hash * 2) + 1, organisationFactor)));
 	const isBefore = (index: number, other: number | undefined): boolean => other === undefined
 		|| scores[index]! > scores[other]!
 		|| (scores[index] === scores[other] && memberIds[index]! < memberIds[other]!);
