--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -56,9 +56,10 @@
 
 /**
  * Share of the rate that a home grants while another node may still be granting the whole rate. Over the 3 s for which views
- * differ this amounts to 0.36 s of the rate, of the 0.5 s that the bound allows above the quota.
+ * differ this amounts to 0.3 s of the rate, of the 0.5 s that the bound allows above the quota; permits in stock, up to 0.16 s of
+ * the rate at the usual load, need the rest.
  */
-export const quotaProvisionalShare = 0.12;
+export const quotaProvisionalShare = 0.1;
 
 /** Permits per second added to the provisional share: 7 in 3.5 s, of the 20 that the bound allows above the quota. */
 export const quotaProvisionalRate = 2;
@@ -67,6 +68,13 @@
 export const quotaStartShare = 0.05;
 export const quotaStartPermits = 3;
 
+/**
+ * Share of the burst, and number of permits, by which a bucket is larger than the burst: it replaces permits that are lost with
+ * an answer or expire. The bound allows 0.1 of the burst and 20 permits for this and for what a new home begins with.
+ */
+export const quotaSpareShare = 0.03;
+export const quotaSparePermits = 3;
+
 /** Least capacity of a bucket, as milliseconds of the rate, so that a quota without burst can be taken in batches. */
 export const quotaMinBurstMs = 150;
 
--- a/packages/limits/src/home-history.ts
+++ b/packages/limits/src/home-history.ts
@@ -41,7 +41,7 @@
  */
 export class HomeHistory {
 	readonly #selfId: string;
-	readonly #startedAt: number;
+	#startedAt: number;
 	#isLeaving = false;
 	#reported: ReportedKnown = {known: 0, at: -Infinity};
 	#view: MembersView;
@@ -51,7 +51,7 @@
 	#established: readonly string[];
 	#establishedUntil = Infinity;
 
-	/** `now` is the monotonic time at which the process started to listen, in milliseconds. */
+	/** `now` is the monotonic time at which the process announced itself to the members, in milliseconds. */
 	constructor(selfId: string, view: MembersView, now: number) {
 		this.#selfId = selfId;
 		this.#startedAt = now;
@@ -98,6 +98,11 @@
 		this.#isLeaving = true;
 	}
 
+	/** Starts the tenure again after the process was paused, because its view of the members is as old as the pause was long. */
+	resume(now: number): void {
+		this.#startedAt = now;
+	}
+
 	/** Computes the share of the known members that were alive in this view and in all others of the last 3.5 s. */
 	computeShare(now: number): number {
 		const shares = this.#shares.filter(({until}) => until > now - quotaSettleMs).map(({share}) => share);
--- a/packages/limits/src/quota-book.ts
+++ b/packages/limits/src/quota-book.ts
@@ -1,7 +1,7 @@
 /** Quotas of the organisations whose home is this node. */
 import {
 	maxQuotaEntries, maxQuotaWaitMs, msPerS, quotaAskAheadMs, quotaMinBurstMs, quotaProvisionalRate, quotaProvisionalShare, quotaSettleMs,
-	quotaStartPermits, quotaStartShare,
+	quotaSparePermits, quotaSpareShare, quotaStartPermits, quotaStartShare,
 } from './constants.js';
 
 /** A node's question for permits, with what the home knows about the organisation and about itself. */
@@ -52,7 +52,8 @@
 	const ownRate = rate * share;
 	const startPermits = (burst * share * quotaStartShare) + quotaStartPermits;
 	if (homeForMs >= quotaSettleMs) {
-		const capacity = Math.max(1, burst * share, ownRate * quotaMinBurstMs / msPerS);
+		const spare = (burst * quotaSpareShare) + quotaSparePermits;
+		const capacity = Math.max(1, (burst + spare) * share, ownRate * quotaMinBurstMs / msPerS);
 		return {
 			rate: ownRate, capacity, startPermits, filledForMs: homeForMs - quotaSettleMs, isSettled: true,
 		};
