--- a/packages/limits/src/__tests__/unit/quota-client.test.ts
+++ b/packages/limits/src/__tests__/unit/quota-client.test.ts
@@ -246,12 +246,14 @@
 			expect(results).to.deep.equal(['permit']);
 		});
 
-		it('refuses requests above the most that wait, of the node and of a small quota', () => {
+		it('refuses requests above the most that wait, of the node, of an organisation and of a small quota', () => {
 			Array.from({length: 5}, () => takePermit({organisation: 'small', rate: 1, burst: 1}));
 			expect(results.length).to.equal(2);
 			Array.from({length: 100}, () => takePermit());
+			expect(client.countWaiting()).to.equal(28);
+			Array.from({length: 100}, () => takePermit({organisation: 'other'}));
 			expect(client.countWaiting()).to.equal(50);
-			expect(results.length).to.equal(55);
+			expect(results.length).to.equal(2 + 75 + 78);
 		});
 
 		it('drops the least recently used organisation and refuses its waiting requests', () => {
--- a/packages/limits/src/organisation-quota.ts
+++ b/packages/limits/src/organisation-quota.ts
@@ -136,7 +136,9 @@
 	#addWaiting(request: WaitingRequest, now: number): WaitingRequest | undefined {
 		const {rate, burst} = this.#limit;
 		const {waiting, maxWaiting} = this.#context;
-		if (waiting.size >= maxWaiting || this.#waiting.size >= 1 + burst + rate) {
+		// One organisation leaves half of the places to the others; above its burst and rate, a request can't get a permit in time.
+		const maxOwnWaiting = Math.min(maxWaiting / 2, 1 + burst + rate);
+		if (waiting.size >= maxWaiting || this.#waiting.size >= maxOwnWaiting) {
 			request.handleResult(Left(this.#createFailure(quotaAskTimeoutMs)));
 			return undefined;
 		}
