--- a/packages/limits/src/__tests__/unit/quota-book.test.ts
+++ b/packages/limits/src/__tests__/unit/quota-book.test.ts
@@ -47,6 +47,16 @@
 			expect(settled.granted).to.be.at.most(17);
 		});
 
+		it('saves up nothing over another home\'s tenure, so that a home that comes back doubles no burst', () => {
+			const book = new QuotaBook();
+			takePermits(book, 0, {rate: 100, burst: 200});
+			const back = takePermits(book, 20_000, {
+				wanted: 1000, rate: 100, burst: 200, homeForMs: 3500,
+			});
+			expect(back.isSettled).to.equal(true);
+			expect(back.granted).to.be.at.most(17);
+		});
+
 		it('applies a lowered quota at once to what is saved up', () => {
 			const book = new QuotaBook();
 			takePermits(book, 0);
@@ -112,17 +122,21 @@
 		const [first = '', second = ''] = rankHomes('o', members, 2);
 		const others = members.filter(id => id !== first);
 
+		function findOwn(id: string): string {
+			return Array.from({length: 100}, (_, index) => `o${index}`).find(name => rankHomes(name, members, 1)[0] === id)!;
+		}
+
 		function createHistory(selfId: string, memberIds: readonly string[]): HomeHistory {
 			return new HomeHistory(selfId, {memberIds, known: memberIds.length}, 0);
 		}
 
-		it('starts the tenure of a successor when the home is lost, and goes on with it when the home has left', () => {
+		it('starts the tenure of a successor again when the home is lost, and as a settled one when the home has left', () => {
 			const lost = createHistory(second, members);
 			lost.updateView({memberIds: others, known: 4}, 10_000);
 			expect(lost.computeHomeForMs('o', 12_000)).to.equal(2000);
 			const left = createHistory(second, members);
 			left.updateView({memberIds: others, known: 3, leftIds: [first]}, 10_000);
-			expect(left.computeHomeForMs('o', 12_000)).to.equal(12_000);
+			expect(left.computeHomeForMs('o', 12_000)).to.equal(5500);
 		});
 
 		it('leaves the tenure with the home before a newcomer until the newcomer has settled', () => {
@@ -152,6 +166,7 @@
 			history.updateView({memberIds: members, known: 4}, 20_000);
 			expect(history.computeShare(23_000)).to.equal(0.5);
 			expect(history.computeShare(23_500)).to.equal(1);
+			expect(history.computeHomeForMs(findOwn('a'), 23_500)).to.equal(7000);
 		});
 
 		it('counts the members that askers know, so that a node started during a partition doesn\'t grant the whole rate', () => {
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -51,6 +51,9 @@
  */
 export const quotaNewcomerMs = 4000;
 
+/** Time for which a home remembers the members that were home before it, in milliseconds; long enough for a bucket to fill. */
+export const quotaTenureMs = 600_000;
+
 /** Time for which a home counts the known members that another node reported, in milliseconds. */
 export const quotaReportedKnownMs = 10_000;
 
--- a/packages/limits/src/home-history.ts
+++ b/packages/limits/src/home-history.ts
@@ -1,5 +1,7 @@
 /** What a node's recent views of the members say about its role as home of organisations. */
-import {quotaNewcomerMs, quotaReportedKnownMs, quotaSettleMs} from './constants.js';
+import {
+	maxQuotaEntries, quotaNewcomerMs, quotaReportedKnownMs, quotaSettleMs, quotaTenureMs,
+} from './constants.js';
 import {rankHomes} from './rank-homes.js';
 
 /** A node's view of the members. */
@@ -27,9 +29,23 @@
 	readonly at: number;
 };
 
-/** Times since which members are in the view or out of it, in monotonic milliseconds. */
+/** A member that is gone from the view. */
+type GoneMember = {
+	readonly id: string;
+	/** Its id and that of this node, as a list of members to rank. */
+	readonly pair: readonly string[];
+	/** Monotonic time, in milliseconds. */
+	readonly at: number;
+	/** True when it has certainly stopped to grant. */
+	readonly hasLeft: boolean;
+};
+
+/** Times since which members are in the view, in monotonic milliseconds. */
 type Times = ReadonlyMap<string, number>;
 
+/** Largest rise of the share after which buckets are kept: the bound allows more than this part of the burst. */
+const maxShareRise = 0.02;
+
 function selectRecent(times: Times, since: number): Times {
 	return new Map([...times].filter(([_id, at]) => at > since));
 }
@@ -37,7 +53,8 @@
 /**
  * Follows the views of one node. A member that has just joined doesn't end the tenure of the home before it, because it
  * refers nodes to that home until it has settled. A member that died or became unreachable may still be granting, so the
- * tenure of its successor starts again.
+ * tenure of its successor starts again. So does, without the time to settle, the tenure after a leave and after a partition:
+ * another home has spent what was saved up until then.
  */
 export class HomeHistory {
 	readonly #selfId: string;
@@ -46,7 +63,11 @@
 	#reported: ReportedKnown = {known: 0, at: -Infinity};
 	#view: MembersView;
 	#joinedAt: Times = new Map();
-	#lostAt: Times = new Map();
+	#gone: readonly GoneMember[] = [];
+	/** Monotonic time at which the share last rose, in milliseconds. */
+	#roseAt = -Infinity;
+	/** Times from which the tenures count, by organisation, for the current view. */
+	readonly #tenures = new Map<string, number>();
 	#shares: readonly SeenShare[] = [];
 	#established: readonly string[];
 	#establishedUntil = Infinity;
@@ -70,11 +91,15 @@
 			...selectRecent(this.#joinedAt, now - quotaNewcomerMs),
 			...view.memberIds.filter(id => !before.has(id)).map(id => [id, now] as const),
 		]);
-		this.#lostAt = new Map([
-			...[...selectRecent(this.#lostAt, now - quotaSettleMs)].filter(([id]) => !after.has(id)),
-			...this.#view.memberIds.filter(id => !after.has(id) && !left.has(id)).map(id => [id, now] as const),
-		]);
+		this.#gone = [
+			...this.#gone.filter(({id, at}) => at > now - quotaTenureMs && !after.has(id)),
+			...this.#view.memberIds.filter(id => !after.has(id)).map(id => ({
+				id, pair: [id, this.#selfId], at: now, hasLeft: left.has(id),
+			})),
+		];
+		this.#tenures.clear();
 		this.#view = view;
+		this.#roseAt = this.#computeViewShare(now) - this.computeShare(now) > maxShareRise ? now : this.#roseAt;
 		this.#establishedUntil = -Infinity;
 	}
 
@@ -109,17 +134,35 @@
 		return Math.min(this.#computeViewShare(now), ...shares);
 	}
 
-	/** Computes for how long this node has been the home of an organisation, in milliseconds; 0 when it isn't. */
+	/**
+	 * Computes for how long this node has been the home of an organisation, in milliseconds; 0 when it isn't. Where it is known
+	 * that no other node can still be granting, the time begins with what a home needs to settle.
+	 */
 	computeHomeForMs(organisation: string, now: number): number {
 		const established = this.#getEstablished(now);
 		if (this.#isLeaving || rankHomes(organisation, established, 1)[0] !== this.#selfId) {
 			return 0;
 		}
 
-		const since = [...this.#lostAt]
-			.filter(([id, at]) => at > now - quotaSettleMs && rankHomes(organisation, [id, this.#selfId], 1)[0] === id)
-			.map(([_id, at]) => at);
-		return now - Math.max(this.#startedAt, ...since);
+		return Math.max(0, now - Math.max(this.#startedAt, this.#getTenure(organisation)));
+	}
+
+	#getTenure(organisation: string): number {
+		const known = this.#tenures.get(organisation);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const since = this.#gone
+			.filter(({id, pair}) => rankHomes(organisation, pair, 1)[0] === id)
+			.map(({at, hasLeft}) => hasLeft ? at - quotaSettleMs : at);
+		const tenure = Math.max(this.#roseAt - quotaSettleMs, ...since);
+		if (this.#tenures.size >= maxQuotaEntries) {
+			this.#tenures.clear();
+		}
+
+		this.#tenures.set(organisation, tenure);
+		return tenure;
 	}
 
 	#computeViewShare(now: number): number {
--- a/packages/limits/src/quota-book.ts
+++ b/packages/limits/src/quota-book.ts
@@ -14,7 +14,7 @@
 	readonly burst: number;
 	/** Share of the known members that this node has seen alive for the last 3.5 s, from 0 to 1. */
 	readonly share: number;
-	/** Time for which this node has been the organisation's home, in milliseconds; 0 when it isn't. */
+	/** Time for which this node has been the organisation's home as `HomeHistory` computes it, in milliseconds; 0 when it isn't. */
 	readonly homeForMs: number;
 };
 
@@ -66,6 +66,23 @@
 	};
 }
 
+/** Computes the permits that a bucket begins with: those from an earlier tenure have been granted by another home since. */
+function computeStart(known: Bucket | undefined, {startPermits, filledForMs, isSettled}: Terms, now: number): number {
+	if (!known) {
+		return startPermits;
+	}
+
+	if (!isSettled) {
+		return known.permits;
+	}
+
+	if (!known.isSettled) {
+		return known.permits + startPermits;
+	}
+
+	return known.at < now - filledForMs ? Math.min(known.permits, startPermits) : known.permits;
+}
+
 /**
  * Token buckets of organisations. A bucket of a home that has settled is as full as its time as home allows. Any other bucket
  * begins with one permit and fills at part of the rate, because the previous home may still be granting. The least recently
@@ -104,13 +121,12 @@
 	}
 
 	#getFilled(organisation: string, terms: Terms, now: number): Bucket {
-		const {rate, capacity, startPermits, filledForMs, isSettled} = terms;
+		const {rate, capacity, filledForMs, isSettled} = terms;
 		const known = this.#buckets.get(organisation);
 		const elapsed = Math.max(0, Math.min(now - (known?.at ?? this.#evictedAt), filledForMs));
 		const isFilling = known !== undefined || isSettled;
 		const added = isFilling ? elapsed * rate / msPerS : 0;
-		const started = known && (known.isSettled || !isSettled) ? 0 : startPermits;
-		const permits = Math.min(capacity, (known?.permits ?? 0) + started + added);
+		const permits = Math.min(capacity, computeStart(known, terms, now) + added);
 		return {
 			permits, awaited: Math.max(0, (known?.awaited ?? 0) - added), isSettled, at: now,
 		};
