--- a/packages/limits/src/__tests__/unit/quota-client.test.ts
+++ b/packages/limits/src/__tests__/unit/quota-client.test.ts
@@ -154,6 +154,17 @@
 			expect(countPermits()).to.be.within(50, 70);
 		});
 
+		it('spends only part of its share when it has asked no home for some time, because a home may still count on it', () => {
+			sendMany(2, () => {
+				clock.tick(5000);
+			});
+			const {length} = results;
+			sendMany(200, () => {
+				clock.tick(10);
+			});
+			expect(countPermits(length)).to.be.at.most(3);
+		});
+
 		it('asks the second home first for a second, and an answer of the first ends that', () => {
 			takePermit();
 			clock.tick(300);
--- a/packages/limits/src/organisation-quota.ts
+++ b/packages/limits/src/organisation-quota.ts
@@ -236,7 +236,8 @@
 			return;
 		}
 
-		this.#lostSince ??= now;
+		// After a time without requests it isn't known whether a home would have answered in between.
+		this.#lostSince = now - this.#lostUntil > quotaSilenceMs ? now : this.#lostSince ?? now;
 		this.#lostUntil = now + quotaSilenceMs;
 		this.#refuseWaiting(() => this.#takeOwnPermit(now));
 	}
