--- a/packages/limits/src/__tests__/quota-model.ts
+++ b/packages/limits/src/__tests__/quota-model.ts
@@ -4,7 +4,7 @@
  */
 import {withGlobal, type Clock} from '@sinonjs/fake-timers';
 import {
-	HomeHistory, QuotaBook, QuotaClient, QuotaTransport, rankHomes, type OrganisationLimit, type QuotaAnswer,
+	HomeHistory, QuotaBook, QuotaClient, QuotaTransport, rankHomes, type OrganisationLimit, type QuotaAnswer, type QuotaQuestion,
 } from '../index.js';
 import {
 	computeExcess, createOrganisations, createRandom, windowMs, type Disruption, type Organisation, type OrganisationFigures, type QuotaFigures, type QuotaRun, type Usage,
@@ -189,7 +189,7 @@
 		});
 	}
 
-	#sendQuestion(node: Node, ...[rank, organisation, wanted, handleAnswer]: Parameters<AskHome>): void {
+	#sendQuestion(node: Node, ...[rank, organisation, wanted, handleAnswer, number]: Parameters<AskHome>): void {
 		const homeId = rankHomes(organisation, node.viewIds, 2)[rank];
 		const home = homeId === undefined ? undefined : this.#nodes.get(homeId);
 		if (!node.isAlive || !home) {
@@ -197,26 +197,26 @@
 		}
 
 		if (home === node) {
-			handleAnswer(this.#takePermits(home, organisation, wanted));
+			handleAnswer(this.#takePermits(home, organisation, {wanted}));
 			return;
 		}
 
 		const known = node.history.countKnown(performance.now());
 		this.#sendMessage(node, home, () => {
 			home.history.recordKnown(known, performance.now());
-			const answer = this.#takePermits(home, organisation, wanted);
+			const answer = this.#takePermits(home, organisation, {wanted, asker: node.id, number});
 			this.#sendMessage(home, node, () => {
 				handleAnswer(answer);
 			});
 		});
 	}
 
-	#takePermits(home: Node, name: string, wanted: number): QuotaAnswer {
+	#takePermits(home: Node, name: string, question: Pick<QuotaQuestion, 'wanted' | 'asker' | 'number'>): QuotaAnswer {
 		const now = performance.now();
 		const organisation = this.#organisations.find(candidate => candidate.organisation === name)!;
 		const {rate, burst} = this.#getLimit(home, organisation);
 		return home.book.takePermits({
-			organisation: name, wanted, rate, burst, share: home.history.computeShare(now), homeForMs: home.history.computeHomeForMs(name, now),
+			...question, organisation: name, rate, burst, share: home.history.computeShare(now), homeForMs: home.history.computeHomeForMs(name, now),
 		}, now);
 	}
 
--- a/packages/limits/src/__tests__/unit/quota-book.test.ts
+++ b/packages/limits/src/__tests__/unit/quota-book.test.ts
@@ -71,6 +71,16 @@
 			expect(Array.from({length: 100}, () => takePermits(book, 0, {burst: 0}).waitMs).at(-1)).to.equal(2000);
 		});
 
+		it('repeats its answer to a repeated question, so that a lost answer takes no permits twice', () => {
+			const book = new QuotaBook();
+			const question = {wanted: 10, asker: 'a', number: 1};
+			const granted = [0, 150, 300].map(now => takePermits(book, now, question).granted);
+			expect(granted).to.deep.equal([10, 10, 10]);
+			expect(takePermits(book, 300, {...question, wanted: 4}).granted).to.equal(4);
+			expect(takePermits(book, 300, {...question, asker: 'b', wanted: 100}).granted).to.equal(16);
+			expect(takePermits(book, 1000, question).granted).to.equal(7);
+		});
+
 		it('keeps no more than its entries, and no full bucket follows an eviction', () => {
 			const book = new QuotaBook(2);
 			['a', 'b', 'c'].forEach(organisation => {
--- a/packages/limits/src/__tests__/unit/quota-client.test.ts
+++ b/packages/limits/src/__tests__/unit/quota-client.test.ts
@@ -12,14 +12,15 @@
 	readonly wanted: number;
 	readonly at: number;
 	readonly handleAnswer: (answer: QuotaAnswer) => void;
+	readonly number: number;
 };
 
 class RecordingTransport extends QuotaTransport {
 	readonly questions: Question[] = [];
 
-	override askHome(...[rank, organisation, wanted, handleAnswer]: Parameters<QuotaTransport['askHome']>): void {
+	override askHome(...[rank, organisation, wanted, handleAnswer, number]: Parameters<QuotaTransport['askHome']>): void {
 		this.questions.push({
-			rank, organisation, wanted, at: performance.now(), handleAnswer,
+			rank, organisation, wanted, at: performance.now(), handleAnswer, number,
 		});
 	}
 
@@ -179,6 +180,17 @@
 			expect(transport.questions.at(-1)!.rank).to.equal(0);
 		});
 
+		it('numbers questions, with the same number for each attempt, and uses one answer of a home only', () => {
+			takePermit();
+			clock.tick(160);
+			takePermit();
+			transport.questions[1]!.handleAnswer(grantPermits(1));
+			transport.questions[0]!.handleAnswer(grantPermits(1));
+			expect(results).to.deep.equal(['permit']);
+			expect(new Set(transport.questions.map(({number}) => number)).size).to.equal(2);
+			expect(transport.questions[0]!.number).to.equal(transport.questions[1]!.number);
+		});
+
 		it('uses the permits of an answer that comes after the next attempt, and gives no second result', () => {
 			takePermit();
 			clock.tick(160);
@@ -194,9 +206,9 @@
 		/** Sends a request each 10 ms; each question is answered after 30 ms. */
 		function sendSteadily(count: number): void {
 			const {questions} = transport;
-			transport.askHome = (rank, organisation, wanted, handleAnswer) => {
+			transport.askHome = (...[rank, organisation, wanted, handleAnswer, number]: Parameters<QuotaTransport['askHome']>) => {
 				questions.push({
-					rank, organisation, wanted, at: performance.now(), handleAnswer,
+					rank, organisation, wanted, at: performance.now(), handleAnswer, number,
 				});
 				setTimeout(() => {
 					handleAnswer(grantPermits(wanted));
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -36,6 +36,9 @@
 /** Time to wait for a home's answer before the next attempt, in milliseconds; above the round trip between regions of 120 ms. */
 export const quotaAskTimeoutMs = 150;
 
+/** Time for which a home repeats its answer to a repeated question, in milliseconds; the last attempt starts after 450 ms. */
+export const quotaRepeatMs = 600;
+
 /** Time constant of the demand estimate, in milliseconds. */
 export const quotaDemandMs = 1000;
 
--- a/packages/limits/src/organisation-quota.ts
+++ b/packages/limits/src/organisation-quota.ts
@@ -20,13 +20,17 @@
 /** Gets the result for one request: a permit, or `limitExceeded`. */
 export type HandlePermit = (result: Either<Failure, void>) => void;
 
+/** Gets the answer of a home. */
+export type HandleQuotaAnswer = (answer: QuotaAnswer) => void;
+
 /** Carries questions to homes. */
 export abstract class QuotaTransport {
 	/**
 	 * Asks the home of the given rank, 0 or 1, for permits. Calls `handleAnswer` when the answer arrives, at once if this node
-	 * is the home, or never; answers after the first are ignored.
+	 * is the home, or never; answers after the first are ignored. `number` is the same for all attempts of one question; with it
+	 * the home repeats its answer instead of granting twice.
 	 */
-	abstract askHome(rank: number, organisation: string, wanted: number, handleAnswer: (answer: QuotaAnswer) => void): void;
+	abstract askHome(...question: readonly [rank: number, organisation: string, wanted: number, handleAnswer: HandleQuotaAnswer, number: number]): void;
 
 	/** Counts the known members, dead ones included. */
 	abstract countMembers(): number;
@@ -45,13 +49,23 @@
 	readonly maxWaiting: number;
 	/** Returns a number from 0 up to 1. */
 	readonly random: () => number;
+	/** Returns a number for the next question. */
+	readonly issueNumber: () => number;
 };
 
-/** A question in progress. */
+/** A question, which takes several attempts. */
 type Question = {
+	readonly number: number;
 	readonly wanted: number;
+	/** Ranks of the homes that have answered. */
+	readonly answeredRanks: Set<number>;
 	/** Wait given by a home that had not settled and referred to the other one, in milliseconds. */
 	readonly unsettledWaitMs?: number;
+};
+
+/** The attempt in progress. */
+type Attempt = Question & {
+	readonly rank: number;
 	readonly timer: NodeJS.Timeout;
 };
 
@@ -62,7 +76,7 @@
 	readonly #demand = new PermitDemand();
 	readonly #waiting = new Set<WaitingRequest>();
 	#limit: OrganisationLimit;
-	#question: Question | undefined;
+	#attempt: Attempt | undefined;
 	#refusedUntil = -Infinity;
 	/** Time from which permits may be asked ahead. */
 	#aheadAt = -Infinity;
@@ -120,8 +134,8 @@
 
 	/** Ends the question and refuses the requests that wait. */
 	close(): void {
-		clearTimeout(this.#question?.timer);
-		this.#question = undefined;
+		clearTimeout(this.#attempt?.timer);
+		this.#attempt = undefined;
 		this.#refuseWaiting(() => Left(this.#createFailure(quotaAskTimeoutMs)));
 	}
 
@@ -145,7 +159,7 @@
 
 		this.#waiting.add(request);
 		waiting.add(request);
-		if (!this.#question) {
+		if (!this.#attempt) {
 			this.#ask(now);
 		}
 
@@ -155,7 +169,7 @@
 	#askAhead(now: number): void {
 		const ahead = this.#computeAhead(now);
 		const isDue = this.#stock.countPermits(now) <= ahead / 2;
-		if (ahead > 0 && isDue && !this.#question && now >= this.#aheadAt && now >= this.#lostUntil) {
+		if (ahead > 0 && isDue && !this.#attempt && now >= this.#aheadAt && now >= this.#lostUntil) {
 			this.#ask(now);
 		}
 	}
@@ -163,12 +177,13 @@
 	#ask(now: number): void {
 		const ahead = now < this.#aheadAt ? 0 : this.#computeAhead(now);
 		const wanted = Math.max(1, this.#waiting.size + ahead - this.#stock.countPermits(now));
-		this.#sendQuestion(now < this.#silentUntil ? [1, 0] : [0, 0, 1], wanted);
+		this.#sendQuestion(now < this.#silentUntil ? [1, 0] : [0, 0, 1], {wanted, number: this.#context.issueNumber(), answeredRanks: new Set()});
 	}
 
-	#sendQuestion([rank, ...nextRanks]: readonly number[], wanted: number, unsettledWaitMs?: number): void {
+	/** Asks the homes of the given ranks in turn until one answers. */
+	#sendQuestion([rank, ...nextRanks]: readonly number[], question: Question): void {
 		if (rank === undefined) {
-			this.#handleSilence(unsettledWaitMs, performance.now());
+			this.#handleSilence(question.unsettledWaitMs, performance.now());
 			return;
 		}
 
@@ -177,38 +192,41 @@
 				this.#silentUntil = performance.now() + quotaSilenceMs;
 			}
 
-			this.#sendQuestion(nextRanks, wanted, unsettledWaitMs);
+			this.#sendQuestion(nextRanks, question);
 		}, quotaAskTimeoutMs);
-		this.#question = {
-			wanted, timer, ...(unsettledWaitMs !== undefined && {unsettledWaitMs}),
-		};
-		let isAnswered = false;
+		this.#attempt = {...question, rank, timer};
+		const {wanted, number, answeredRanks} = question;
 		this.#context.transport.askHome(rank, this.#limit.organisation, wanted, answer => {
-			if (!isAnswered) {
-				isAnswered = true;
-				this.#handleAnswer({...answer, granted: Math.max(0, Math.min(wanted, answer.granted))}, rank, timer);
+			if (!answeredRanks.has(rank)) {
+				answeredRanks.add(rank);
+				this.#handleAnswer({...answer, granted: Math.max(0, Math.min(wanted, answer.granted))}, rank, number);
 			}
-		});
+		}, number);
 	}
 
-	/** Handles an answer. One to an earlier attempt only adds to the stock. A home that has not settled refers to the other one. */
-	#handleAnswer({granted, waitMs, isSettled}: QuotaAnswer, rank: number, timer: NodeJS.Timeout): void {
+	/**
+	 * Handles the first answer of a home to a question. One that comes when the other home is being asked only adds to the stock.
+	 * A home that has not settled refers to the other one.
+	 */
+	#handleAnswer({granted, waitMs, isSettled}: QuotaAnswer, rank: number, number: number): void {
 		const now = performance.now();
 		this.#silentUntil = rank === 0 ? -Infinity : this.#silentUntil;
-		const question = this.#question;
+		const attempt = this.#attempt;
 		this.#stock.addPermits(granted, now);
-		if (question?.timer !== timer) {
+		if (attempt?.number !== number || attempt.rank !== rank) {
 			this.#dispatchStock(now);
 			this.#stock.sweepAbove(this.#computeAhead(now), now);
 			return;
 		}
 
-		clearTimeout(timer);
-		this.#question = undefined;
+		clearTimeout(attempt.timer);
+		this.#attempt = undefined;
 		this.#lostSince = undefined;
-		const missing = question.wanted - granted;
-		if (missing > 0 && !isSettled && question.unsettledWaitMs === undefined) {
-			this.#sendQuestion([1 - rank], missing, waitMs);
+		const missing = attempt.wanted - granted;
+		if (missing > 0 && !isSettled && attempt.unsettledWaitMs === undefined) {
+			this.#sendQuestion([1 - rank], {
+				number, wanted: missing, answeredRanks: attempt.answeredRanks, unsettledWaitMs: waitMs,
+			});
 			this.#dispatchStock(now);
 			return;
 		}
@@ -223,14 +241,14 @@
 			this.#aheadAt = now + waitMs;
 			this.#refusedUntil = this.#waiting.size > 0 ? now + waitMs : this.#refusedUntil;
 			this.#refuseWaiting(() => Left(this.#createFailure(waitMs)));
-		} else if (this.#waiting.size > 0 && !this.#question) {
+		} else if (this.#waiting.size > 0 && !this.#attempt) {
 			this.#ask(now);
 		}
 	}
 
 	/** Handles that no home answered: this node spends its own share for a second. */
 	#handleSilence(unsettledWaitMs: number | undefined, now: number): void {
-		this.#question = undefined;
+		this.#attempt = undefined;
 		if (unsettledWaitMs !== undefined) {
 			this.#finishQuestion(1, unsettledWaitMs, now);
 			return;
--- a/packages/limits/src/quota-book.ts
+++ b/packages/limits/src/quota-book.ts
@@ -1,7 +1,7 @@
 /** Quotas of the organisations whose home is this node. */
 import {
-	maxQuotaEntries, maxQuotaWaitMs, msPerS, quotaAskAheadMs, quotaMinBurstMs, quotaProvisionalRate, quotaProvisionalShare, quotaSettleMs,
-	quotaSparePermits, quotaSpareShare, quotaStartPermits, quotaStartShare,
+	maxQuotaEntries, maxQuotaWaitMs, msPerS, quotaAskAheadMs, quotaMinBurstMs, quotaProvisionalRate, quotaProvisionalShare, quotaRepeatMs,
+	quotaSettleMs, quotaSparePermits, quotaSpareShare, quotaStartPermits, quotaStartShare,
 } from './constants.js';
 
 /** A node's question for permits, with what the home knows about the organisation and about itself. */
@@ -14,6 +14,9 @@
 	readonly burst: number;
 	/** Share of the known members that this node has seen alive for the last 3.5 s, from 0 to 1. */
 	readonly share: number;
+	/** The node that asks and its number of the question; the answer to a repeated question is repeated. */
+	readonly asker?: string;
+	readonly number?: number;
 	/** Time for which this node has been the organisation's home as `HomeHistory` computes it, in milliseconds; 0 when it isn't. */
 	readonly homeForMs: number;
 };
@@ -27,12 +30,23 @@
 	readonly isSettled: boolean;
 };
 
+/** Permits granted to a question that may be repeated. */
+type Grant = {
+	readonly asker: string;
+	readonly number: number;
+	readonly granted: number;
+	/** Monotonic time, in milliseconds. */
+	readonly at: number;
+};
+
 type Bucket = {
 	readonly permits: number;
 	/** Permits that nodes were told to wait for. */
 	readonly awaited: number;
 	/** True when the home had settled at the last change. */
 	readonly isSettled: boolean;
+	/** Recent grants of more than one permit, the oldest first. */
+	readonly grants: readonly Grant[];
 	/** Monotonic time of the last change, in milliseconds. */
 	readonly at: number;
 };
@@ -66,6 +80,9 @@
 	};
 }
 
+/** Most grants of one organisation that are repeated. */
+const maxGrants = 32;
+
 /** Computes the permits that a bucket begins with: those from an earlier tenure have been granted by another home since. */
 function computeStart(known: Bucket | undefined, {startPermits, filledForMs, isSettled}: Terms, now: number): number {
 	if (!known) {
@@ -99,17 +116,25 @@
 
 	/** Grants up to `wanted` whole permits. `now` is monotonic, in milliseconds. */
 	takePermits(question: QuotaQuestion, now: number): QuotaAnswer {
-		const {organisation, wanted} = question;
+		const {organisation, wanted, asker, number} = question;
 		const terms = computeTerms(question);
-		const {permits, awaited} = this.#getFilled(organisation, terms, now);
-		const granted = Math.max(0, Math.min(wanted, Math.floor(permits)));
+		const {permits, awaited, grants} = this.#getFilled(organisation, terms, now);
+		const repeated = grants.find(grant => grant.asker === asker && grant.number === number);
+		const taken = repeated ? 0 : Math.max(0, Math.min(wanted, Math.floor(permits)));
+		const granted = repeated ? Math.min(wanted, repeated.granted) : taken;
 		const missing = wanted - granted;
-		const left = permits - granted;
+		const left = permits - taken;
 		const maxAwaited = terms.rate * maxQuotaWaitMs / msPerS;
 		// A node counts in the order of waits with at most what it uses until it asks again.
 		const added = Math.min(missing, Math.max(1, terms.rate * quotaAskAheadMs / msPerS));
+		const isKept = taken > 1 && asker !== undefined && number !== undefined;
 		this.#setBucket(organisation, {
 			permits: left, awaited: Math.min(maxAwaited, awaited + added), isSettled: terms.isSettled, at: now,
+			grants: isKept
+				? [...grants.slice(1 - maxGrants), {
+					asker, number, granted: taken, at: now,
+				}]
+				: grants,
 		});
 		const waitMs = terms.rate > 0 ? Math.min(maxQuotaWaitMs, (Math.max(0, 1 - left) + awaited) / terms.rate * msPerS) : maxQuotaWaitMs;
 		return {granted, waitMs: missing > 0 ? Math.max(1, Math.ceil(waitMs)) : 0, isSettled: terms.isSettled};
@@ -127,8 +152,9 @@
 		const isFilling = known !== undefined || isSettled;
 		const added = isFilling ? elapsed * rate / msPerS : 0;
 		const permits = Math.min(capacity, computeStart(known, terms, now) + added);
+		const grants = known?.grants.filter(grant => now - grant.at < quotaRepeatMs) ?? [];
 		return {
-			permits, awaited: Math.max(0, (known?.awaited ?? 0) - added), isSettled, at: now,
+			permits, awaited: Math.max(0, (known?.awaited ?? 0) - added), isSettled, grants, at: now,
 		};
 	}
 
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -5,6 +5,8 @@
 	OrganisationQuota, type HandlePermit, type OrganisationLimit, type QuotaContext, type QuotaTransport, type WaitingRequest,
 } from './organisation-quota.js';
 
+const maxNumber = 2 ** 32;
+
 /** Limits of a client, for tests. */
 export type QuotaClientOptions = {
 	readonly maxEntries?: number;
@@ -26,8 +28,14 @@
 
 	constructor(transport: QuotaTransport, {maxEntries = maxQuotaEntries, maxWaiting = maxQuotaWaiting, random = Math.random}: QuotaClientOptions = {}) {
 		this.#maxEntries = maxEntries;
+		// Numbers of a restarted process differ from those that homes remember.
+		let number = Math.floor(random() * maxNumber);
 		this.#context = {
 			transport, maxWaiting, random, waiting: new Set(),
+			issueNumber() {
+				number = (number + 1) % maxNumber;
+				return number;
+			},
 		};
 	}
 
