Hold requests to the quotas of their organisations

Change: the ingress takes a permit for each request of an organisation with a rate, from stock or from the organisation's home by one question and answer over gossip datagrams; a request that has not run gives it back.

--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -21,6 +21,7 @@
 import {drainNode} from './planned-stop.js';
 import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './process-gauges.js';
 import {registerEraUpdates, registerReleaseUpdates} from './record-updates.js';
+import {QuotaExchange} from './quota-exchange.js';
 import {RequestRouter} from './request-router.js';
 import {ServerDirectory} from './server-directory.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -110,6 +111,7 @@
 	readonly #router: RequestRouter;
 	readonly #ingress: Ingress;
 	readonly #controlServer: ControlServer;
+	readonly #quotas: QuotaExchange;
 	readonly #configurationProof: ConfigurationProof;
 	readonly #configurationWatcher: ConfigurationWatcher;
 	readonly #peerConfigurationFetcher: PeerConfigurationFetcher;
@@ -132,6 +134,9 @@
 		const configurations = new ConfigurationCarrier(this.#releases);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target, configurations), logger, this.#metrics);
 		this.#gossip = new Gossip(this.#table, [], {logger, metrics: this.#metrics});
+		this.#quotas = new QuotaExchange({
+			table: this.#table, state: this.#releases, queries: this.#gossip.queries, metrics: this.#metrics,
+		});
 		this.#router = this.#createRouter();
 		this.#ingress = this.#createIngress(this.#router);
 		const calls = new SidecarCalls({
@@ -197,6 +202,7 @@
 		await drainNode({
 			startStopping: lastAnswerAt => {
 				this.#isStopping = true;
+				this.#quotas.startStopping();
 				this.#ingress.startStopping();
 				this.#router.startStopping(lastAnswerAt);
 				this.#table.updateSelf(() => ({state: 'stopping'}));
@@ -225,6 +231,7 @@
 		clearInterval(this.#sweepTimer);
 		this.#configurationWatcher.stop();
 		this.#configurationProof.stop();
+		this.#quotas.stop();
 		this.#peerConfigurationFetcher.stop();
 		this.#discovery.stop();
 		this.#gossip.stop();
@@ -254,6 +261,7 @@
 		this.#discovery.start();
 		this.#peerConfigurationFetcher.start();
 		this.#configurationProof.start();
+		this.#quotas.start();
 		this.#sweepTimer = setInterval(() => {
 			this.#announcements.sweep();
 			this.#egress.sweep();
@@ -318,6 +326,7 @@
 			getCallerService: () => getSettings().service,
 			findCause: requestId => this.#egress.findRequestCause(requestId),
 			...this.#createIdentifier(),
+			quotas: this.#quotas,
 			limits: selectResourceLimits(getSettings()),
 			metrics: this.#metrics,
 			logger,
--- a/packages/releases/src/release-note.ts
+++ b/packages/releases/src/release-note.ts
@@ -10,7 +10,7 @@
 const maxWeight = 1_000_000;
 const maxPriority = 1000;
 const maxAttempts = 100;
-const maxOrganisationNameLength = 255;
+const maxOrganisationNameLength = 128;
 const maxQuota = 10_000_000;
 
 const nameSchema = z.string().regex(/^[a-z\d][a-z\d.\-]*$/v, 'use lower-case letters, digits, dots and hyphens').max(maxNameLength);
