--- a/packages/node/src/__tests__/pipeline-fixture.ts
+++ b/packages/node/src/__tests__/pipeline-fixture.ts
@@ -93,7 +93,8 @@
 	}
 }
 
-function createReleases(): ReleaseState {
+/** Creates releases with one route, which has every path. */
+export function createReleases(): ReleaseState {
 	const releases = new ReleaseState();
 	const note = releaseNoteSchema.parse({
 		id: 'first', operator: 'test', base: 0, added: {services: [{name: 'desk'}], routes: [{name: 'all', pathPrefix: '/', service: 'desk'}]},
