--- a/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
+++ b/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
@@ -19,6 +19,7 @@
 	{seed: 20_261_217, cause: 'a CONNECT request whose connection is reset: its socket has no error listener, so the process ends'},
 ];
 const closeTimeoutMs = 3000;
+const testTimeoutMs = 20_000;
 const pauseMs = 2;
 /** Stands for the path of a request. */
 const pathMark = '@';
@@ -203,25 +204,28 @@
 	return client.received;
 }
 
-describe('hostile byte streams to the ingress', () => {
-	const carrier = new FuzzCarrier();
-	const ingress = new Ingress({
-		releases: createReleases(),
-		admitRequest: () => Right(undefined),
-		selectCarrier: () => Right(carrier),
-		handleReserved(_message, response) {
-			response.end();
-		},
-		metrics: new MetricRegistry(),
-		logger: new SilentLogger(),
-	});
+describe('hostile byte streams to the ingress', function () {
+	this.timeout(testTimeoutMs);
+	let carrier: FuzzCarrier;
+	let ingress: Ingress;
 	let address: Address;
 
-	before(async () => {
+	beforeEach(async () => {
+		carrier = new FuzzCarrier();
+		ingress = new Ingress({
+			releases: createReleases(),
+			admitRequest: () => Right(undefined),
+			selectCarrier: () => Right(carrier),
+			handleReserved(_message, response) {
+				response.end();
+			},
+			metrics: new MetricRegistry(),
+			logger: new SilentLogger(),
+		});
 		address = await ingress.listen({host: '127.0.0.1', port: 0});
 	});
 
-	after(() => {
+	afterEach(() => {
 		ingress.close();
 	});
 
@@ -230,7 +234,6 @@
 		it(`are answered at most once a request or end their connection, seed ${seed}`, async () => {
 			const [plan] = fc.sample(plans, {seed, numRuns: 1});
 			carrier.answers = plan!.answers;
-			carrier.paths = [];
 			const clients = plan!.connections.map((connection, index) => new HostileClient(address, connection, `/c${index}`));
 			await Promise.all(clients.map(async client => client.run()));
 			const answered = clients.flatMap(client => client.listAnsweredPaths());
