Read a response that waits behind another one from its backend server, up to the limits

Cause: a response that waited for its turn on a caller's connection got no credit, so of one larger than a flow-control window (64 KiB) only the first window was read. At the end of a planned stop it counted as in progress and was answered 504, though its backend server had sent it long before. Change: CallerResponse reserves memory and grants credit while it waits, up to 2 MiB a response and a half of the 16 MiB of the node, so that responses whose turn it is keep the other half.

--- a/packages/node/src/__tests__/pipeline-fixture.ts
+++ b/packages/node/src/__tests__/pipeline-fixture.ts
@@ -22,11 +22,13 @@
 class HeldExchange extends Exchange {
 	readonly #handleBody: (bytes: number) => void;
 	readonly #handleCancel: () => void;
+	readonly #handleGrant: (bytes: number) => void;
 
-	constructor(handleBody: (bytes: number) => void, handleCancel: () => void) {
+	constructor(handleBody: (bytes: number) => void, handleCancel: () => void, handleGrant: (bytes: number) => void) {
 		super();
 		this.#handleBody = handleBody;
 		this.#handleCancel = handleCancel;
+		this.#handleGrant = handleGrant;
 	}
 
 	override writeBody(chunk: Uint8Array): void {
@@ -37,8 +39,8 @@
 		// The test answers the request.
 	}
 
-	override grantCredit(): void {
-		// Responses are smaller than the window, so credit does not matter.
+	override grantCredit(bytes: number): void {
+		this.#handleGrant(bytes);
 	}
 
 	override cancel(): void {
@@ -52,6 +54,8 @@
 	cancelled: readonly string[] = [];
 	/** Bytes of all request bodies. */
 	bodyBytes = 0;
+	/** Bytes of each response for which its backend server has got credit, by path. */
+	readonly grantedBytes = new Map<string, number>();
 
 	override openExchange({path, remainingMs}: RequestHead, handler: ExchangeHandler): Exchange {
 		this.opened = [...this.opened, {path, remainingMs, handler}];
@@ -60,6 +64,8 @@
 			handler.handleCredit(bytes);
 		}, () => {
 			this.cancelled = [...this.cancelled, path];
+		}, bytes => {
+			this.grantedBytes.set(path, (this.grantedBytes.get(path) ?? 0) + bytes);
 		});
 	}
 
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -5,7 +5,7 @@
 	createFailure, findHeader, type Failure, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type CallerConnection} from './caller-connection.js';
-import {type HeldBytes} from './held-bytes.js';
+import {maxHeldBytes, type HeldBytes} from './held-bytes.js';
 import {hasResponseBody} from './headers.js';
 import {sendFailure} from './http-responses.js';
 
@@ -32,7 +32,8 @@
 
 /**
  * Writes a response once all responses before it on the connection are complete, and holds it until then. If requests are
- * behind it, it is also held until it is complete, as far as memory allows.
+ * behind it, it is also held until it is complete, as far as memory allows. What is held is read from the backend server
+ * meanwhile: in a planned stop, a response that is complete here is delivered even if the one before it fails.
  *
  * A response without a length is passed on in that form, as nothing proves that it is whole: its backend server may have
  * ended it early, so neither chunks nor a length would be true. The end of its connection ends it, which a killed process
@@ -112,11 +113,13 @@
 	}
 
 	#startIfDue(): void {
-		if (!this.#isTurn || this.#isStarted) {
+		if (this.#isStarted) {
 			return;
 		}
 
-		if (this.#failure) {
+		if (!this.#isTurn) {
+			this.#reserveHeldParts();
+		} else if (this.#failure) {
 			this.#startFailure(this.#failure);
 		} else if (this.#head && (this.#isComplete || !this.#isHeldBack(this.#head) || !this.#reserveHeldParts())) {
 			this.#start(this.#head);
@@ -145,11 +148,15 @@
 		return true;
 	}
 
-	/** Reserves memory for what has arrived and grants credit for more. Returns false if memory is short. */
+	/**
+	 * Reserves memory for what has arrived and grants credit for more. Returns false if memory is short. Responses that wait for
+	 * their turn leave a half of the node's memory to those whose turn it is: without memory these have to be started.
+	 */
 	#reserveHeldParts(): boolean {
+		const maxBytes = this.#isTurn ? maxHeldBytes : maxHeldBytes / 2;
 		const newParts = this.#heldParts.slice(this.#creditedParts);
 		const newBytes = newParts.reduce((sum, {chunk}) => sum + chunk.length + partOverheadBytes, 0);
-		if (this.#reservedBytes + newBytes > maxResponseHeldBytes || !this.#options.heldBytes.reserve(newBytes)) {
+		if (this.#reservedBytes + newBytes > maxResponseHeldBytes || !this.#options.heldBytes.reserve(newBytes, maxBytes)) {
 			return false;
 		}
 
--- a/packages/node/src/held-bytes.ts
+++ b/packages/node/src/held-bytes.ts
@@ -12,9 +12,9 @@
 		metrics.registerGauge('ingress_held_response_bytes', () => this.#bytes);
 	}
 
-	/** Reserves memory for that many more bytes. Returns false, reserving none, when the limit would be exceeded. */
-	reserve(bytes: number): boolean {
-		if (this.#bytes + bytes > maxHeldBytes) {
+	/** Reserves memory for that many more bytes. Returns false, reserving none, when more than `maxBytes` would be held in all. */
+	reserve(bytes: number, maxBytes = maxHeldBytes): boolean {
+		if (this.#bytes + bytes > maxBytes) {
 			return false;
 		}
 
