Share a backend server's queue fairly between organisations

Cause: the queue in front of a backend server is ordered by priority and due time alone, so an organisation that sends many times its usual load delays all others of its priority, and a full queue refuses whoever comes next. Change: QueuedRequest names its organisation. Requests of organisations of one priority go by start-time fair queueing, weighted by expected work, and by due time within each; one without an organisation is compared with the next of them by due time. A full queue gives up the last request of the organisation with most work in it for one of an organisation with less, as not run (queueFull). selectAhead and getLoad tell the wait of the organisation that asks. Without organisations the order is unchanged. GatedServer reads the organisation from the head, so retries count as their organisation's.

--- a/packages/admission/src/__tests__/unit/wait-queue.test.ts
+++ b/packages/admission/src/__tests__/unit/wait-queue.test.ts
@@ -5,7 +5,7 @@
 
 function createItem(name: string, fields: Partial<QueuedRequest> = {}): Named {
 	return {
-		name, priority: 1, workMs: 100, dueAt: 1000, latestStartAt: 900, ...fields,
+		name, priority: 1, organisation: '', workMs: 100, dueAt: 1000, latestStartAt: 900, ...fields,
 	};
 }
 
@@ -36,7 +36,7 @@
 			[createItem('a', {priority: 2}), createItem('b', {priority: 0})].forEach(item => {
 				queue.add(item);
 			});
-			expect(queue.selectAhead(1).map(({name}) => name)).to.deep.equal(['b']);
+			expect(queue.selectAhead(createItem('c', {priority: 1})).map(({name}) => name)).to.deep.equal(['b']);
 		});
 	});
 
--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -41,7 +41,7 @@
 	readonly running: readonly RunningRequest[];
 	/** Queued requests that would be started before the one in question. */
 	readonly ahead: readonly QueuedRequest[];
-	/** Number of all queued requests. */
+	/** Number of all queued requests, without one that would give way to this one. */
 	readonly waitingCount: number;
 	/** Time until the limit that the backend server names lets the request start, in milliseconds; absent without a limit. */
 	readonly limitWaitMs?: number;
--- a/packages/node/src/__tests__/model-server.ts
+++ b/packages/node/src/__tests__/model-server.ts
@@ -74,7 +74,7 @@
 			slots: this.#options.slots, running: [...this.#running.values()], ahead: this.#queue.list(), waitingCount: this.#queue.count(),
 		}, now) ?? this.#findRetryRefusal(earlierAttempts, now);
 		const run: ModelRun = {
-			head, handler, isHealthIgnored, priority: 1, dueAt: now + this.#options.objectiveMs, latestStartAt: now + (head.patienceMs ?? 0), workMs: this.#options.workMs,
+			head, handler, isHealthIgnored, priority: 1, organisation: head.organisation, dueAt: now + this.#options.objectiveMs, latestStartAt: now + (head.patienceMs ?? 0), workMs: this.#options.workMs,
 		};
 		queueMicrotask(() => {
 			if (refusal) {
--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -192,10 +192,10 @@
 			};
 
 			await sendMany(4);
-			expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isShedding: true, isUnwell: false});
+			expect(egress.findLoad('server-1', {priority: 0, route: 'sizes', organisation: ''})).to.include({isShedding: true, isUnwell: false});
 			isFull = false;
 			await sendMany(20);
-			expect(egress.findLoad('server-1', 0, 'sizes')).to.not.have.property('isShedding');
+			expect(egress.findLoad('server-1', {priority: 0, route: 'sizes', organisation: ''})).to.not.have.property('isShedding');
 			expect(fixture.logger.lines.filter(([event]) => event === 'sheddingChanged').map(([, fields]) => fields)).to.deep.equal([
 				{server: 'server-1', isShedding: true}, {server: 'server-1', isShedding: false},
 			]);
@@ -266,14 +266,14 @@
 				const {egress} = await startFixture(answerWithDelay);
 				await sendWithCall(false);
 				await sendWithCall(false);
-				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: false});
+				expect(egress.findLoad('server-1', {priority: 0, route: 'sizes', organisation: ''})).to.include({isUnwell: false});
 			});
 
 			it('excuse no server error of a request whose calls were served', async () => {
 				const {egress} = await startFixture(answerWithDelay);
 				await sendWithCall(true);
 				await sendWithCall(true);
-				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: true});
+				expect(egress.findLoad('server-1', {priority: 0, route: 'sizes', organisation: ''})).to.include({isUnwell: true});
 			});
 
 			it('excuse no server error of another request', async () => {
@@ -281,7 +281,7 @@
 				await sendWithCall(false);
 				await send({requestId: 'other-1'});
 				await send({requestId: 'other-2'});
-				expect(egress.findLoad('server-1', 0, 'sizes')).to.include({isUnwell: true});
+				expect(egress.findLoad('server-1', {priority: 0, route: 'sizes', organisation: ''})).to.include({isUnwell: true});
 			});
 		});
 
@@ -294,6 +294,6 @@
 
 	it('reports the load of a backend server', async () => {
 		const {egress} = await startFixture(answerComplete);
-		expect(egress.findLoad('server-1', 0, 'sizes')).to.include({freeSlots: 3, queued: 0, isUnwell: false});
+		expect(egress.findLoad('server-1', {priority: 0, route: 'sizes', organisation: ''})).to.include({freeSlots: 3, queued: 0, isUnwell: false});
 	});
 });
--- a/packages/node/src/gated-server.ts
+++ b/packages/node/src/gated-server.ts
@@ -3,7 +3,7 @@
 	createFailure, type Exchange, type ExchangeHandler, type Failure, type LoadHint, type RequestHead,
 } from '@limpetbarrow/core';
 import {
-	minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type ServerLoad, type AdmissionRequest,
+	maxQueuedRequests, minOverdueMs, overdueFactor, AdmissionController, WaitQueue, type AdmissionRequest, type ServerLoad,
 } from '@limpetbarrow/admission';
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {type WorkOutcome} from '@limpetbarrow/detect';
@@ -11,21 +11,17 @@
 import {CrashDetector} from './crash-detector.js';
 import {ServerConnections} from './server-connections.js';
 import {type QueuedExchange, type SlotReservation} from './gated-exchanges.js';
+import {
+	createAdmissionRequest, createNewRequest, defaultPriority, isRetryable, type LoadedHead,
+} from './gated-requests.js';
 import {type GatedServerOptions} from './gated-server-options.js';
 import {ServerOutcomes} from './server-outcomes.js';
 import {StartedExchanges} from './started-exchanges.js';
-import {ServerLimit, type LimitedHead} from './server-limit.js';
+import {ServerLimit} from './server-limit.js';
 
-/** Priority of requests that carry none; lower numbers go first. */
-const defaultPriority = 1000;
 /** Longest time for which a slot is reserved for a request whose body has not ended, in milliseconds. */
 const reservationTimeoutMs = 1000;
 
-/** True when a failure of this attempt would be followed by another one. */
-function isRetryable({isRepeatable, earlierAttempts = 0, maxAttempts = 1}: RequestHead): boolean {
-	return isRepeatable && earlierAttempts + 1 < maxAttempts;
-}
-
 /** Manages the slots of one backend server. No other object starts requests on it or decides whether a request ran. */
 export class GatedServer {
 	readonly #options: GatedServerOptions;
@@ -69,7 +65,7 @@
 	 */
 	openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
 		const exchange: BackendExchange = new BackendExchange(head, handler, {
-			getLoad: () => this.getLoad(head.priority, head.route),
+			getLoad: () => this.getLoad({...head, organisation: head.organisation === '' ? '' : undefined}),
 			handleBodyCollected() {
 				// The request is admitted before its body arrives; `handleBodyEnd` starts or queues it.
 			},
@@ -98,15 +94,19 @@
 		return exchange;
 	}
 
-	/** Load that a request of that priority and route would meet. */
-	getLoad(priority = defaultPriority, route = ''): LoadHint {
+	/**
+	 * Load that such a request would meet; without `organisation`, one of an organisation that has no requests here. Other
+	 * nodes get the latter with the responses to requests of organisations, and use it for those of any organisation: an
+	 * organisation with a backlog is told of its own wait when a request of it is refused.
+	 */
+	getLoad(head: LoadedHead): LoadHint {
 		const now = performance.now();
 		return {
 			serverId: this.#announcement.id,
 			freeSlots: Math.max(0, this.#countSlots() - this.#started.countRunning()),
 			queued: this.#queue.count(),
-			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad({priority}), now)),
-			workMs: Math.round(this.#gate.estimateWork(route, now)),
+			waitMs: Math.round(this.#gate.estimateWait(this.#createLoad({...head, earlierAttempts: 0, cause: undefined}), now)),
+			workMs: Math.round(this.#gate.estimateWork(head.route ?? '', now)),
 			isUnwell: this.#gate.isUnwell(now),
 			...(this.#gate.isShedding(now) && {isShedding: true}),
 			...this.#limit.createHint(),
@@ -168,37 +168,33 @@
 		return Math.max(1, Math.min(this.#announcement.slots, this.#announcement.maxConnections));
 	}
 
-	#createLoad(request: LimitedHead): ServerLoad {
-		const ahead = this.#queue.selectAhead(request.priority ?? defaultPriority);
+	/** Load that a request meets when the queued request `displaced` gives way to it. */
+	#createLoad(head: LoadedHead, displaced?: QueuedExchange): ServerLoad {
+		const ahead = this.#queue.selectAhead(createNewRequest(head, this.#gate, performance.now())).filter(queuedExchange => queuedExchange !== displaced);
 		return {
 			slots: this.#countSlots(),
 			running: [...this.#started.listRunning(), ...this.#reservations.values()],
 			ahead,
-			waitingCount: this.#queue.count(),
-			limitWaitMs: this.#limit.computeWait(request, ahead.length + this.#reservations.size),
+			waitingCount: this.#queue.count() - (displaced ? 1 : 0),
+			limitWaitMs: this.#limit.computeWait(head, ahead.length + this.#reservations.size),
 		};
 	}
 
 	#admit(exchange: BackendExchange, head: RequestHead, handler: ExchangeHandler): void {
-		const {priority = defaultPriority} = head;
-		const remainingMs = exchange.getRemainingMs();
-		const request = {
-			route: head.route ?? '',
-			priority,
-			isRetryable: isRetryable(head),
-			remainingMs,
-			objectiveMs: head.objectiveMs ?? remainingMs,
-			patienceMs: head.patienceMs ?? remainingMs,
-			isLastResort: head.isLastResort ?? false,
-		};
+		const request = createAdmissionRequest(head, exchange.getRemainingMs());
 		const isHealthIgnored = request.isLastResort || !this.#gate.isFitFor(request, performance.now());
 		this.#limit.recordRequest(head);
-		const refusal = this.#findRefusal(request, head);
+		const displaced = this.#queue.count() >= maxQueuedRequests ? this.#queue.findDisplaced(createNewRequest(head, this.#gate, performance.now())) : undefined;
+		const refusal = this.#findRefusal(request, head, displaced);
 		if (refusal) {
 			this.#refuseExchange(exchange, head, refusal);
 			return;
 		}
 
+		if (displaced) {
+			this.#refuseDisplaced(displaced);
+		}
+
 		this.#reserveSlot(exchange, head, isHealthIgnored);
 		queueMicrotask(() => {
 			handler.handleAccepted?.();
@@ -257,6 +253,14 @@
 		});
 	}
 
+	/** Refuses a queued request of the organisation with most work in the full queue, in favour of another organisation's. */
+	#refuseDisplaced(displaced: QueuedExchange): void {
+		const {exchange, head} = displaced;
+		this.#removeQueued(displaced);
+		const waitMs = this.#gate.estimateWait(this.#createLoad(head), performance.now());
+		this.#refuseExchange(exchange, head, createFailure('queueFull', 'the queue is full, and the organisation has most work in it', waitMs));
+	}
+
 	#removeExchange(exchange: BackendExchange): void {
 		clearTimeout(this.#reservations.get(exchange)?.timer);
 		this.#reservations.delete(exchange);
@@ -266,13 +270,13 @@
 	}
 
 	/** Returns why the request is refused, if it is. A retry counts against the budget only when the gate admits it. */
-	#findRefusal(request: AdmissionRequest, head: RequestHead): Failure | undefined {
+	#findRefusal(request: AdmissionRequest, head: RequestHead, displaced: QueuedExchange | undefined): Failure | undefined {
 		if (this.#announcement.isLeaving) {
 			return createFailure('serverLeaving', `backend server ${this.#announcement.id} is leaving`);
 		}
 
 		const now = performance.now();
-		const refusal = this.#gate.findRefusal(request, this.#createLoad(head), now);
+		const refusal = this.#gate.findRefusal(request, this.#createLoad(head, displaced), now);
 		if (refusal) {
 			return refusal;
 		}
@@ -297,6 +301,7 @@
 			head,
 			isHealthIgnored,
 			priority,
+			organisation: head.organisation,
 			workMs,
 			dueAt: now + (head.objectiveMs ?? remainingMs),
 			latestStartAt: now + maxWaitMs,
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/host-egress.ts
@@ -7,6 +7,7 @@
 import {refuseExchange} from './closed-exchange.js';
 import {reportEndEvidence} from './end-evidence.js';
 import {reportExcess} from './report-excess.js';
+import {type LoadedHead} from './gated-requests.js';
 import {GatedServer} from './gated-server.js';
 import {Quarantine} from './quarantine.js';
 import {type ServerProtocol} from './server-protocol.js';
@@ -66,9 +67,9 @@
 		return this.#quarantine.openExchange(head, handler, localServer.announcement, backendHandler => localServer.server.openExchange(head, backendHandler));
 	}
 
-	/** Load that a request of that priority and route would meet at a backend server of this host. */
-	findLoad(serverId: string, priority: number | undefined, route: string | undefined): LoadHint | undefined {
-		return this.#localServers.get(serverId)?.server.getLoad(priority, route);
+	/** Load that such a request would meet at a backend server of this host. */
+	findLoad(serverId: string, head: LoadedHead): LoadHint | undefined {
+		return this.#localServers.get(serverId)?.server.getLoad(head);
 	}
 
 	/** Finds why the backend server of this host sent a request; undefined for a request of a caller. */
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/request-router.ts
@@ -21,8 +21,8 @@
 	readonly self: {readonly id: string; readonly placement: Placement};
 	readonly directory: Pick<ServerDirectory, 'listCandidates'>;
 	readonly findEgress: FindEgress;
-	/** Returns the load of a backend server on this host for a request of that priority and route. */
-	readonly findLocalLoad: (serverId: string, priority: number | undefined, route: string | undefined) => LoadHint | undefined;
+	/** Returns the load that a request would meet at a backend server on this host. */
+	readonly findLocalLoad: (serverId: string, head: RequestHead) => LoadHint | undefined;
 	/** Called when the backend server of this host begins a call, and when the call has ended. */
 	readonly recordCallStart?: (requestId: string) => void;
 	readonly recordCallEnd?: (requestId: string, isServed: boolean) => void;
@@ -186,9 +186,8 @@
 
 	#createSpillView(candidate: Candidate, request: RoutedRequest): SpilloverCandidate {
 		const {server} = candidate;
-		const {priority, route} = request.head;
 		const tier = findTier(this.#options.self, candidate);
-		const hint = tier === 'host' ? this.#options.findLocalLoad(server.id, priority, route) : this.#loadTracker.getHint(server.id);
+		const hint = tier === 'host' ? this.#options.findLocalLoad(server.id, request.head) : this.#loadTracker.getHint(server.id);
 		const inFlight = this.#loadTracker.countInFlight(server.id);
 		const workMs = hint?.workMs;
 		const estimatedQueueMs = Math.max(0, inFlight + 1 - server.slots) * (workMs ?? 0) / server.slots;
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -259,7 +259,7 @@
 			self,
 			directory: this.#directory,
 			findEgress: nodeId => nodeId === self.id ? this.#egress : this.#findLink(nodeId),
-			findLocalLoad: (serverId, priority, route) => this.#egress.findLoad(serverId, priority, route),
+			findLocalLoad: (serverId, head) => this.#egress.findLoad(serverId, head),
 			recordCallStart: requestId => {
 				this.#egress.recordCallStart(requestId);
 			},
