Let one response take all that a node may hold while the node stops

Cause: a response with requests behind it is held until it is complete, up to 2 MiB; beyond that it was started, and at the end of a planned stop only a reset could end it, so the responses behind it, whose requests had run, were lost. A response that had been started before the stop and doesn't end in it still costs those behind it.

--- a/packages/node/src/__tests__/unit/pipeline-waiting.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline-waiting.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {exchangeWindowBytes} from '@limpetbarrow/core';
 import {maxResponseHeldBytes} from '../../caller-response.js';
+import {maxHeldBytes} from '../../held-bytes.js';
 import {formatRequest, PipelineFixture, waitUntil} from '../pipeline-fixture.js';
 
 describe('pipelined requests behind a download in progress', () => {
@@ -45,6 +46,33 @@
 		expect(fixture.listAnswers()).to.deep.equal(['504', '200 /waiting']);
 	});
 
+	// Guards against ready responses that are lost in a planned stop, as the one before them was started for want of memory.
+	it('get their responses when the download fails at the end of a planned stop, however large it is', async () => {
+		fixture.socket.write(formatRequest('/download') + formatRequest('/ready'));
+		await fixture.hasOpened(2);
+		fixture.ingress.startStopping();
+		fixture.carrier.answer('/ready');
+		const {handler} = fixture.carrier.opened[0]!;
+		handler.handleHead({status: 200, headers: ['content-length', String(maxHeldBytes)]});
+		Array.from({length: 8}).forEach(() => {
+			handler.handleData(Buffer.alloc(maxResponseHeldBytes / 2));
+		});
+		fixture.ingress.failRequests();
+		expect(await waitUntil(() => fixture.isClosed)).to.equal(true);
+		expect(fixture.listAnswers()).to.deep.equal(['504', '200 /ready']);
+	});
+
+	it('are served in a planned stop when the download exceeds what the node may hold', async () => {
+		fixture.socket.write(formatRequest('/download') + formatRequest('/ready'));
+		await fixture.hasOpened(2);
+		fixture.ingress.startStopping();
+		fixture.carrier.answer('/ready');
+		fixture.carrier.startAnswer('/download', 2 * maxHeldBytes);
+		fixture.carrier.finishAnswer('/download', 2 * maxHeldBytes);
+		expect(await waitUntil(() => fixture.listAnswers().length === 2)).to.equal(true);
+		expect(fixture.metrics.formatReport()).to.match(/ingress_held_response_bytes 0/v);
+	});
+
 	it('get no more credit for a response that waits than may be held', async () => {
 		fixture.socket.write(formatRequest('/download') + formatRequest('/waiting'));
 		await fixture.hasOpened(2);
--- a/packages/node/src/caller-connection.ts
+++ b/packages/node/src/caller-connection.ts
@@ -89,6 +89,11 @@
 		return this.#pendingResponses.length > 0;
 	}
 
+	/** True once a planned stop of the node has begun. */
+	isStopping(): boolean {
+		return this.#isStopping();
+	}
+
 	/** True when a request after that of the response has been accepted. */
 	hasRequestsBehind(response: ServerResponse): boolean {
 		return this.#pendingResponses.at(-1) !== response;
--- a/packages/node/src/caller-response.ts
+++ b/packages/node/src/caller-response.ts
@@ -25,7 +25,7 @@
 	readonly handleWritten: () => void;
 };
 
-/** Memory that one response may take while it is held until it is complete, in bytes. */
+/** Memory that one response may take while it is held until it is complete, in bytes; none but the node's limit while that stops. */
 export const maxResponseHeldBytes = 2_097_152;
 /** Memory that a part takes besides its content, in bytes; it bounds the number of parts. */
 const partOverheadBytes = 128;
@@ -150,13 +150,15 @@
 
 	/**
 	 * Reserves memory for what has arrived and grants credit for more. Returns false if memory is short. Responses that wait for
-	 * their turn leave a half of the node's memory to those whose turn it is: without memory these have to be started.
+	 * their turn leave a half of the node's memory to those whose turn it is: without memory these have to be started. In a
+	 * planned stop, one that has been started and isn't complete in time costs those behind it; so one response may take all.
 	 */
 	#reserveHeldParts(): boolean {
 		const maxBytes = this.#isTurn ? maxHeldBytes : maxHeldBytes / 2;
+		const maxOwnBytes = this.#options.connection.isStopping() ? maxBytes : maxResponseHeldBytes;
 		const newParts = this.#heldParts.slice(this.#creditedParts);
 		const newBytes = newParts.reduce((sum, {chunk}) => sum + chunk.length + partOverheadBytes, 0);
-		if (this.#reservedBytes + newBytes > maxResponseHeldBytes || !this.#options.heldBytes.reserve(newBytes, maxBytes)) {
+		if (this.#reservedBytes + newBytes > maxOwnBytes || !this.#options.heldBytes.reserve(newBytes, maxBytes)) {
 			return false;
 		}
 
