Write the last responses of a planned stop though the process was held up until its end

Cause: the last wait of a planned stop, for writing failures and the responses that are ready behind them, was bounded by the clock alone. A process that was frozen or short of processor time for its last 0.4 s closed all connections right after the first failure, and the responses behind it, complete for seconds, were lost. Change: the node looks at least five times, 20 ms apart, whether they are written. The new test failed before.

--- a/packages/node/src/__tests__/unit/planned-stop.test.ts
+++ b/packages/node/src/__tests__/unit/planned-stop.test.ts
@@ -121,6 +121,19 @@
 		expect(result).to.equal(false);
 	});
 
+	// Guards against ready responses that are lost as the process was held up until its time limit.
+	it('waits for the last responses for some time though it was held up until its time limit', async () => {
+		node.unfinished = 1;
+		await clock.tickAsync(times.stopTimeoutMs - finalResponsesMs - 100);
+		clock.jump(finalResponsesMs + 500);
+		await clock.tickAsync(40);
+		expect(node.steps).to.include('failRequests');
+		expect(result).to.equal(undefined);
+		node.inProgress = 0;
+		await clock.tickAsync(40);
+		expect(result).to.equal(false);
+	});
+
 	it('ends at its time limit and reports that requests were in progress', async () => {
 		await clock.tickAsync(times.stopTimeoutMs + 200);
 		expect(result).to.equal(false);
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -48,16 +48,25 @@
  */
 export const handoverPropagationMs = 1500;
 
-/** Polls the condition until it holds or the deadline (monotonic time) has passed; resolves to its last value. */
-async function waitUntil(condition: () => boolean, deadline: number): Promise<boolean> {
-	if (condition() || performance.now() >= deadline) {
+/**
+ * Least number of times that the node looks whether the final responses are written, however late it is. A host that was
+ * frozen or short of processor time may reach the end of the time limit before any response behind the first is written.
+ */
+const minFinalPolls = 5;
+
+/**
+ * Polls the condition until it holds, or the deadline (monotonic time) has passed and it was polled that often; resolves to its
+ * last value.
+ */
+async function waitUntil(condition: () => boolean, deadline: number, minPolls = 0): Promise<boolean> {
+	if (condition() || (performance.now() >= deadline && minPolls <= 0)) {
 		return condition();
 	}
 
 	await new Promise<void>(resolve => {
 		setTimeout(resolve, pollIntervalMs);
 	});
-	return waitUntil(condition, deadline);
+	return waitUntil(condition, deadline, minPolls - 1);
 }
 
 /**
@@ -79,7 +88,7 @@
 	const isDrained = await waitUntil(() => node.countRequestsInProgress() === 0, deadline);
 	if (!isDrained) {
 		node.failRequests();
-		await waitUntil(() => node.countRequestsInProgress() === 0, startedAt + stopTimeoutMs);
+		await waitUntil(() => node.countRequestsInProgress() === 0, startedAt + stopTimeoutMs, minFinalPolls);
 	}
 
 	return isDrained;
