Compute the fair order of a queue by sorting tags

Cause: the order was merged request by request with copies of all backlogs, quadratic in the queue's length. Change: requests are tagged per organisation and sorted; the order is the same.

--- a/packages/admission/src/fair-order.ts
+++ b/packages/admission/src/fair-order.ts
@@ -1,19 +1,12 @@
 /** The order in which queued requests of one priority are started: those of organisations in fair shares. */
 import {type QueuedRequest} from './wait-queue.js';
 
-/** Requests of one organisation, by due time. */
-type Backlog<Item> = {
-	readonly items: readonly Item[];
+/** A request of an organisation with the virtual time at which it is due to start. */
+type TaggedItem<Item> = {
+	readonly item: Item;
 	readonly startTag: number;
 };
 
-type MergeState<Item> = {
-	readonly order: readonly Item[];
-	/** Requests without an organisation, by due time. */
-	readonly plain: readonly Item[];
-	readonly backlogs: ReadonlyArray<Backlog<Item>>;
-};
-
 /** Groups requests by a key, in the order of its first occurrence. */
 export function groupItems<Item, Key>(items: readonly Item[], getKey: (item: Item) => Key): ReadonlyMap<Key, readonly Item[]> {
 	const groups = new Map<Key, Item[]>();
@@ -29,30 +22,14 @@
 	return groups;
 }
 
-/** Returns the backlog whose request goes first: the smallest tag, then the earliest due time. */
-function findFirstBacklog<Item extends QueuedRequest>(backlogs: ReadonlyArray<Backlog<Item>>): Backlog<Item> | undefined {
-	return backlogs.reduce<Backlog<Item> | undefined>((first, backlog) => {
-		const difference = first ? backlog.startTag - first.startTag : -1;
-		return difference < 0 || (difference === 0 && backlog.items[0]!.dueAt < first!.items[0]!.dueAt) ? backlog : first;
-	}, undefined);
-}
-
-/** Moves the next request from its backlog, or from those without an organisation, to the end of the order. */
-function addNext<Item extends QueuedRequest>({order, plain, backlogs}: MergeState<Item>): MergeState<Item> {
-	const first = findFirstBacklog(backlogs);
-	const [plainItem, ...laterPlain] = plain;
-	const [item, ...later] = first?.items ?? [];
-	if (plainItem && (!item || plainItem.dueAt <= item.dueAt)) {
-		return {order: [...order, plainItem], plain: laterPlain, backlogs};
-	}
-
-	return item === undefined
-		? {order, plain, backlogs}
-		: {
-			order: [...order, item],
-			plain,
-			backlogs: backlogs.flatMap(backlog => backlog === first ? (later.length > 0 ? [{items: later, startTag: backlog.startTag + item.workMs}] : []) : [backlog]),
-		};
+/** Tags the requests of one organisation, whose next one has the tag `startTag`. */
+function tagItems<Item extends QueuedRequest>(items: readonly Item[], startTag: number): ReadonlyArray<TaggedItem<Item>> {
+	let tag = startTag;
+	return items.map(item => {
+		const tagged = {item, startTag: tag};
+		tag += item.workMs;
+		return tagged;
+	});
 }
 
 /**
@@ -63,10 +40,16 @@
  */
 export function createFairOrder<Item extends QueuedRequest>(items: readonly Item[], getStartTag: (organisation: string) => number): readonly Item[] {
 	const groups = groupItems(items, ({organisation}) => organisation);
-	const start: MergeState<Item> = {
-		order: [],
-		plain: groups.get('') ?? [],
-		backlogs: [...groups].filter(([organisation]) => organisation !== '').map(([organisation, own]) => ({items: own, startTag: getStartTag(organisation)})),
-	};
-	return items.reduce<MergeState<Item>>(state => addNext(state), start).order;
+	const plain = groups.get('') ?? [];
+	const shared = [...groups]
+		.flatMap(([organisation, own]) => organisation === '' ? [] : tagItems(own, getStartTag(organisation)))
+		.toSorted((one, other) => one.startTag - other.startTag || one.item.dueAt - other.item.dueAt);
+	let plainCount = 0;
+	const order = shared.flatMap(({item}) => {
+		const later = plain.findIndex((other, index) => index >= plainCount && other.dueAt > item.dueAt);
+		const before = plain.slice(plainCount, later === -1 ? plain.length : later);
+		plainCount += before.length;
+		return [...before, item];
+	});
+	return [...order, ...plain.slice(plainCount)];
 }
