--- a/packages/admission/src/fair-order.ts
+++ b/packages/admission/src/fair-order.ts
@@ -22,8 +22,8 @@
 	return groups;
 }
 
-/** Tags the requests of one organisation, whose next one has the tag `startTag`. */
-function tagItems<Item extends QueuedRequest>(items: readonly Item[], startTag: number): ReadonlyArray<TaggedItem<Item>> {
+/** Creates the tags of the requests of one organisation, whose next one has `startTag`. */
+function createTaggedItems<Item extends QueuedRequest>(items: readonly Item[], startTag: number): ReadonlyArray<TaggedItem<Item>> {
 	let tag = startTag;
 	return items.map(item => {
 		const tagged = {item, startTag: tag};
@@ -42,7 +42,7 @@
 	const groups = groupItems(items, ({organisation}) => organisation);
 	const plain = groups.get('') ?? [];
 	const shared = [...groups]
-		.flatMap(([organisation, own]) => organisation === '' ? [] : tagItems(own, getStartTag(organisation)))
+		.flatMap(([organisation, own]) => organisation === '' ? [] : createTaggedItems(own, getStartTag(organisation)))
 		.toSorted((one, other) => one.startTag - other.startTag || one.item.dueAt - other.item.dueAt);
 	let plainCount = 0;
 	const order = shared.flatMap(({item}) => {
