--- a/packages/admission/src/__tests__/fair-model.ts
+++ b/packages/admission/src/__tests__/fair-model.ts
@@ -43,10 +43,12 @@
 	readonly served: number;
 	/** Waits of the requests that were started, in milliseconds. */
 	readonly waitsMs: readonly number[];
+	/** Sum of the waits that were expected for them on arrival, in milliseconds. */
+	readonly expectedMs: number;
 };
 
 const emptyResult: ModelResult = {
-	sentMs: 0, servedMs: 0, sent: 0, served: 0, waitsMs: [],
+	sentMs: 0, servedMs: 0, sent: 0, served: 0, waitsMs: [], expectedMs: 0,
 };
 
 /** Returns the same random numbers from 0 to below 1 for the same seed, an integer from 1 on (Lehmer's generator). */
@@ -159,8 +161,8 @@
 			const {surgeFrom, surgeTo} = this.#schedule;
 			this.#running.set(next, {startedAt: now, workMs: next.workMs});
 			this.busyMs += Math.max(0, Math.min(surgeTo, now + next.durationMs) - Math.max(surgeFrom, now));
-			this.#update(next.sender, next.arrivedAt, ({served, servedMs, waitsMs}) => ({
-				served: served + 1, servedMs: servedMs + next.durationMs, waitsMs: [...waitsMs, now - next.arrivedAt],
+			this.#update(next.sender, next.arrivedAt, ({served, servedMs, waitsMs, expectedMs}) => ({
+				served: served + 1, servedMs: servedMs + next.durationMs, waitsMs: [...waitsMs, now - next.arrivedAt], expectedMs: expectedMs + next.expectedWaitMs,
 			}));
 			this.#startNext(now);
 		}
@@ -209,5 +211,6 @@
 		sent: results.reduce((sum, result) => sum + result.sent, 0),
 		served: results.reduce((sum, result) => sum + result.served, 0),
 		waitsMs: results.flatMap(({waitsMs}) => waitsMs),
+		expectedMs: results.reduce((sum, result) => sum + result.expectedMs, 0),
 	};
 }
--- a/packages/admission/src/__tests__/fair-table.ts
+++ b/packages/admission/src/__tests__/fair-table.ts
@@ -16,13 +16,13 @@
 	return `${(served / sent * 100).toFixed(2)} %`;
 }
 
-function formatWaits({waitsMs}: ModelResult): string {
+function formatWaits({waitsMs, expectedMs}: ModelResult): string {
 	const sorted = waitsMs.toSorted((a, b) => a - b);
 	const mean = waitsMs.reduce((sum, waitMs) => sum + waitMs, 0) / waitsMs.length;
-	return `${mean.toFixed(0)}, ${sorted[Math.floor(sorted.length * 0.95)]!.toFixed(0)} ms`;
+	return `${mean.toFixed(0)}, ${sorted[Math.floor(sorted.length * 0.95)]!.toFixed(0)}, ${(expectedMs / waitsMs.length).toFixed(0)} ms`;
 }
 
-process.stdout.write(`| ${seedCount} seeds | others served | worst seed | their waits: mean, 95 % | large one served | its waits | its share of the work | slots busy |\n`);
+process.stdout.write(`| ${seedCount} seeds | others served | worst seed | their waits: mean, 95 %, mean expected | large one served | its waits | its share of the work | slots busy |\n`);
 process.stdout.write('| --- | --- | --- | --- | --- | --- | --- | --- |\n');
 cases.forEach(({name, surge, isFair}) => {
 	const played = Array.from({length: seedCount}, (_, index) => {
