--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -217,15 +217,7 @@
 			return;
 		}
 
-		const cancel = quotas.takePermit(organisation, permit => {
-			response.removeListener('close', handleClose);
-			handlePermit(permit);
-		});
-		const handleClose = (): void => {
-			cancel();
-		};
-
-		response.once('close', handleClose);
+		response.once('close', quotas.takePermit(organisation, handlePermit));
 	}
 
 	#admit(request: IngressRequest): Either<Failure, AdmittedRequest> {
