--- a/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
+++ b/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
@@ -17,6 +17,8 @@
 /** Seeds that have failed, each with its cause. */
 const failedSeeds: ReadonlyArray<{readonly seed: number; readonly cause: string}> = [
 	{seed: 20_261_217, cause: 'a CONNECT request whose connection is reset: its socket has no error listener, so the process ends'},
+	{seed: 20_261_249, cause: 'not found yet: a request and its connection remain after bytes that are no request behind pipelined requests, in most runs'},
+	{seed: 20_261_316, cause: 'a body behind a CONNECT request is never read, so the end of the connection goes unnoticed and its descriptor remains'},
 ];
 const closeTimeoutMs = 3000;
 const testTimeoutMs = 20_000;
