--- a/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
+++ b/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
@@ -44,7 +44,23 @@
 
 const text = fc.string({unit: fc.nat({max: 255}).map(code => String.fromCodePoint(code)), maxLength: 40});
 const headers = fc.oneof(
-	fc.constantFrom('', 'x: y\r\n', 'x:\r\n', 'connection: close\r\n', 'connection: keep-alive, x\r\n', 'expect: 100-continue\r\n', 'expect: 200-ok\r\n', 'host: a\r\nhost: b\r\n', 'upgrade: h2c\r\nconnection: upgrade\r\n', 'content-length: 3\r\ntransfer-encoding: chunked\r\n', 'content-length: 99999999999999999999\r\n', '__proto__: a\r\nconstructor: b\r\n', ' folded: x\r\n y\r\n', 'x y: z\r\n', 'transfer-encoding: chunked, gzip\r\n'),
+	fc.constantFrom(
+		'',
+		'x: y\r\n',
+		'x:\r\n',
+		'connection: close\r\n',
+		'connection: keep-alive, x\r\n',
+		'expect: 100-continue\r\n',
+		'expect: 200-ok\r\n',
+		'host: a\r\nhost: b\r\n',
+		'upgrade: h2c\r\nconnection: upgrade\r\n',
+		'content-length: 3\r\ntransfer-encoding: chunked\r\n',
+		'content-length: 99999999999999999999\r\n',
+		'__proto__: a\r\nconstructor: b\r\n',
+		' folded: x\r\n y\r\n',
+		'x y: z\r\n',
+		'transfer-encoding: chunked, gzip\r\n',
+	),
 	fc.tuple(text, text).map(([name, value]) => `${name}: ${value}\r\n`),
 	fc.nat({max: 3400}).map(count => 'a:b\r\n'.repeat(count)),
 );
@@ -55,11 +71,22 @@
 const trailers = fc.constantFrom('\r\n', 'x: y\r\n\r\n', 'content-length: 4\r\n\r\n', 'bad line\r\n\r\n', `${'a:b\r\n'.repeat(4000)}\r\n`, '');
 const piece = fc.oneof(
 	{weight: 4, arbitrary: fc.constantFrom('GET', 'HEAD', 'DELETE', 'OPTIONS').map(method => `${method} ${pathMark} HTTP/1.1\r\nhost: h\r\n\r\n`)},
-	{weight: 2, arbitrary: fc.tuple(fc.constantFrom('GET', 'POST', 'CONNECT', 'PRI', 'get'), fc.constantFrom('1.1', '1.0', '0.9', '2.0'), headers).map(([method, version, lines]) => `${method} ${pathMark} HTTP/${version}\r\nhost: h\r\n${lines}\r\n`)},
-	{weight: 2, arbitrary: fc.tuple(fc.nat({max: 70_000}), fc.nat({max: 70_000})).map(([length, sent]) => `POST ${pathMark} HTTP/1.1\r\nhost: h\r\ncontent-length: ${length}\r\n\r\n${'b'.repeat(sent % 5 === 0 ? sent : length)}`)},
+	{
+		weight: 2,
+		arbitrary: fc.tuple(fc.constantFrom('GET', 'POST', 'CONNECT', 'PRI', 'get'), fc.constantFrom('1.1', '1.0', '0.9', '2.0'), headers)
+			.map(([method, version, lines]) => `${method} ${pathMark} HTTP/${version}\r\nhost: h\r\n${lines}\r\n`),
+	},
+	{
+		weight: 2,
+		arbitrary: fc.tuple(fc.nat({max: 70_000}), fc.nat({max: 70_000}))
+			.map(([length, sent]) => `POST ${pathMark} HTTP/1.1\r\nhost: h\r\ncontent-length: ${length}\r\n\r\n${'b'.repeat(sent % 5 === 0 ? sent : length)}`),
+	},
 	{weight: 2, arbitrary: fc.tuple(headers, chunks, trailers).map(([lines, body, end]) => `POST ${pathMark} HTTP/1.1\r\nhost: h\r\n${lines}transfer-encoding: chunked\r\n\r\n${body}0\r\n${end}`)},
 	{weight: 1, arbitrary: fc.nat({max: 40}).map(length => `GET ${pathMark} HTTP/1.1\r\nhost: h\r\nx: y\r\n\r\n`.slice(0, length))},
-	{weight: 1, arbitrary: fc.constantFrom(`GET ${pathMark} HTTP/1.1\nhost: h\n\n`, `GET ${pathMark}\r\n\r\n`, '\r\n\r\n\r\n', `GET ${pathMark} HTTP/1.1\r\n\r\n`, `GET http://other${pathMark} HTTP/1.1\r\nhost: h\r\n\r\n`, 'GET * HTTP/1.1\r\nhost: h\r\n\r\n')},
+	{
+		weight: 1,
+		arbitrary: fc.constantFrom(`GET ${pathMark} HTTP/1.1\nhost: h\n\n`, `GET ${pathMark}\r\n\r\n`, '\r\n\r\n\r\n', `GET ${pathMark} HTTP/1.1\r\n\r\n`, `GET http://other${pathMark} HTTP/1.1\r\nhost: h\r\n\r\n`, 'GET * HTTP/1.1\r\nhost: h\r\n\r\n'),
+	},
 	{weight: 1, arbitrary: fc.tuple(fc.constantFrom('GET /', 'GET / HTTP/1.1\r\nx: ', 'x'), fc.nat({max: 40_000})).map(([start, length]) => start + 'l'.repeat(length))},
 	{weight: 1, arbitrary: fc.nat({max: 40}).map(count => `GET ${pathMark} HTTP/1.1\r\nhost: h\r\n\r\n`.repeat(count))},
 	{weight: 1, arbitrary: text},
