Read the connection of a refused CONNECT until its end

Cause: after a CONNECT Node's http takes its listeners off the connection and nobody reads it, so with bytes behind the request its end went unnoticed and its descriptor stayed (fuzz; a reset ended the process before the paced connection). Change: what follows is read and dropped.

--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -111,6 +111,8 @@
 		});
 		this.#server.on('connect', (_message, socket) => {
 			this.#refuseSocket(socket as Socket, createFailure('malformedRequest', 'CONNECT is not supported'));
+			// Nothing else reads a connection that the HTTP server has handed over, and its end would go unnoticed.
+			socket.resume();
 		});
 		this.#server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
 			this.#handleClientError(error, socket as Socket);
