--- a/packages/node/src/freshness-exchange.ts
+++ b/packages/node/src/freshness-exchange.ts
@@ -41,7 +41,7 @@
 /** Time between two questions that requests cause, in milliseconds. */
 const requestedPeriodMs = 100;
 /** Rounds without a helpful answer from which more nodes are asked, at the same time: those asked so far may be silent. */
-const minWideRounds = 2;
+const minWideRounds = 1;
 /** Rounds without a helpful answer after which fewer questions are sent again: most likely no node has a proof. */
 const maxWideRounds = 20;
 /** Time to wait for an answer, in milliseconds. Three questions after each other fit into one exchange period. */
