Pass a question for permits on to the home that its asker can't reach

Change: the second-ranked node, which is asked next, passes the question on to the home, once, and sends the answer back; without one it answers itself as before.

--- a/packages/members/src/peer-queries.ts
+++ b/packages/members/src/peer-queries.ts
@@ -8,8 +8,14 @@
 import {createSender, type MembershipContext} from './dissemination.js';
 import {type QueryMessage, type ReplyMessage} from './message.js';
 
-/** Computes the answer to a question; undefined if there is none. It must accept any items and must not throw. */
-export type AnswerQuery = (body: readonly unknown[], from: {readonly id: string}) => readonly unknown[] | undefined;
+/** Sends the answer to a question that was not answered at once. */
+export type SendReply = (body: readonly unknown[]) => void;
+
+/**
+ * Computes the answer to a question; undefined if there is none, or if it is sent later by `sendReply`. It must accept any items
+ * and must not throw.
+ */
+export type AnswerQuery = (body: readonly unknown[], from: {readonly id: string}, sendReply: SendReply) => readonly unknown[] | undefined;
 
 /** Receives the answer to a question; undefined if none has arrived in time. */
 export type HandleReply = (body: readonly unknown[] | undefined) => void;
@@ -85,11 +91,15 @@
 	/** Answers a question of another member, if its topic is registered. */
 	handleQuery({sender, sequence, topic, body}: QueryMessage, from: Address): void {
 		const {table, transport} = this.#context;
-		const answer = this.#topics.get(topic)?.(body, {id: sender.id});
-		if (answer) {
+		const sendReply: SendReply = answer => {
 			transport.send(from, {
 				kind: 'reply', sender: createSender(table), sequence, body: answer,
 			});
+		};
+
+		const answer = this.#topics.get(topic)?.(body, {id: sender.id}, sendReply);
+		if (answer) {
+			sendReply(answer);
 		}
 	}
 
--- a/packages/node/src/quota-exchange.ts
+++ b/packages/node/src/quota-exchange.ts
@@ -3,7 +3,9 @@
 import {
 	HomeHistory, QuotaBook, QuotaClient, QuotaTransport, rankHomes, type MembersView, type QuotaAnswer, type QuotaQuestion,
 } from '@limpetbarrow/limits';
-import {type Member, type MemberTable, type PeerQueries} from '@limpetbarrow/members';
+import {
+	type Member, type MemberTable, type PeerQueries, type SendReply,
+} from '@limpetbarrow/members';
 import {type KeyedOrganisation, type ReleaseState} from '@limpetbarrow/releases';
 import {type HandlePermit, type OrganisationQuotas} from './organisation-quotas.js';
 
@@ -26,6 +28,8 @@
 const maxDeadMs = 300_000;
 /** Time for which an answer is waited for, in milliseconds; the client asks again before. */
 const answerTimeoutMs = 450;
+/** The same for a question that is passed on for another node, which asks again after 150 ms. */
+const relayTimeoutMs = 130;
 
 /** Asks homes by datagrams, and answers at once where this node is the home. */
 class PeerQuotaTransport extends QuotaTransport {
@@ -72,7 +76,7 @@
 		this.#client = new QuotaClient(new PeerQuotaTransport((...question) => {
 			this.#askHome(...question);
 		}, () => this.#history.countKnown(performance.now())));
-		options.queries.registerTopic(topic, (body, {id}) => this.#answerQuestion(body, id));
+		options.queries.registerTopic(topic, (body, {id}, sendReply) => this.#answerQuestion(body, id, sendReply));
 		metrics.registerGauge('quota_requests_waiting', () => this.#client.countWaiting());
 		metrics.registerGauge('quota_organisations', () => this.#client.countEntries());
 		metrics.registerGauge('quota_buckets', () => this.#book.countBuckets());
@@ -150,14 +154,33 @@
 		}
 	}
 
-	#answerQuestion([organisation, wanted, number, known]: readonly unknown[], asker: string): readonly unknown[] | undefined {
+	/**
+	 * Answers a question, or passes it on to the home: a node that can't reach the home asks the second-ranked node, which often
+	 * can. A question that was passed on names its asker and is answered here.
+	 */
+	#answerQuestion([organisation, wanted, number, known, firstAsker]: readonly unknown[], sender: string, sendReply: SendReply): readonly unknown[] | undefined {
 		if (typeof organisation !== 'string' || typeof wanted !== 'number' || typeof number !== 'number' || typeof known !== 'number' || wanted < 1) {
 			return undefined;
 		}
 
 		this.#history.recordKnown(known, performance.now());
-		const answer = this.#takePermits(organisation, {wanted, asker, number});
-		return answer && [answer.granted, answer.waitMs, answer.isSettled];
+		const grant = (): readonly unknown[] | undefined => {
+			const answer = this.#takePermits(organisation, {wanted, asker: typeof firstAsker === 'string' ? firstAsker : sender, number});
+			return answer && [answer.granted, answer.waitMs, answer.isSettled];
+		};
+
+		const [home] = rankHomes(organisation, this.#view.memberIds, 1);
+		if (home === undefined || home === this.#options.table.self.id || home === sender || firstAsker !== undefined) {
+			return grant();
+		}
+
+		this.#options.queries.ask(home, topic, [organisation, wanted, number, known, sender], relayTimeoutMs, body => {
+			const answer = parseAnswer(body) ? body : grant();
+			if (answer) {
+				sendReply(answer);
+			}
+		});
+		return undefined;
 	}
 
 	/** Returns undefined for an organisation that the configuration in force doesn't know, or gives no quota. */
