Move the files of the node package into folders along a request's way

Cause: 105 files lay side by side. Callers, terms (of the product's own node), routing, the backend server, the fleet and operators have a folder each; the node itself and its settings stay at the top. Moves alone: no file changed but for its imports. Measured: builds, lints, and the tests of the tree and six files of the request path pass.

--- a/packages/node/src/__tests__/limited-fleet.ts
+++ b/packages/node/src/__tests__/limited-fleet.ts
@@ -4,7 +4,7 @@
 } from '@limpetbarrow/core';
 import {type Candidate} from '@limpetbarrow/choose';
 import {RequestRouter, VerifyingServerProtocol} from '../index.js';
-import {ServerLimit} from '../server-limit.js';
+import {ServerLimit} from '../backend/server-limit.js';
 import {testServerHeaders} from './raw-backend.js';
 
 /** A request that reached the backend server. */
--- a/packages/node/src/__tests__/pipeline-fixture.ts
+++ b/packages/node/src/__tests__/pipeline-fixture.ts
@@ -7,7 +7,7 @@
 	Carrier, createFailure, Exchange, MetricRegistry, SilentLogger, type ExchangeHandler, type RequestHead,
 } from '@limpetbarrow/core';
 import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
-import {Ingress} from '../ingress.js';
+import {Ingress} from '../callers/ingress.js';
 
 const host = '127.0.0.1';
 
--- a/packages/node/src/__tests__/request-path-fixture.ts
+++ b/packages/node/src/__tests__/request-path-fixture.ts
@@ -15,9 +15,9 @@
 import {type AnnouncedServer} from '@limpetbarrow/members';
 import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
 import {TcpRelay} from '@limpetbarrow/stand-ins';
-import {sendFailure} from '../http-responses.js';
-import {BackendServer} from '../backend-server.js';
-import {Ingress} from '../ingress.js';
+import {sendFailure} from '../callers/http-responses.js';
+import {BackendServer} from '../backend/backend-server.js';
+import {Ingress} from '../callers/ingress.js';
 
 /** Handles a request that the scripted backend server received. */
 export type BackendHandler = (request: IncomingMessage, response: ServerResponse) => void;
--- a/packages/node/src/__tests__/unit/backend-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/backend-exchange.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {type Dispatcher} from 'undici';
 import {type RequestHead} from '@limpetbarrow/core';
-import {BackendExchange} from '../../backend-exchange.js';
+import {BackendExchange} from '../../backend/backend-exchange.js';
 
 const head: RequestHead = {
 	requestId: 'r', target: {kind: 'egress', serverId: 'server-1'}, service: 'desk', method: 'GET', path: '/', headers: [], remainingMs: 2000, isRepeatable: true, organisation: '',
--- a/packages/node/src/__tests__/unit/call-tracker.test.ts
+++ b/packages/node/src/__tests__/unit/call-tracker.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {CallTracker} from '../../call-tracker.js';
+import {CallTracker} from '../../backend/call-tracker.js';
 
 describe('call tracker', () => {
 	let tracker: CallTracker;
--- a/packages/node/src/__tests__/unit/caller-identity.test.ts
+++ b/packages/node/src/__tests__/unit/caller-identity.test.ts
@@ -3,8 +3,8 @@
 import {
 	emptyConfiguration, hashKey, routeSchema, type Configuration, type KeyedOrganisation,
 } from '@limpetbarrow/releases';
-import {CallerIdentifier, computeRank, type IdentifiedRequest} from '../../caller-identity.js';
-import {VerifyingServerProtocol} from '../../server-protocol.js';
+import {CallerIdentifier, computeRank, type IdentifiedRequest} from '../../callers/caller-identity.js';
+import {VerifyingServerProtocol} from '../../backend/server-protocol.js';
 import {testServerHeaders} from '../raw-backend.js';
 
 const key = 'yx5x42q492cqf75rjvz4';
--- a/packages/node/src/__tests__/unit/caller-memory.test.ts
+++ b/packages/node/src/__tests__/unit/caller-memory.test.ts
@@ -3,7 +3,7 @@
 import {MetricRegistry, SilentLogger} from '@limpetbarrow/core';
 import {
 	CallerMemory, connectionBaseBytes, estimateRequestBytes, type ConnectionMemory,
-} from '../../caller-memory.js';
+} from '../../callers/caller-memory.js';
 
 const totalBytes = 1_000_000;
 const connectionBytes = 50_000;
--- a/packages/node/src/__tests__/unit/extra-response-scan.test.ts
+++ b/packages/node/src/__tests__/unit/extra-response-scan.test.ts
@@ -4,7 +4,7 @@
 	array, assert as assertProperty, constantFrom, nat, property, record, string,
 } from 'fast-check';
 import {findHeader} from '@limpetbarrow/core';
-import {ExtraResponseScan, type BodyVerdict} from '../../extra-response-scan.js';
+import {ExtraResponseScan, type BodyVerdict} from '../../backend/extra-response-scan.js';
 
 const ownHead = 'HTTP/1.1 200 OK\r\nx-id: r-2\r\n';
 
--- a/packages/node/src/__tests__/unit/failing-calls.test.ts
+++ b/packages/node/src/__tests__/unit/failing-calls.test.ts
@@ -6,7 +6,7 @@
 import {expect} from 'chai';
 import {AdmissionController} from '@limpetbarrow/admission';
 import {type RequestHead} from '@limpetbarrow/core';
-import {ServerOutcomes} from '../../server-outcomes.js';
+import {ServerOutcomes} from '../../backend/server-outcomes.js';
 
 const requestCount = 200;
 const callFailureInterval = 6;
--- a/packages/node/src/__tests__/unit/heard-departures.test.ts
+++ b/packages/node/src/__tests__/unit/heard-departures.test.ts
@@ -2,7 +2,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {createFailure} from '@limpetbarrow/core';
-import {HeardDepartures} from '../../heard-departures.js';
+import {HeardDepartures} from '../../routing/heard-departures.js';
 import {startHostEgressFixture} from '../host-egress-fixture.js';
 import {formatRawResponse, testServerHeaders} from '../raw-backend.js';
 import {RouterFixture} from '../router-fixture.js';
--- a/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
+++ b/packages/node/src/__tests__/unit/ingress-fuzz.test.ts
@@ -8,7 +8,7 @@
 import {
 	Carrier, createFailure, Exchange, MetricRegistry, SilentLogger, type Address, type ExchangeHandler, type RequestHead,
 } from '@limpetbarrow/core';
-import {Ingress} from '../../ingress.js';
+import {Ingress} from '../../callers/ingress.js';
 import {createReleases, waitUntil} from '../pipeline-fixture.js';
 
 const firstSeed = 20_261_206;
--- a/packages/node/src/__tests__/unit/ingress-quotas.test.ts
+++ b/packages/node/src/__tests__/unit/ingress-quotas.test.ts
@@ -5,9 +5,9 @@
 import {
 	emptyConfiguration, hashKey, ReleaseState, routeSchema, type KeyedOrganisation,
 } from '@limpetbarrow/releases';
-import {CallerIdentifier} from '../../caller-identity.js';
-import {Ingress} from '../../ingress.js';
-import {type HandlePermit, type OrganisationQuotas} from '../../organisation-quotas.js';
+import {CallerIdentifier} from '../../callers/caller-identity.js';
+import {Ingress} from '../../callers/ingress.js';
+import {type HandlePermit, type OrganisationQuotas} from '../../callers/organisation-quotas.js';
 import {HeldCarrier, waitUntil} from '../pipeline-fixture.js';
 
 const organisation: KeyedOrganisation = {
--- a/packages/node/src/__tests__/unit/keyed-path.test.ts
+++ b/packages/node/src/__tests__/unit/keyed-path.test.ts
@@ -8,13 +8,13 @@
 import {issueTerms, signTerms, type Terms} from '@limpetbarrow/limits';
 import {type Member} from '@limpetbarrow/members';
 import {SteadyClock, type KeyedRequest} from '@limpetbarrow/sequencer';
-import {Admission} from '../../admission.js';
-import {refuseExchange} from '../../closed-exchange.js';
-import {HomeCarrier} from '../../home-carrier.js';
-import {HomeRouter} from '../../home-router.js';
-import {type IngressRequest} from '../../ingress-request.js';
-import {readKeyedRequest, replaceUnprovenFailure} from '../../keyed-request.js';
-import {type TermsKeys} from '../../terms-keys.js';
+import {Admission} from '../../terms/admission.js';
+import {refuseExchange} from '../../routing/closed-exchange.js';
+import {HomeCarrier} from '../../terms/home-carrier.js';
+import {HomeRouter} from '../../terms/home-router.js';
+import {type IngressRequest} from '../../callers/ingress-request.js';
+import {readKeyedRequest, replaceUnprovenFailure} from '../../terms/keyed-request.js';
+import {type TermsKeys} from '../../terms/terms-keys.js';
 
 const self: NodeIdentity = {id: 'one', incarnation: 7};
 const signingKey = {id: 'k1', secret: Buffer.alloc(32, 1)};
--- a/packages/node/src/__tests__/unit/paced-connection.test.ts
+++ b/packages/node/src/__tests__/unit/paced-connection.test.ts
@@ -6,9 +6,9 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {MetricRegistry, SilentLogger} from '@limpetbarrow/core';
-import {ConnectionLimit, type LimitedConnection} from '../../connection-limit.js';
-import {computePieceLength, PacedConnection} from '../../paced-connection.js';
-import {PartCollector} from '../../part-collector.js';
+import {ConnectionLimit, type LimitedConnection} from '../../callers/connection-limit.js';
+import {computePieceLength, PacedConnection} from '../../callers/paced-connection.js';
+import {PartCollector} from '../../callers/part-collector.js';
 import {waitUntil} from '../pipeline-fixture.js';
 
 const head = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n';
--- a/packages/node/src/__tests__/unit/peer-configurations.test.ts
+++ b/packages/node/src/__tests__/unit/peer-configurations.test.ts
@@ -5,8 +5,8 @@
 } from '@limpetbarrow/core';
 import {MemberTable} from '@limpetbarrow/members';
 import {emptyConfiguration, ReleaseState} from '@limpetbarrow/releases';
-import {createClosedExchange} from '../../closed-exchange.js';
-import {ConfigurationCarrier, PeerConfigurationFetcher} from '../../peer-configurations.js';
+import {createClosedExchange} from '../../routing/closed-exchange.js';
+import {ConfigurationCarrier, PeerConfigurationFetcher} from '../../fleet/peer-configurations.js';
 
 function createRecord(id: string, release: number): NodeRecord {
 	const address = {host: '127.0.0.1', port: 1};
--- a/packages/node/src/__tests__/unit/pipeline-streaming.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline-streaming.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect} from 'chai';
-import {maxResponseHeldBytes} from '../../caller-response.js';
+import {maxResponseHeldBytes} from '../../callers/caller-response.js';
 import {formatRequest, PipelineFixture, waitUntil} from '../pipeline-fixture.js';
 
 const largeBytes = 200_000;
--- a/packages/node/src/__tests__/unit/pipeline-waiting.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline-waiting.test.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import {exchangeWindowBytes} from '@limpetbarrow/core';
-import {maxResponseHeldBytes} from '../../caller-response.js';
-import {maxHeldBytes} from '../../held-bytes.js';
+import {maxResponseHeldBytes} from '../../callers/caller-response.js';
+import {maxHeldBytes} from '../../callers/held-bytes.js';
 import {formatRequest, PipelineFixture, waitUntil} from '../pipeline-fixture.js';
 
 describe('pipelined requests behind a download in progress', () => {
--- a/packages/node/src/__tests__/unit/pipeline.test.ts
+++ b/packages/node/src/__tests__/unit/pipeline.test.ts
@@ -2,8 +2,8 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect} from 'chai';
 import {type ExchangeHandler} from '@limpetbarrow/core';
-import {maxPipelinedRequests} from '../../caller-connection.js';
-import {maxResponseHeldBytes} from '../../caller-response.js';
+import {maxPipelinedRequests} from '../../callers/caller-connection.js';
+import {maxResponseHeldBytes} from '../../callers/caller-response.js';
 import {formatRequest, PipelineFixture, waitUntil} from '../pipeline-fixture.js';
 
 describe('pipelined requests', () => {
--- a/packages/node/src/__tests__/unit/quota-exchange.test.ts
+++ b/packages/node/src/__tests__/unit/quota-exchange.test.ts
@@ -4,8 +4,8 @@
 import {MemberTable, type AnswerQuery, type PeerQueries} from '@limpetbarrow/members';
 import {emptyConfiguration, ReleaseState, type KeyedOrganisation} from '@limpetbarrow/releases';
 import {waitUntil} from '../pipeline-fixture.js';
-import {QuotaExchange} from '../../quota-exchange.js';
-import {createSidecarRecord} from '../../sidecar-record.js';
+import {QuotaExchange} from '../../callers/quota-exchange.js';
+import {createSidecarRecord} from '../../fleet/sidecar-record.js';
 import {type SidecarSettings} from '../../sidecar-settings.js';
 
 const ids = ['a', 'b', 'c', 'd'] as const;
--- a/packages/node/src/__tests__/unit/server-directory.test.ts
+++ b/packages/node/src/__tests__/unit/server-directory.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {type NodeRecord, type ServerRecord} from '@limpetbarrow/core';
 import {MemberTable} from '@limpetbarrow/members';
-import {ServerDirectory} from '../../server-directory.js';
+import {ServerDirectory} from '../../routing/server-directory.js';
 
 const address = {host: '127.0.0.1', port: 1};
 
--- a/packages/node/src/__tests__/unit/shedding-service.test.ts
+++ b/packages/node/src/__tests__/unit/shedding-service.test.ts
@@ -9,8 +9,8 @@
 	chooseNextServer, findTier, WindowedRetryBudget, type Candidate, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
 import {createFailure, type Failure, type RequestHead} from '@limpetbarrow/core';
-import {RequestTimeLimits} from '../../request-time-limits.js';
-import {RoutedRequest} from '../../routed-request.js';
+import {RequestTimeLimits} from '../../routing/request-time-limits.js';
+import {RoutedRequest} from '../../routing/routed-request.js';
 
 const serverCount = 15;
 const slots = 3;
--- a/packages/node/src/__tests__/unit/store-discovery.test.ts
+++ b/packages/node/src/__tests__/unit/store-discovery.test.ts
@@ -3,7 +3,7 @@
 import {MemoryObjectStore, MemoryPlatform} from '@limpetbarrow/stand-ins';
 import {expect} from 'chai';
 import {nodeKeyPrefix} from '../../node-entry.js';
-import {StoreDiscovery} from '../../store-discovery.js';
+import {StoreDiscovery} from '../../fleet/store-discovery.js';
 import {waitFor} from '../host-egress-fixture.js';
 
 const key = `${nodeKeyPrefix}node-1`;
--- a/packages/node/src/__tests__/unit/terms-service.test.ts
+++ b/packages/node/src/__tests__/unit/terms-service.test.ts
@@ -9,9 +9,9 @@
 	ObjectStore, type ObjectList, type StoredObject, type WatchResult,
 } from '@limpetbarrow/object-store';
 import {ReleaseState, releaseNoteSchema} from '@limpetbarrow/releases';
-import {SheddingMonitor} from '../../shedding-monitor.js';
-import {TermsKeys} from '../../terms-keys.js';
-import {TermsService, type IssuedTerms} from '../../terms-service.js';
+import {SheddingMonitor} from '../../terms/shedding-monitor.js';
+import {TermsKeys} from '../../terms/terms-keys.js';
+import {TermsService, type IssuedTerms} from '../../terms/terms-service.js';
 
 const dayMs = 86_400_000;
 const lifetimeMs = 60_000;
--- a/packages/node/src/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -5,11 +5,11 @@
 	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
+import {hasResponseBody, selectResponseHeaders} from '../callers/headers.js';
 import {type BackendExchangeOwner} from './backend-exchange-owner.js';
 import {type ConnectionDispatchOptions, type ConnectionRequests} from './connection-requests.js';
 import {type EndEvidence} from './end-evidence.js';
 import {ExtraResponseScan} from './extra-response-scan.js';
-import {hasResponseBody, selectResponseHeaders} from './headers.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
 import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
 
--- a/packages/node/src/egress.ts
+++ b/packages/node/src/backend/egress.ts
@@ -5,8 +5,8 @@
 import {HealthMonitor, type PeerSummarySource, type HealthChange} from '@limpetbarrow/detect';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
 import {type ReleaseState, type Service} from '@limpetbarrow/releases';
+import {answerExchange, refuseExchange} from '../routing/closed-exchange.js';
 import {BackendServer} from './backend-server.js';
-import {answerExchange, refuseExchange} from './closed-exchange.js';
 import {summariesPath} from './peer-baseline-source.js';
 import {Quarantine} from './quarantine.js';
 import {reportEndEvidence} from './end-evidence.js';
--- a/packages/node/src/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -4,7 +4,7 @@
 } from '@limpetbarrow/core';
 import {type RetryPolicy} from '@limpetbarrow/choose';
 import {type AnnouncedServer, type Announcements} from '@limpetbarrow/members';
-import {refuseExchange} from './closed-exchange.js';
+import {refuseExchange} from '../routing/closed-exchange.js';
 import {reportEndEvidence} from './end-evidence.js';
 import {reportExcess} from './report-excess.js';
 import {type LoadedHead} from './gated-requests.js';
--- a/packages/node/src/peer-baseline-source.ts
+++ b/packages/node/src/backend/peer-baseline-source.ts
@@ -3,9 +3,9 @@
 import * as z from 'zod';
 import {pickRandom, type Carrier} from '@limpetbarrow/core';
 import {PeerSummarySource, confirmTimeoutMs, type ServerSummary} from '@limpetbarrow/detect';
-import {type FindEgress} from './forwarder.js';
-import {fetchInternal} from './internal-fetch.js';
-import {type ServerDirectory} from './server-directory.js';
+import {type FindEgress} from '../routing/forwarder.js';
+import {fetchInternal} from '../routing/internal-fetch.js';
+import {type ServerDirectory} from '../routing/server-directory.js';
 
 /**
  * Path at which an egress serves its summaries. Callers can't reach it, since an ingress forwards no request for a
--- a/packages/node/src/quarantine.ts
+++ b/packages/node/src/backend/quarantine.ts
@@ -3,8 +3,8 @@
 	createFailure, Exchange, exchangeWindowBytes, Subject, type Address, type ExchangeHandler, type Failure, type PoisonMark, type RequestHead,
 } from '@limpetbarrow/core';
 import {isPoison, mergePoisonMarks, PoisonRegister} from '@limpetbarrow/detect';
+import {createClosedExchange, refuseExchange} from '../routing/closed-exchange.js';
 import {isRefusingConnections} from './address-probe.js';
-import {createClosedExchange, refuseExchange} from './closed-exchange.js';
 import {FingerprintBuilder} from './fingerprint.js';
 
 /** Opens the exchange with the backend server. */
--- a/packages/node/src/server-protocol.ts
+++ b/packages/node/src/backend/server-protocol.ts
@@ -2,7 +2,7 @@
 import {
 	createFailure, findHeader, selectHeaders, timeoutHeader, type Failure, type RawHeaders, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
-import {selectRequestHeaders} from './headers.js';
+import {selectRequestHeaders} from '../callers/headers.js';
 
 /** What a response says of the rate that its backend server takes, in requests a second; undefined for no limit. */
 export type NamedLimit = {
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/callers/ingress.ts
@@ -12,6 +12,8 @@
 import {RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Configuration, type ReleaseState, type Route} from '@limpetbarrow/releases';
+import {replaceUnprovenFailure} from '../terms/keyed-request.js';
+import {listenServer} from '../operators/listen-server.js';
 import {type CallerIdentifier, type CallerIdentity} from './caller-identity.js';
 import {type CallerConnection} from './caller-connection.js';
 import {CallerConnections} from './caller-connections.js';
@@ -22,8 +24,6 @@
 import {
 	defaultCallerProtocol, parseIngressRequest, type CallerProtocol, type IngressRequest,
 } from './ingress-request.js';
-import {replaceUnprovenFailure} from './keyed-request.js';
-import {listenServer} from './listen-server.js';
 import {type HandlePermit, type OrganisationQuotas} from './organisation-quotas.js';
 import {computeResourceLimits, type ResourceLimits} from './resource-limits.js';
 
--- a/packages/node/src/http-release-peers.ts
+++ b/packages/node/src/fleet/http-release-peers.ts
@@ -10,7 +10,7 @@
 import {
 	parseConfiguration, parseRelease, ReleasePeers, type Configuration, type Release, type ReleasePeer,
 } from '@limpetbarrow/releases';
-import {parseJsonBody, readBoundedText} from './read-body.js';
+import {parseJsonBody, readBoundedText} from '../operators/read-body.js';
 
 const fetchTimeoutMs = 3000;
 const maxAnswerBytes = 33_554_432;
--- a/packages/node/src/peer-configurations.ts
+++ b/packages/node/src/fleet/peer-configurations.ts
@@ -6,9 +6,9 @@
 } from '@limpetbarrow/core';
 import {type Member, type MemberTable} from '@limpetbarrow/members';
 import {encodeConfiguration, parseConfiguration, type ReleaseState} from '@limpetbarrow/releases';
-import {answerExchange} from './closed-exchange.js';
-import {type FindEgress} from './forwarder.js';
-import {fetchInternal} from './internal-fetch.js';
+import {answerExchange} from '../routing/closed-exchange.js';
+import {type FindEgress} from '../routing/forwarder.js';
+import {fetchInternal} from '../routing/internal-fetch.js';
 
 /** Path at which a node serves its configuration. */
 export const configurationPath = `${reservedPathPrefix}configuration`;
--- a/packages/node/src/sidecar-record.ts
+++ b/packages/node/src/fleet/sidecar-record.ts
@@ -1,6 +1,6 @@
 /** The record that a sidecar node publishes about itself. */
 import {type NodeRecord} from '@limpetbarrow/core';
-import {type SidecarSettings} from './sidecar-settings.js';
+import {type SidecarSettings} from '../sidecar-settings.js';
 
 /** Creates the record of a node that has just started, before its backend server has announced itself. */
 export function createSidecarRecord(settings: SidecarSettings, incarnation: number): NodeRecord {
--- a/packages/node/src/store-discovery.ts
+++ b/packages/node/src/fleet/store-discovery.ts
@@ -6,7 +6,7 @@
 } from '@limpetbarrow/core';
 import {type LeftServers} from '@limpetbarrow/members';
 import {type EraChange, type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
-import {NodeEntry, nodeKeyPrefix, parseNodeEntry} from './node-entry.js';
+import {NodeEntry, nodeKeyPrefix, parseNodeEntry} from '../node-entry.js';
 
 /** Dependencies of discovery. */
 export type StoreDiscoveryOptions = {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -10,17 +10,17 @@
 } from '@limpetbarrow/members';
 import {HttpObjectStore} from '@limpetbarrow/object-store';
 import {ReleaseFollower, ReleaseState} from '@limpetbarrow/releases';
-import {AdminServer} from './admin-server.js';
-import {CallerServices} from './caller-services.js';
-import {Egress} from './egress.js';
-import {Forwarder} from './forwarder.js';
-import {HttpReleasePeers} from './http-release-peers.js';
-import {Ingress} from './ingress.js';
-import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './process-gauges.js';
-import {PeerBaselineSource} from './peer-baseline-source.js';
+import {AdminServer} from './operators/admin-server.js';
+import {CallerServices} from './terms/caller-services.js';
+import {Egress} from './backend/egress.js';
+import {Forwarder} from './routing/forwarder.js';
+import {HttpReleasePeers} from './fleet/http-release-peers.js';
+import {Ingress} from './callers/ingress.js';
+import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './operators/process-gauges.js';
+import {PeerBaselineSource} from './backend/peer-baseline-source.js';
 import {drainNode, type StoppingNode} from './planned-stop.js';
-import {ServerDirectory} from './server-directory.js';
-import {registerServerHandover} from './server-handover.js';
+import {ServerDirectory} from './routing/server-directory.js';
+import {registerServerHandover} from './backend/server-handover.js';
 import {type NodeSettings} from './settings.js';
 
 /** Longest time that a starting node waits for the other members' records before it accepts callers, in milliseconds. */
--- a/packages/node/src/admin-server.ts
+++ b/packages/node/src/operators/admin-server.ts
@@ -8,10 +8,10 @@
 import {type Announcements, type MemberTable} from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/object-store';
 import {type ReleaseState} from '@limpetbarrow/releases';
+import {formatRawFailure, sendFailure, sendJson} from '../callers/http-responses.js';
 import {createFleetRoutes} from './admin-fleet.js';
 import {ReleaseRoutes} from './admin-releases.js';
 import {type AdminRoute} from './admin-route.js';
-import {formatRawFailure, sendFailure, sendJson} from './http-responses.js';
 import {parseJsonBody, readBoundedText} from './read-body.js';
 import {createSequentialServer} from './sequential-server.js';
 
--- a/packages/node/src/control-server.ts
+++ b/packages/node/src/operators/control-server.ts
@@ -4,7 +4,7 @@
 import {
 	foldResult, type Address, type Failure, type Logger, type MetricRegistry,
 } from '@limpetbarrow/core';
-import {createFailureBody} from './http-responses.js';
+import {createFailureBody} from '../callers/http-responses.js';
 import {listenServer} from './listen-server.js';
 import {readBoundedText} from './read-body.js';
 import {createSequentialServer} from './sequential-server.js';
--- a/packages/node/src/sequential-server.ts
+++ b/packages/node/src/operators/sequential-server.ts
@@ -5,9 +5,9 @@
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {type Logger, type MetricRegistry} from '@limpetbarrow/core';
-import {ConnectionLimit, type LimitedConnection} from './connection-limit.js';
-import {PacedConnection} from './paced-connection.js';
-import {replaceConnections} from './paced-server.js';
+import {ConnectionLimit, type LimitedConnection} from '../callers/connection-limit.js';
+import {PacedConnection} from '../callers/paced-connection.js';
+import {replaceConnections} from '../callers/paced-server.js';
 
 /** Settings and dependencies of a server. */
 export type SequentialServerOptions = {
--- a/packages/node/src/sidecar-calls.ts
+++ b/packages/node/src/operators/sidecar-calls.ts
@@ -5,9 +5,9 @@
 } from '@limpetbarrow/core';
 import {type AnnouncedServer, type Announcements, type LeftServers} from '@limpetbarrow/members';
 import {type ReleaseState} from '@limpetbarrow/releases';
+import {acceptHostAnnouncement} from '../fleet/host-announcement.js';
+import {type StoreDiscovery} from '../fleet/store-discovery.js';
 import {type ControlAnswer, type ControlCall} from './control-server.js';
-import {acceptHostAnnouncement} from './host-announcement.js';
-import {type StoreDiscovery} from './store-discovery.js';
 
 /** What the calls read and change. */
 export type SidecarCallsOptions = {
--- a/packages/node/src/known-limits.ts
+++ b/packages/node/src/routing/known-limits.ts
@@ -1,7 +1,7 @@
 /** Limits of backend servers as this node knows them from the responses that it passed on. */
 import {type LoadHint} from '@limpetbarrow/core';
 import {ServerRateLimit, type LimitedRequest} from '@limpetbarrow/admission';
-import {type NamedLimit} from './server-protocol.js';
+import {type NamedLimit} from '../backend/server-protocol.js';
 
 /** What a response tells of its backend server. */
 export type LimitReport = {
--- a/packages/node/src/request-router.ts
+++ b/packages/node/src/routing/request-router.ts
@@ -5,6 +5,7 @@
 import {
 	chooseNextServer, findTier, PathHealth, type Candidate, type SpilloverChoice, type SpilloverCandidate,
 } from '@limpetbarrow/choose';
+import {type NamedLimit} from '../backend/server-protocol.js';
 import {type FindEgress} from './forwarder.js';
 import {HeardDepartures} from './heard-departures.js';
 import {KnownLimits} from './known-limits.js';
@@ -14,7 +15,6 @@
 import {RoutedExchange} from './routed-exchange.js';
 import {type RoutedRequest} from './routed-request.js';
 import {type ServerDirectory} from './server-directory.js';
-import {type NamedLimit} from './server-protocol.js';
 
 /** Dependencies of a request router. */
 export type RequestRouterOptions = {
--- a/packages/node/src/routed-exchange.ts
+++ b/packages/node/src/routing/routed-exchange.ts
@@ -5,6 +5,7 @@
 import {
 	type Candidate, type PathHealth, type SpilloverChoice, type Tier,
 } from '@limpetbarrow/choose';
+import {replaceFramingHeaders} from '../backend/request-body.js';
 import {
 	acceptTimeoutsMs, hedgeDelayShare, pathFailures, type Attempt,
 } from './attempt.js';
@@ -13,7 +14,6 @@
 import {type LoadTracker} from './load-tracker.js';
 import {type PausedRequests} from './paused-requests.js';
 import {ReplayBody} from './replay-body.js';
-import {replaceFramingHeaders} from './request-body.js';
 import {logRequestEnd, type RequestEndEvent} from './request-log.js';
 import {type RequestTimeLimits} from './request-time-limits.js';
 import {isUndelivered, RoutedRequest} from './routed-request.js';
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -10,26 +10,26 @@
 import {type ObjectStore} from '@limpetbarrow/object-store';
 import {ConfigurationWatcher, ReleaseState, type ConfigurationSource} from '@limpetbarrow/releases';
 import {Right} from 'purify-ts';
-import {ControlServer, type ControlProtocol} from './control-server.js';
-import {CallerIdentifier} from './caller-identity.js';
-import {registerConfigurationMetrics} from './configuration-metrics.js';
-import {ConfigurationProof, type ConfigurationProofOptions} from './configuration-proof.js';
-import {HostEgress} from './host-egress.js';
-import {type CallerProtocol} from './ingress-request.js';
-import {Ingress} from './ingress.js';
-import {ConfigurationCarrier, PeerConfigurationFetcher} from './peer-configurations.js';
+import {ControlServer, type ControlProtocol} from './operators/control-server.js';
+import {CallerIdentifier} from './callers/caller-identity.js';
+import {registerConfigurationMetrics} from './fleet/configuration-metrics.js';
+import {ConfigurationProof, type ConfigurationProofOptions} from './fleet/configuration-proof.js';
+import {HostEgress} from './backend/host-egress.js';
+import {type CallerProtocol} from './callers/ingress-request.js';
+import {Ingress} from './callers/ingress.js';
+import {ConfigurationCarrier, PeerConfigurationFetcher} from './fleet/peer-configurations.js';
 import {drainNode} from './planned-stop.js';
-import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './process-gauges.js';
-import {registerEraUpdates, registerReleaseUpdates} from './record-updates.js';
-import {QuotaExchange} from './quota-exchange.js';
-import {RequestRouter} from './request-router.js';
-import {ServerDirectory} from './server-directory.js';
-import {type ServerProtocol} from './server-protocol.js';
-import {SidecarCalls} from './sidecar-calls.js';
-import {createSidecarRecord} from './sidecar-record.js';
+import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './operators/process-gauges.js';
+import {registerEraUpdates, registerReleaseUpdates} from './fleet/record-updates.js';
+import {QuotaExchange} from './callers/quota-exchange.js';
+import {RequestRouter} from './routing/request-router.js';
+import {ServerDirectory} from './routing/server-directory.js';
+import {type ServerProtocol} from './backend/server-protocol.js';
+import {SidecarCalls} from './operators/sidecar-calls.js';
+import {createSidecarRecord} from './fleet/sidecar-record.js';
 import {selectResourceLimits, type SidecarSettings} from './sidecar-settings.js';
-import {StoreDiscovery} from './store-discovery.js';
-import {WatcherRole} from './watcher-role.js';
+import {StoreDiscovery} from './fleet/store-discovery.js';
+import {WatcherRole} from './fleet/watcher-role.js';
 
 /** Protocols and stores of the platform that a sidecar runs on. */
 export type SidecarPlatform = {
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -2,7 +2,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import * as z from 'zod';
 import {createFailure, parseAddress, type Failure} from '@limpetbarrow/core';
-import {computeResourceLimits, type ResourceLimits} from './resource-limits.js';
+import {computeResourceLimits, type ResourceLimits} from './callers/resource-limits.js';
 
 const maxDurationMs = 3_600_000;
 const bytesPerMb = 1_048_576;
--- a/packages/node/src/admission.ts
+++ b/packages/node/src/terms/admission.ts
@@ -5,7 +5,7 @@
 	findKeyId, parseUnverifiedTerms, readTerms, type Terms,
 } from '@limpetbarrow/limits';
 import {type SteadyClock} from '@limpetbarrow/sequencer';
-import {type IngressRequest} from './ingress-request.js';
+import {type IngressRequest} from '../callers/ingress-request.js';
 import {createKeyedRequest} from './keyed-request.js';
 import {type TermsKeys} from './terms-keys.js';
 
--- a/packages/node/src/caller-services.ts
+++ b/packages/node/src/terms/caller-services.ts
@@ -15,10 +15,10 @@
 import {
 	maxKeptBytes, maxKeptBytesPerTerms, maxKeys, maxKeysPerTerms, PauseDetector, Sequencer, SteadyClock,
 } from '@limpetbarrow/sequencer';
+import {type IngressRequest} from '../callers/ingress-request.js';
 import {Admission} from './admission.js';
 import {HomeCarrier} from './home-carrier.js';
 import {HomeRouter} from './home-router.js';
-import {type IngressRequest} from './ingress-request.js';
 import {readKeyedRequest} from './keyed-request.js';
 import {SheddingMonitor} from './shedding-monitor.js';
 import {TermsKeys} from './terms-keys.js';
--- a/packages/node/src/home-router.ts
+++ b/packages/node/src/terms/home-router.ts
@@ -6,7 +6,7 @@
 import {type LinkPeer} from '@limpetbarrow/link';
 import {type Terms} from '@limpetbarrow/limits';
 import {type Member} from '@limpetbarrow/members';
-import {type IngressRequest} from './ingress-request.js';
+import {type IngressRequest} from '../callers/ingress-request.js';
 import {parseAttempt, replaceUnprovenFailure} from './keyed-request.js';
 
 /** Dependencies of a home router. */
--- a/packages/node/src/terms-service.ts
+++ b/packages/node/src/terms/terms-service.ts
@@ -13,7 +13,7 @@
 	issueTerms, readTerms, signTerms, type SigningKey, type Terms,
 } from '@limpetbarrow/limits';
 import {type Organisation, type ReleaseState, type TermsOffer} from '@limpetbarrow/releases';
-import {sendFailure, sendJson} from './http-responses.js';
+import {sendFailure, sendJson} from '../callers/http-responses.js';
 import {type TermsKeys} from './terms-keys.js';
 
 /** Dependencies of the terms service. */
--- a/packages/node/src/use-reports.ts
+++ b/packages/node/src/terms/use-reports.ts
@@ -9,7 +9,7 @@
 	readTerms, type ReportUsage, type SigningKey, type Terms, type UsageAccounts,
 } from '@limpetbarrow/limits';
 import {type Either} from 'purify-ts';
-import {refuseExchange} from './closed-exchange.js';
+import {refuseExchange} from '../routing/closed-exchange.js';
 
 /** Terms with the signed token that proves them. */
 export type TermsWithToken = Terms & {
