--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -36,6 +36,9 @@
 /** Time to wait for a home's answer before the next attempt, in milliseconds; above the round trip between regions of 120 ms. */
 export const quotaAskTimeoutMs = 150;
 
+/** The same for the second-ranked node, which may pass the question on to the home: two round trips between regions. */
+export const quotaRelayTimeoutMs = 300;
+
 /** Time for which a home repeats its answer to a repeated question, in milliseconds; the last attempt starts after 450 ms. */
 export const quotaRepeatMs = 600;
 
--- a/packages/limits/src/organisation-quota.ts
+++ b/packages/limits/src/organisation-quota.ts
@@ -2,7 +2,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {type Failure} from '@limpetbarrow/core';
 import {
-	maxQuotaWaitMs, msPerS, quotaAskTimeoutMs, quotaProvisionalShare, quotaSettleMs, quotaSilenceMs,
+	maxQuotaWaitMs, msPerS, quotaAskTimeoutMs, quotaProvisionalShare, quotaRelayTimeoutMs, quotaSettleMs, quotaSilenceMs,
 } from './constants.js';
 import {PermitDemand, PermitStock} from './permit-stock.js';
 import {type QuotaAnswer} from './quota-book.js';
@@ -193,7 +193,7 @@
 			}
 
 			this.#sendQuestion(nextRanks, question);
-		}, quotaAskTimeoutMs);
+		}, rank === 0 ? quotaAskTimeoutMs : quotaRelayTimeoutMs);
 		this.#attempt = {...question, rank, timer};
 		const {wanted, number, answeredRanks} = question;
 		this.#context.transport.askHome(rank, this.#limit.organisation, wanted, answer => {
--- a/packages/limits/src/quota-client.ts
+++ b/packages/limits/src/quota-client.ts
@@ -41,7 +41,7 @@
 
 	/**
 	 * Takes a permit for one request. `handleResult` is called once: before this method returns when a permit is in stock or
-	 * the organisation is known to be exhausted, else when a home has answered or all attempts have failed, within 450 ms
+	 * the organisation is known to be exhausted, else when a home has answered or all attempts have failed, within 600 ms
 	 * for each question. `now` is that of `performance.now()`. A rate of 0 is unlimited.
 	 */
 	takePermit(limit: OrganisationLimit, now: number, handleResult: HandlePermit): CancelPermit {
--- a/packages/node/src/callers/quota-exchange.ts
+++ b/packages/node/src/callers/quota-exchange.ts
@@ -27,9 +27,9 @@
 /** Time for which a dead member counts as one that may be cut off and still granting, in milliseconds. */
 const maxDeadMs = 300_000;
 /** Time for which an answer is waited for, in milliseconds; the client asks again before. */
-const answerTimeoutMs = 450;
-/** The same for a question that is passed on for another node, which asks again after 150 ms. */
-const relayTimeoutMs = 130;
+const answerTimeoutMs = 600;
+/** The same for a question that is passed on for another node: above a round trip between regions. */
+const relayTimeoutMs = 150;
 
 /** Asks homes by datagrams, and answers at once where this node is the home. */
 class PeerQuotaTransport extends QuotaTransport {
