--- a/packages/node/src/callers/paced-connection.ts
+++ b/packages/node/src/callers/paced-connection.ts
@@ -19,18 +19,21 @@
 
 /** End of an empty line, with which each head ends; the parser accepts no other line ends. */
 const headEnd = Buffer.from('\n\r\n');
+const lineFeed = 0x0A;
+const carriageReturn = 0x0D;
 
 /**
  * Computes the length of the first piece of `bytes`: up to the end of the first empty line. `carry` holds the last bytes
  * before them, as an empty line may begin there.
  */
 export function computePieceLength(carry: Uint8Array, bytes: Uint8Array): number {
-	const start = Buffer.concat([carry, bytes.subarray(0, headEnd.length - 1)]).indexOf(headEnd);
+	const isLineContinued = carry.length > 0 && (bytes[0] === lineFeed || bytes[0] === carriageReturn);
+	const start = isLineContinued ? Buffer.concat([carry, bytes.subarray(0, headEnd.length - 1)]).indexOf(headEnd) : -1;
 	if (start !== -1) {
 		return start + headEnd.length - carry.length;
 	}
 
-	const index = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).indexOf(headEnd);
+	const index = (Buffer.isBuffer(bytes) ? bytes : Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length)).indexOf(headEnd);
 	return index === -1 ? bytes.length : index + headEnd.length;
 }
 
@@ -181,7 +184,9 @@
 		}
 
 		const piece = this.#backlog.subarray(0, computePieceLength(this.#carry, this.#backlog));
-		this.#carry = Buffer.concat([this.#carry, piece.subarray(1 - headEnd.length)]).subarray(1 - headEnd.length);
+		this.#carry = piece.length >= headEnd.length - 1
+			? new Uint8Array(piece.subarray(1 - headEnd.length))
+			: new Uint8Array(Buffer.concat([this.#carry, piece]).subarray(1 - headEnd.length));
 		this.#isWanted = false;
 		this.#setBacklog(this.#backlog.subarray(piece.length));
 		if (this.#backlog.length === 0) {
