--- a/packages/admission/src/fair-order.ts
+++ b/packages/admission/src/fair-order.ts
@@ -1,4 +1,5 @@
 /** The order in which queued requests of one priority are started: those of organisations in fair shares. */
+import {groupItems} from '@limpetbarrow/core';
 import {type QueuedRequest} from './wait-queue.js';
 
 /** A request of an organisation with the virtual time at which it is due to start. */
@@ -7,21 +8,6 @@
 	readonly startTag: number;
 };
 
-/** Groups requests by a key, in the order of its first occurrence. */
-export function groupItems<Item, Key>(items: readonly Item[], getKey: (item: Item) => Key): ReadonlyMap<Key, readonly Item[]> {
-	const groups = new Map<Key, Item[]>();
-	items.forEach(item => {
-		const key = getKey(item);
-		const group = groups.get(key);
-		if (group) {
-			group.push(item);
-		} else {
-			groups.set(key, [item]);
-		}
-	});
-	return groups;
-}
-
 /** Creates the tags of the requests of one organisation, whose next one has `startTag`. */
 function createTaggedItems<Item extends QueuedRequest>(items: readonly Item[], startTag: number): ReadonlyArray<TaggedItem<Item>> {
 	let tag = startTag;
--- a/packages/admission/src/wait-queue.ts
+++ b/packages/admission/src/wait-queue.ts
@@ -8,7 +8,8 @@
  * another: each gets the same share of the work, and unused shares are divided among the rest. Requests without an
  * organisation are ordered by due time alone.
  */
-import {createFairOrder, groupItems} from './fair-order.js';
+import {groupItems} from '@limpetbarrow/core';
+import {createFairOrder} from './fair-order.js';
 import {FairShares} from './fair-shares.js';
 
 /** The properties of a queued request that its position and its removal depend on. */
