Let a connection whose response stays unread make room for a new one

Cause: a response that is complete waits for its caller without a time limit, so a crowd that never reads keeps every connection busy, and new callers are refused at the bound. Change: a connection from which nothing has left for 5 s though something waits counts as idle when the bound is reached. Measured: a module test, which fails without the change by its missing method; no run with real processes.

--- a/packages/node/src/__tests__/unit/paced-connection.test.ts
+++ b/packages/node/src/__tests__/unit/paced-connection.test.ts
@@ -3,11 +3,12 @@
 import {
 	createConnection, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {MetricRegistry, SilentLogger} from '@limpetbarrow/core';
 import {ConnectionLimit, type LimitedConnection} from '../../callers/connection-limit.js';
-import {computePieceLength, PacedConnection} from '../../callers/paced-connection.js';
+import {computePieceLength, PacedConnection, stalledMs} from '../../callers/paced-connection.js';
 import {PartCollector} from '../../callers/part-collector.js';
 import {waitUntil} from '../pipeline-fixture.js';
 
@@ -51,7 +52,9 @@
 		let backlog = 0;
 		let received = '';
 		let isEnded = false;
+		let connections = 0;
 		const server = createServer({allowHalfOpen: true}, socket => {
+			connections++;
 			accepted = new PacedConnection(socket, {
 				server: createHttpServer(),
 				isFeedable: () => isFeedable,
@@ -74,6 +77,7 @@
 			backlog = 0;
 			received = '';
 			isEnded = false;
+			connections = 0;
 			await new Promise<void>(resolve => {
 				server.listen(0, '127.0.0.1', resolve);
 			});
@@ -106,6 +110,22 @@
 			expect(backlog).to.be.above(0).and.at.most(131_072);
 		});
 
+		// Guards against responses that nobody reads and that keep their connections out of reach of the limit.
+		it('is stalled once what is written has not left for some time, until the caller reads on', async () => {
+			await waitUntil(() => connections === 1);
+			accepted.write(Buffer.alloc(16_000_000));
+			await waitUntil(() => false, 100);
+			const clock = install({toFake: ['performance']});
+			expect(accepted.isStalled()).to.equal(false);
+			// The paused clock begins at 0, far before the write.
+			clock.tick(stalledMs + 1_000_000_000);
+			expect(accepted.isStalled()).to.equal(true);
+			clock.uninstall();
+			caller.resume();
+			await waitUntil(() => accepted.writableLength === 0);
+			expect(accepted.isStalled()).to.equal(false);
+		});
+
 		it('gives back its backlog when it closes', async () => {
 			isFeedable = false;
 			caller.write(head.repeat(3));
--- a/packages/node/src/callers/caller-connections.ts
+++ b/packages/node/src/callers/caller-connections.ts
@@ -63,7 +63,7 @@
 	/** Creates the connection of a new socket, or refuses the socket if there are too many. */
 	#acceptSocket(socket: Socket): PacedConnection | undefined {
 		const limited: LimitedConnection = {
-			isBusy: () => connection.hasPendingResponses(),
+			isBusy: () => connection.hasPendingResponses() && !paced.isStalled(),
 			close() {
 				paced.destroy();
 			},
--- a/packages/node/src/callers/connection-limit.ts
+++ b/packages/node/src/callers/connection-limit.ts
@@ -3,7 +3,7 @@
 
 /** A connection that the limit may close. */
 export type LimitedConnection = {
-	/** True while a request of the connection is in progress. */
+	/** True while a request of the connection is in progress, and the other side reads what is sent. */
 	readonly isBusy: () => boolean;
 	readonly close: () => void;
 	/** Address and port of the other side. */
--- a/packages/node/src/callers/paced-connection.ts
+++ b/packages/node/src/callers/paced-connection.ts
@@ -19,6 +19,8 @@
 
 /** End of an empty line, with which each head ends; the parser accepts no other line ends. */
 const headEnd = Buffer.from('\n\r\n');
+/** Time without progress after which what is written counts as unread by the other side, in milliseconds. */
+export const stalledMs = 5000;
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
@@ -50,6 +52,8 @@
 	/** Bytes read from the socket and not given to the parser yet. */
 	#backlog: Uint8Array = new Uint8Array();
 	#carry: Uint8Array = new Uint8Array();
+	/** Monotonic time at which a part of what is written last left, or began to wait, in milliseconds. */
+	#progressAt = 0;
 	#isWanted = false;
 	#isEnded = false;
 
@@ -103,6 +107,11 @@
 		return this;
 	}
 
+	/** True when something that was written has not left for `stalledMs`: the other side reads no more. */
+	isStalled(): boolean {
+		return this.writableLength > 0 && performance.now() - this.#progressAt > stalledMs;
+	}
+
 	/** Closes the connection once everything that was written has left. */
 	destroySoon(): void {
 		if (this.writable) {
@@ -143,13 +152,14 @@
 	}
 
 	override _write(chunk: Uint8Array | string, encoding: BufferEncoding, handleWritten: HandleDone): void {
-		this.#socket.write(chunk, encoding, handleWritten);
+		this.#socket.write(chunk, encoding, this.#watchProgress(handleWritten));
 	}
 
 	override _writev(chunks: ReadonlyArray<{readonly chunk: Uint8Array | string; readonly encoding: BufferEncoding}>, handleWritten: HandleDone): void {
+		const handleAllWritten = this.#watchProgress(handleWritten);
 		this.#socket.cork();
 		chunks.forEach(({chunk, encoding}, index) => {
-			this.#socket.write(chunk, encoding, index === chunks.length - 1 ? handleWritten : undefined);
+			this.#socket.write(chunk, encoding, index === chunks.length - 1 ? handleAllWritten : undefined);
 		});
 		this.#socket.uncork();
 	}
@@ -166,6 +176,14 @@
 		handleDestroyed(error);
 	}
 
+	#watchProgress(handleWritten: HandleDone): HandleDone {
+		this.#progressAt = performance.now();
+		return error => {
+			this.#progressAt = performance.now();
+			handleWritten(error);
+		};
+	}
+
 	#addBacklog(bytes: Uint8Array): void {
 		if (this.destroyed) {
 			return;
--- a/packages/node/src/operators/sequential-server.ts
+++ b/packages/node/src/operators/sequential-server.ts
@@ -44,7 +44,7 @@
 	});
 	replaceConnections(server, (socket: Socket) => {
 		const limited: LimitedConnection = {
-			isBusy: () => responses.has(paced),
+			isBusy: () => responses.has(paced) && !paced.isStalled(),
 			close() {
 				paced.destroy();
 			},
