--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -25,6 +25,7 @@
 	readonly #sessions = new Map<string, ServerSession>();
 	readonly #pendingConnections = new Set<Connection>();
 	readonly #checkTimer: NodeJS.Timeout;
+	#maxPendingConnections = maxPendingConnections;
 
 	constructor(self: NodeIdentity, selectCarrier: SelectCarrier, logger: Logger, metrics = new MetricRegistry()) {
 		this.#self = self;
@@ -48,9 +49,14 @@
 		return {host, port: (this.#server.address() as AddressInfo).port};
 	}
 
+	/** Sets the largest number of connections that have not sent their hello. */
+	setMaxPendingConnections(count: number): void {
+		this.#maxPendingConnections = count;
+	}
+
 	/** Accepts a connection. Its first frame must be a hello and arrive within `connectTimeoutMs`. */
 	acceptConnection(connection: Connection): void {
-		if (this.#pendingConnections.size >= maxPendingConnections) {
+		if (this.#pendingConnections.size >= this.#maxPendingConnections) {
 			connection.close();
 			return;
 		}
--- a/packages/node/src/operators/control-server.ts
+++ b/packages/node/src/operators/control-server.ts
@@ -35,14 +35,14 @@
 /** Dependencies of a control server. */
 export type ControlServerOptions = {
 	readonly protocol: ControlProtocol;
+	/** Largest number of connections to one address. */
+	readonly maxControlConnections: number;
 	readonly handleCall: HandleControlCall;
 	readonly metrics: MetricRegistry;
 	readonly logger: Logger;
 };
 
 const maxBodyBytes = 65_536;
-/** Largest number of connections to one address: those of the host's backend server, the platform and operators. */
-const maxConnections = 64;
 
 /** Listens on the addresses for control calls. */
 export class ControlServer {
@@ -55,7 +55,7 @@
 
 	/** Listens on one more address, named in metrics and logs, and resolves to the bound one; port 0 picks a free port. */
 	async listen(name: string, address: Address): Promise<Address> {
-		const {metrics, logger} = this.#options;
+		const {maxControlConnections: maxConnections, metrics, logger} = this.#options;
 		const server = createSequentialServer({
 			name, maxConnections, metrics, logger,
 		}, (message, response) => {
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -123,6 +123,7 @@
 	private constructor(options: SidecarOptions, {announcements, discovery, incarnation}: StartupState) {
 		const {logger, platform} = options;
 		const settings = options.getSettings();
+		const limits = selectResourceLimits(settings);
 		this.#options = options;
 		this.#discovery = discovery;
 		registerProcessGauges(this.#metrics);
@@ -133,6 +134,7 @@
 		this.#egress = this.#createEgress();
 		const configurations = new ConfigurationCarrier(this.#releases);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target, configurations), logger, this.#metrics);
+		this.#linkServer.setMaxPendingConnections(limits.maxPendingLinks);
 		this.#gossip = new Gossip(this.#table, [], {logger, metrics: this.#metrics});
 		this.#quotas = new QuotaExchange({
 			table: this.#table, state: this.#releases, queries: this.#gossip.queries, metrics: this.#metrics,
@@ -149,7 +151,7 @@
 			isReady: () => !this.#isStopping && this.#releases.getNumber() > 0,
 		});
 		this.#controlServer = new ControlServer({
-			protocol: platform.control, handleCall: (call, remoteHost) => calls.handleCall(call, remoteHost), metrics: this.#metrics, logger,
+			...limits, protocol: platform.control, handleCall: (call, remoteHost) => calls.handleCall(call, remoteHost), metrics: this.#metrics, logger,
 		});
 		const role = new WatcherRole(this.#table, this.#gossip);
 		this.#configurationProof = new ConfigurationProof({
--- a/packages/node/src/sidecar-settings.ts
+++ b/packages/node/src/sidecar-settings.ts
@@ -97,6 +97,7 @@
 export function selectResourceLimits({memoryMb, maxDescriptors, callerMemoryBytes, connectionMemoryBytes, maxCallerConnections}: SidecarSettings): ResourceLimits {
 	const defaults = computeResourceLimits({memoryBytes: memoryMb === undefined ? undefined : memoryMb * bytesPerMb, maxDescriptors});
 	return {
+		...defaults,
 		callerMemoryBytes: callerMemoryBytes ?? defaults.callerMemoryBytes,
 		connectionMemoryBytes: connectionMemoryBytes ?? defaults.connectionMemoryBytes,
 		maxCallerConnections: maxCallerConnections ?? defaults.maxCallerConnections,
