Keep load hints apart by the rank of the requests that got them

Each refusal costs a question between regions. Change: hints of requests of organisations are kept by rank as well; the latest of any rank stands in where there is none. Requests without an organisation use the hints as before.

--- a/packages/node/src/routing/load-tracker.ts
+++ b/packages/node/src/routing/load-tracker.ts
@@ -1,5 +1,5 @@
 /** Load of the backend servers as observed by this node. */
-import {type Failure, type LoadHint} from '@limpetbarrow/core';
+import {type Failure, type LoadHint, type RequestHead} from '@limpetbarrow/core';
 import {type LoadView} from '@limpetbarrow/choose';
 
 type TimedHint = {
@@ -12,6 +12,15 @@
 const hintLifetimeMs = 1000;
 const maxHints = 4096;
 
+/** Rank that tells waits apart: organisations have many, without them all requests share the hints. */
+export function getRank({organisation, priority}: RequestHead): number | undefined {
+	return organisation === '' ? undefined : priority;
+}
+
+function createKey(serverId: string, rank: number | undefined): string {
+	return rank === undefined ? serverId : `${serverId} ${rank}`;
+}
+
 /** Reduces the wait time of a hint by its age, since the queue has advanced in the meantime. */
 function computeAgedHint(hint: LoadHint, ageMs: number): LoadHint {
 	return hint.waitMs === undefined ? hint : {...hint, waitMs: Math.max(0, hint.waitMs - ageMs)};
@@ -24,10 +33,11 @@
 
 	readonly countInFlight = (serverId: string): number => this.#inFlight.get(serverId) ?? 0;
 
-	readonly getHint = (serverId: string): LoadHint | undefined => {
-		const found = this.#hints.get(serverId);
+	/** Returns the hint for requests of that rank, or the latest one if there is none. */
+	readonly getHint = (serverId: string, rank?: number): LoadHint | undefined => {
 		const now = performance.now();
-		return found && now < found.expiresAt ? computeAgedHint(found.hint, now - found.recordedAt) : undefined;
+		const found = [this.#hints.get(createKey(serverId, rank)), this.#hints.get(serverId)].find(hint => hint !== undefined && now < hint.expiresAt);
+		return found && computeAgedHint(found.hint, now - found.recordedAt);
 	};
 
 	addInFlight(serverId: string, amount: 1 | -1): void {
@@ -40,21 +50,29 @@
 	}
 
 	/** Records what the refusal of a request says of the backend server's load. */
-	recordRefusal(serverId: string, {name, retryAfterMs}: Failure): void {
+	recordRefusal(serverId: string, {name, retryAfterMs}: Failure, rank?: number): void {
 		const noSlots = {serverId, freeSlots: 0, queued: 0};
 		if (retryAfterMs !== undefined) {
-			this.recordHint({...noSlots, waitMs: retryAfterMs});
+			this.recordHint({...noSlots, waitMs: retryAfterMs}, rank);
 		} else if (name === 'serverUnwell') {
-			this.recordHint({...noSlots, isUnwell: true});
+			this.recordHint({...noSlots, isUnwell: true}, rank);
 		} else if (name === 'serverShed') {
-			this.recordHint({...noSlots, isShedding: true});
+			this.recordHint({...noSlots, isShedding: true}, rank);
 		}
 	}
 
-	recordHint(hint: LoadHint): void {
-		this.#hints.delete(hint.serverId);
+	/** Records a hint that a request of that rank got; requests of other ranks wait longer or shorter. */
+	recordHint(hint: LoadHint, rank?: number): void {
 		const recordedAt = performance.now();
-		this.#hints.set(hint.serverId, {hint, recordedAt, expiresAt: recordedAt + hintLifetimeMs});
+		const timedHint = {hint, recordedAt, expiresAt: recordedAt + hintLifetimeMs};
+		new Set([hint.serverId, createKey(hint.serverId, rank)]).forEach(key => {
+			this.#setHint(key, timedHint);
+		});
+	}
+
+	#setHint(key: string, hint: TimedHint): void {
+		this.#hints.delete(key);
+		this.#hints.set(key, hint);
 		const [oldest] = this.#hints.keys();
 		if (this.#hints.size > maxHints && oldest !== undefined) {
 			this.#hints.delete(oldest);
--- a/packages/node/src/routing/request-router.ts
+++ b/packages/node/src/routing/request-router.ts
@@ -9,7 +9,7 @@
 import {type FindEgress} from './forwarder.js';
 import {HeardDepartures} from './heard-departures.js';
 import {KnownLimits} from './known-limits.js';
-import {LoadTracker} from './load-tracker.js';
+import {getRank, LoadTracker} from './load-tracker.js';
 import {PausedRequests} from './paused-requests.js';
 import {RequestTimeLimits} from './request-time-limits.js';
 import {RoutedExchange} from './routed-exchange.js';
@@ -187,7 +187,7 @@
 	#createSpillView(candidate: Candidate, request: RoutedRequest): SpilloverCandidate {
 		const {server} = candidate;
 		const tier = findTier(this.#options.self, candidate);
-		const hint = tier === 'host' ? this.#options.findLocalLoad(server.id, request.head) : this.#loadTracker.getHint(server.id);
+		const hint = tier === 'host' ? this.#options.findLocalLoad(server.id, request.head) : this.#loadTracker.getHint(server.id, getRank(request.head));
 		const inFlight = this.#loadTracker.countInFlight(server.id);
 		const workMs = hint?.workMs;
 		const estimatedQueueMs = Math.max(0, inFlight + 1 - server.slots) * (workMs ?? 0) / server.slots;
--- a/packages/node/src/routing/routed-exchange.ts
+++ b/packages/node/src/routing/routed-exchange.ts
@@ -11,7 +11,7 @@
 } from './attempt.js';
 import {BufferedResponse} from './buffered-response.js';
 import {type FindEgress} from './forwarder.js';
-import {type LoadTracker} from './load-tracker.js';
+import {getRank, type LoadTracker} from './load-tracker.js';
 import {type PausedRequests} from './paused-requests.js';
 import {ReplayBody} from './replay-body.js';
 import {logRequestEnd, type RequestEndEvent} from './request-log.js';
@@ -234,11 +234,12 @@
 	#createHandler(candidate: Candidate, response: BufferedResponse): ExchangeHandler {
 		const {loadTracker, pathHealth, recordResponseHead} = this.#options;
 		const {nodeId, server} = candidate;
+		const rank = getRank(this.#head);
 		return {
 			handleHead(head) {
 				pathHealth.recordSuccess(nodeId, performance.now());
 				if (head.load) {
-					loadTracker.recordHint(head.load);
+					loadTracker.recordHint(head.load, rank);
 				}
 
 				recordResponseHead(server, head);
@@ -310,7 +311,7 @@
 			return;
 		}
 
-		this.#options.loadTracker.recordRefusal(server.id, failure);
+		this.#options.loadTracker.recordRefusal(server.id, failure, getRank(this.#head));
 		if (this.#attempts.length > 0 && !isUndelivered(failure)) {
 			return;
 		}
