Log what a node knows of its configuration, and each failed call and ended watch

Nothing told why a node was behind: whether it had heard of the newer release, whom it could ask, whether its way to the store was blocked by a back-off or a silent watch. releaseHeard (614) names the first moment at which a node knows that it is behind; requestUnknown (114) says for each 404 and 401 what the node knew; platformCallFailed (706) and watchEnded (613) show the calls. The identifier of callers is created in a file of its own. No decision changes. Ran: the tests of the watcher, the fetcher and the tree.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -30,6 +30,7 @@
 	requestGivenUp: {number: 109, level: 'info', meaning: 'The caller disconnected, or its deadline passed, before an answer was complete.'},
 	settingsApplied: {number: 110, level: 'info', meaning: 'The settings were read again; the settings that are named have changed.'},
 	settingsNotApplied: {number: 111, level: 'warn', meaning: 'The settings could not be read again; the previous ones stay in force.'},
+	requestUnknown: {number: 114, level: 'info', meaning: 'The configuration in force has no such route or key; the line says what this node knows of how current it is.'},
 	logLinesDropped: {number: 112, level: 'warn', meaning: 'Log lines were dropped because the limits of the log were reached.'},
 	callersClosed: {number: 113, level: 'warn', meaning: 'Connections were closed because the node holds too much for them or has too many; one line a second at most, with their number (`closed`).'},
 
@@ -73,11 +74,14 @@
 	releasePartSkipped: {number: 610, level: 'warn', meaning: 'An entry of the configuration could not be read; the others are in force.'},
 	proofLost: {number: 611, level: 'warn', meaning: 'The configuration is no longer proven fresh, so requests with keys are rejected; `ageMs` is the age of the last proof.'},
 	proofRegained: {number: 612, level: 'info', meaning: 'The configuration is proven fresh again; `ms` is how long it was not.'},
+	watchEnded: {number: 613, level: 'info', meaning: 'A watch for changes of the configuration ended after `ms`; `waitMs` is the time that it asked for.'},
+	releaseHeard: {number: 614, level: 'info', meaning: 'Another node names a newer release than the one in force here (`release`); `heard` is the newest one named.'},
 	snapshotFailed: {number: 609, level: 'warn', meaning: 'A snapshot could not be written; the release log has everything that it would contain.'},
 
 	// Platform
 	platformLost: {number: 701, level: 'warn', meaning: 'The object API does not answer.'},
 	platformBack: {number: 702, level: 'info', meaning: 'The object API answers again.'},
+	platformCallFailed: {number: 706, level: 'info', meaning: 'A call for the configuration failed; the next one follows after `retryMs`.'},
 
 	discoveryFailed: {number: 703, level: 'warn', meaning: 'The list of nodes could not be read or written; the node will retry.'},
 	discoveryDone: {number: 704, level: 'info', meaning: 'This node is in the list of nodes and has read it.'},
--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -3,7 +3,7 @@
 import {maxTombstones, maxMembers} from './constants.js';
 import {createEntry, mergeUpdate} from './merge-updates.js';
 import {
-	createRecord, hashParts, replaceParts, selectChangedParts,
+	createRecord, findRelease, hashParts, replaceParts, selectChangedParts,
 } from './record-parts.js';
 import {
 	type Member, type MemberEntry, type MemberStatus, type MemberUpdate, type StatusUpdate,
@@ -63,6 +63,14 @@
 		return [...this.store.getState().members.values()].filter(({status}) => status !== 'dead');
 	}
 
+	/**
+	 * Returns the highest release that any record names, this node's own included. A record without a profile counts, and one of
+	 * a node that is gone: either shows that the release exists.
+	 */
+	getHeardRelease(): number {
+		return Math.max(...[...this.store.getState().entries.values()].map(({parts}) => findRelease(parts)));
+	}
+
 	findMember(id: string): Member | undefined {
 		return this.store.getState().members.get(id);
 	}
--- a/packages/members/src/record-parts.ts
+++ b/packages/members/src/record-parts.ts
@@ -72,6 +72,11 @@
 	return hasServer(part) ? part.value as ServerRecord : undefined;
 }
 
+/** Returns the release that the parts of a record name, 0 if none does. */
+export function findRelease(parts: readonly RecordPart[]): number {
+	return (parts.find(({slot}) => slot === releaseSlot)?.value ?? 0) as number;
+}
+
 /** Assembles a record from its parts; returns undefined while the profile is missing. */
 export function createRecord(id: string, incarnation: number, parts: readonly RecordPart[]): NodeRecord | undefined {
 	const profile = parts.find(({slot}) => slot === profileSlot)?.value as Profile | undefined;
@@ -80,7 +85,7 @@
 		incarnation,
 		sequence: Math.max(...parts.map(({version}) => version)),
 		...profile,
-		release: (parts.find(({slot}) => slot === releaseSlot)?.value ?? 0) as number,
+		release: findRelease(parts),
 		servers: parts.filter(part => hasServer(part)).map(({value}) => value as ServerRecord),
 		poison: (parts.find(({slot}) => slot === poisonSlot)?.value ?? []) as readonly PoisonMark[],
 	};
--- a/packages/node/src/callers/ingress.ts
+++ b/packages/node/src/callers/ingress.ts
@@ -7,7 +7,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {
 	createFailure, findHeader, idempotencyHeader, maxHeaderBytes, reservedPathPrefix,
-	type Address, type Carrier, type Failure, type Logger, type MetricRegistry,
+	type Address, type Carrier, type Failure, type LogFields, type Logger, type MetricRegistry, type ResultName,
 } from '@limpetbarrow/core';
 import {RouteTable} from '@limpetbarrow/choose';
 import {type Terms} from '@limpetbarrow/limits';
@@ -49,6 +49,8 @@
 	readonly identifier?: CallerIdentifier;
 	/** Holds requests to the quotas of their organisations; without it, there are none. */
 	readonly quotas?: OrganisationQuotas;
+	/** Returns what this node knows of how current its configuration is, for the log lines of requests that it doesn't know. */
+	readonly getKnowledge?: () => LogFields;
 	/** Bounds of what is held for callers; by default, those of the process's heap. */
 	readonly limits?: ResourceLimits;
 };
@@ -67,6 +69,9 @@
 /** Time between two checks for heads that take too long, in milliseconds. */
 const connectionsCheckPeriodMs = 1000;
 
+/** Failures of requests that a newer configuration may allow. */
+const unknownRequestNames: ReadonlySet<ResultName> = new Set(['unknownRoute', 'keyInvalid']);
+
 /** Accepts callers' requests, routes them and sends the responses. */
 export class Ingress {
 	readonly #options: IngressOptions;
@@ -304,6 +309,9 @@
 	#recordFailure(failure: Failure): void {
 		this.#options.metrics.addCount('ingress_failures_total', 1, {code: String(failure.code)});
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
+		if (unknownRequestNames.has(failure.name)) {
+			this.#options.logger.log('requestUnknown', {code: failure.code, detail: failure.detail, ...this.#options.getKnowledge?.()});
+		}
 	}
 
 	/** Handles a parse error, after which nothing more can be read from the connection. */
--- /dev/null
+++ b/packages/node/src/fleet/configuration-knowledge.ts
@@ -0,0 +1,38 @@
+/** What this node knows of how current its configuration is. */
+import {type LogFields} from '@limpetbarrow/core';
+import {type Gossip, type MemberTable} from '@limpetbarrow/members';
+import {type ConfigurationWatcher, type ReleaseState} from '@limpetbarrow/releases';
+
+/** Sources of the knowledge. */
+export type ConfigurationKnowledgeOptions = {
+	readonly table: MemberTable;
+	readonly state: ReleaseState;
+	readonly gossip: Pick<Gossip, 'getLastMessageAt'>;
+	/** Returns the watcher, which may be created later. */
+	readonly getWatcher: () => Pick<ConfigurationWatcher, 'getAnswerAgeMs' | 'isWatching'>;
+};
+
+/** Collects the knowledge for log lines and decisions. */
+export class ConfigurationKnowledge {
+	readonly #options: ConfigurationKnowledgeOptions;
+
+	constructor(options: ConfigurationKnowledgeOptions) {
+		this.#options = options;
+	}
+
+	/** Returns the fields that explain which configuration this node has, and what it knows of others. Ages are in milliseconds. */
+	toLogFields(): LogFields {
+		const {table, state, gossip, getWatcher} = this.#options;
+		const {members} = table.store.getState();
+		const others = [...members.values()].filter(({record}) => record.id !== table.self.id);
+		return {
+			release: state.getNumber(),
+			heard: table.getHeardRelease(),
+			answerAgeMs: Math.round(getWatcher().getAnswerAgeMs()),
+			gossipAgeMs: Math.round(performance.now() - gossip.getLastMessageAt()),
+			isWatching: getWatcher().isWatching(),
+			alive: others.filter(({status}) => status === 'alive').length,
+			suspect: others.filter(({status}) => status === 'suspect').length,
+		};
+	}
+}
--- a/packages/node/src/fleet/peer-configurations.ts
+++ b/packages/node/src/fleet/peer-configurations.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {Left} from 'purify-ts';
 import {
-	Carrier, createFailure, reservedPathPrefix, type Exchange, type ExchangeHandler, type Failure, type Logger, type RequestHead,
+	Carrier, createFailure, reservedPathPrefix, type Exchange, type ExchangeHandler, type Failure, type LogFields, type Logger, type RequestHead,
 } from '@limpetbarrow/core';
 import {type Member, type MemberTable} from '@limpetbarrow/members';
 import {encodeConfiguration, parseConfiguration, type ReleaseState} from '@limpetbarrow/releases';
@@ -22,7 +22,10 @@
 	readonly isWatching: () => boolean;
 	/** Starts a read of the platform; called when no other node supplies the configuration that this one lacks. */
 	readonly readPlatform: () => void;
+	/** Returns what this node knows of how current its configuration is, for log lines. */
+	readonly getKnowledge?: () => LogFields;
 	readonly logger: Logger;
+	readonly random?: () => number;
 };
 
 /** Time between two checks of the releases that other nodes have in force, in milliseconds. */
@@ -60,6 +63,8 @@
 	#timer: NodeJS.Timeout | undefined;
 	#laggingSince: number | undefined;
 	#isFetching = false;
+	/** Newest release that was logged as heard of. */
+	#loggedRelease = 0;
 	/** Id of the node that failed to answer last; another one is asked next, if there is one. */
 	#failedNodeId: string | undefined;
 
@@ -78,6 +83,7 @@
 	}
 
 	async #check(now: number): Promise<void> {
+		this.#logHeardRelease();
 		const newestMembers = this.#listNewestMembers();
 		this.#laggingSince = newestMembers.length === 0 ? undefined : this.#laggingSince ?? now;
 		const {state, isWatching, readPlatform} = this.#options;
@@ -93,10 +99,21 @@
 		this.#isFetching = true;
 		const others = newestMembers.filter(({record}) => record.id !== this.#failedNodeId);
 		const candidates = others.length > 0 ? others : newestMembers;
-		await this.#fetchFromMember(candidates[Math.floor(Math.random() * candidates.length)]!);
+		const {random = Math.random} = this.#options;
+		await this.#fetchFromMember(candidates[Math.floor(random() * candidates.length)]!);
 		this.#isFetching = false;
 	}
 
+	/** Logs once for each release that others name before it is in force here. */
+	#logHeardRelease(): void {
+		const {table, state, logger, getKnowledge = () => ({})} = this.#options;
+		const heard = table.getHeardRelease();
+		if (heard > Math.max(state.getNumber(), this.#loggedRelease)) {
+			this.#loggedRelease = heard;
+			logger.log('releaseHeard', {...getKnowledge(), heard, from: this.#listNewestMembers().length});
+		}
+	}
+
 	/** Lists the members with the newest configuration; only those of this failure domain, if there are any. */
 	#listNewestMembers(): readonly Member[] {
 		const {table, state} = this.#options;
--- a/packages/node/src/fleet/record-updates.ts
+++ b/packages/node/src/fleet/record-updates.ts
@@ -1,5 +1,5 @@
 /** Keeps this node's record up to date with the store's era and the release in force. */
-import {type Logger} from '@limpetbarrow/core';
+import {type LogFields, type Logger} from '@limpetbarrow/core';
 import {type MemberTable} from '@limpetbarrow/members';
 import {type ObjectStore} from '@limpetbarrow/object-store';
 import {type ReleaseState} from '@limpetbarrow/releases';
@@ -22,11 +22,12 @@
 	}
 }
 
-/** Publishes and logs each release that comes into force. */
-export function registerReleaseUpdates(table: MemberTable, releases: ReleaseState, logger: Logger): void {
+/** Publishes and logs each release that comes into force, with what this node knew before. */
+export function registerReleaseUpdates(table: MemberTable, releases: ReleaseState, logger: Logger, getKnowledge: () => LogFields): void {
 	releases.store.registerListener(({before, after}) => {
 		const {release, routes, skipped = []} = after.configuration;
 		logger.log('releaseInForce', {
+			...getKnowledge(),
 			release, previous: before.configuration.release, routes: routes.size, source: after.source ?? '',
 		});
 		skipped.slice(0, maxSkippedLogLines).forEach(detail => {
--- a/packages/node/src/fleet/watcher-role.ts
+++ b/packages/node/src/fleet/watcher-role.ts
@@ -12,11 +12,11 @@
 /** Derives this node's role from its view of the fleet. A node that hears from no other relies on itself alone. */
 export class WatcherRole {
 	readonly #table: MemberTable;
-	readonly #gossip: Gossip;
+	readonly #gossip: Pick<Gossip, 'getLastMessageAt'>;
 	#members: ReadonlyMap<string, Member> | undefined;
 	#peers: readonly ReleasePeer[] = [];
 
-	constructor(table: MemberTable, gossip: Gossip) {
+	constructor(table: MemberTable, gossip: Pick<Gossip, 'getLastMessageAt'>) {
 		this.#table = table;
 		this.#gossip = gossip;
 	}
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -11,7 +11,8 @@
 import {ConfigurationWatcher, ReleaseState, type ConfigurationSource} from '@limpetbarrow/releases';
 import {Right} from 'purify-ts';
 import {ControlServer, type ControlProtocol} from './operators/control-server.js';
-import {CallerIdentifier} from './callers/caller-identity.js';
+import {createIdentifier} from './callers/create-identifier.js';
+import {ConfigurationKnowledge} from './fleet/configuration-knowledge.js';
 import {registerConfigurationMetrics} from './fleet/configuration-metrics.js';
 import {ConfigurationProof, type ConfigurationProofOptions} from './fleet/configuration-proof.js';
 import {HostEgress} from './backend/host-egress.js';
@@ -112,6 +113,7 @@
 	readonly #ingress: Ingress;
 	readonly #controlServer: ControlServer;
 	readonly #quotas: QuotaExchange;
+	readonly #knowledge: ConfigurationKnowledge;
 	readonly #configurationProof: ConfigurationProof;
 	readonly #configurationWatcher: ConfigurationWatcher;
 	readonly #peerConfigurationFetcher: PeerConfigurationFetcher;
@@ -133,12 +135,15 @@
 		this.#linkPool = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
 		this.#egress = this.#createEgress();
 		const configurations = new ConfigurationCarrier(this.#releases);
-		this.#linkServer = new LinkServer(this.#table.self, target => this.#selectCarrier(target, configurations), logger, this.#metrics);
+		this.#linkServer = new LinkServer(this.#table.self, target => this.#isForEgress(target) ? this.#egress : configurations, logger, this.#metrics);
 		this.#linkServer.setMaxPendingConnections(limits.maxPendingLinks);
 		this.#gossip = new Gossip(this.#table, [], {logger, metrics: this.#metrics});
 		this.#quotas = new QuotaExchange({
 			table: this.#table, state: this.#releases, queries: this.#gossip.queries, metrics: this.#metrics,
 		});
+		this.#knowledge = new ConfigurationKnowledge({
+			table: this.#table, state: this.#releases, gossip: this.#gossip, getWatcher: () => this.#configurationWatcher,
+		});
 		this.#router = this.#createRouter();
 		this.#ingress = this.#createIngress(this.#router);
 		const calls = new SidecarCalls({
@@ -170,7 +175,7 @@
 		this.#peerConfigurationFetcher = new PeerConfigurationFetcher({
 			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#configurationWatcher.isWatching(), readPlatform: () => {
 				this.#configurationWatcher.readNow();
-			}, logger,
+			}, getKnowledge: () => this.#knowledge.toLogFields(), logger,
 		});
 	}
 
@@ -249,7 +254,7 @@
 		this.#registerRecordUpdates();
 		registerInProgressGauges(this.#metrics, this.#listInProgressCounts());
 		registerConfigurationMetrics(this.#metrics, {
-			store: this.#options.platform.store, state: this.#releases, getAnswerAgeMs: () => this.#configurationWatcher.getAnswerAgeMs(),
+			store: this.#options.platform.store, state: this.#releases, table: this.#table, getAnswerAgeMs: () => this.#configurationWatcher.getAnswerAgeMs(),
 		});
 		this.#configurationWatcher.start();
 		await Promise.all([
@@ -327,29 +332,15 @@
 			protocol: platform.callers,
 			getCallerService: () => getSettings().service,
 			findCause: requestId => this.#egress.findRequestCause(requestId),
-			...this.#createIdentifier(),
+			...createIdentifier(platform.callers, this.#egress, () => this.#checkProof()),
 			quotas: this.#quotas,
+			getKnowledge: () => this.#knowledge.toLogFields(),
 			limits: selectResourceLimits(getSettings()),
 			metrics: this.#metrics,
 			logger,
 		});
 	}
 
-	/** Creates the identifier of callers, on platforms where they may have keys. */
-	#createIdentifier(): {readonly identifier?: CallerIdentifier} {
-		const {organisationHeaders: headerNames} = this.#options.platform.callers;
-		return headerNames
-			? {
-				identifier: new CallerIdentifier({
-					headerNames,
-					findParent: requestId => this.#egress.findParentRequest(requestId),
-					isCallOfEnded: requestId => this.#egress.isCallOfEnded(requestId),
-					isConfigurationProven: () => this.#checkProof(),
-				}),
-			}
-			: {};
-	}
-
 	/** True while keys can be judged; asks for a proof otherwise. */
 	#checkProof(): boolean {
 		const isProven = this.isConfigurationProven();
@@ -360,9 +351,9 @@
 		return isProven;
 	}
 
-	/** Selects the egress, or the configuration carrier: requests that name no backend server are for the node itself. */
-	#selectCarrier(target: RequestTarget, configurations: Carrier): Carrier {
-		return target.kind === 'egress' && target.serverId !== '' ? this.#egress : configurations;
+	/** True for a request that names a backend server; the others are for the node itself. */
+	#isForEgress(target: RequestTarget): boolean {
+		return target.kind === 'egress' && target.serverId !== '';
 	}
 
 	#findLink(nodeId: string): Carrier | undefined {
@@ -375,7 +366,7 @@
 			this.#table.updateSelf(() => ({servers: this.#listServers(), poison: this.#egress.listPoison()}));
 		});
 		registerEraUpdates(this.#table, this.#options.platform.store);
-		registerReleaseUpdates(this.#table, this.#releases, this.#options.logger);
+		registerReleaseUpdates(this.#table, this.#releases, this.#options.logger, () => this.#knowledge.toLogFields());
 	}
 
 	#listServers(): NodeRecord['servers'] {
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -189,6 +189,7 @@
 		}
 
 		this.#recordResult(result, call);
+		this.#logWatchEnd(result, call);
 		const hasChanged = result.map(({configuration}) => configuration !== undefined).orDefault(false);
 		if (hasChanged || call.name === 'read') {
 			this.#schedule.markAligned();
@@ -197,9 +198,21 @@
 		// A watch without an answer tells of its connection, not of the platform, so the platform is read without delay.
 		const isSilent = result.isLeft() && call.name === 'watch' && performance.now() - call.startedAt >= call.waitMs;
 		const failureDelayMs = isSilent ? 0 : computeBackOffMs(this.#failureCount, random);
+		if (this.#failureCount > 0) {
+			this.#options.logger.log('platformCallFailed', {call: call.name, failures: this.#failureCount, retryMs: failureDelayMs});
+		}
+
 		this.#startTimer(this.#failureCount === 0 ? this.#computePauseMs(hasChanged) : failureDelayMs);
 	}
 
+	/** Logs the end of a watch, but not of the frequent short ones that only prove that there was no change. */
+	#logWatchEnd(result: Either<Failure, SourceReadResult>, {name, startedAt, waitMs}: SourceCall): void {
+		if (name === 'watch' && waitMs > proofWaitMs) {
+			const hasChanged = result.map(({configuration}) => configuration !== undefined).orDefault(false);
+			this.#options.logger.log('watchEnded', {waitMs, ms: Math.round(performance.now() - startedAt), hasChanged});
+		}
+	}
+
 	#startCall(): SourceCall {
 		const {freshness} = this.#options;
 		const times = {startedAt: performance.now(), clocks: freshness?.readClocks()};
@@ -285,7 +298,7 @@
 		result.ifRight(({configuration, version}) => {
 			this.#answeredAt = performance.now();
 			if (this.#failureCount > 0) {
-				logger.log('platformBack', {version});
+				logger.log('platformBack', {version, failures: this.#failureCount});
 			}
 
 			this.#failureCount = 0;
