Read the store when this node knows of a change that neither its watch nor another node delivers

Callers saw: 404 for a route that had been added, or service by the older configuration, later than the time in which a change must be in force, on single nodes after an outage of the store amid restarts. Cause: a node that heard of a newer release asked the nodes that have it, one at a time, for up to 1.5 s each. Those may be gone by then. The read of the store that was to help came on nodes in standby only: one whose watch had gone silent with the outage waited for the end of it (up to 11.5 s), one in a pause after failures for the end of that (up to 4 s). The class: a wait that is believed for its whole length though other evidence says that it is over. Why it works: the store has answered others, so a node that is behind for 0.8 s reads it whatever it waits for; ever more rarely while that brings nothing, so that a configuration that can't be read costs few calls. The test 'does not read the platform while this node watches it' asked for the fault. Two stand in its place: no read while the watch delivers within its time, and a read within 1.3 s if it doesn't.

--- a/packages/node/src/__tests__/unit/peer-configurations.test.ts
+++ b/packages/node/src/__tests__/unit/peer-configurations.test.ts
@@ -89,13 +89,24 @@
 		expect(platformReads.length).to.be.above(0);
 	});
 
-	it('does not read the platform while this node watches it', async () => {
+	it('does not read the platform while this node watches it and its watch delivers in time', async () => {
 		isWatching = true;
 		startFetcher(['one'], {});
+		await clock.tickAsync(1100);
+		expect(platformReads).to.deep.equal([]);
+		state.applyConfiguration({...emptyConfiguration, release: 8});
 		await clock.tickAsync(5000);
 		expect(platformReads).to.deep.equal([]);
 	});
 
+	// Guards against a node whose watch is silent and that relies on it although others name a newer release.
+	it('reads the platform within 1.3 s while this node watches it and neither its watch nor another node delivers', async () => {
+		isWatching = true;
+		startFetcher(['one'], {});
+		await clock.tickAsync(1300);
+		expect(platformReads.length).to.be.above(0);
+	});
+
 	it('asks another node after one did not answer', async () => {
 		const holder = new ReleaseState();
 		holder.applyConfiguration({...emptyConfiguration, release: 8});
--- a/packages/node/src/fleet/peer-configurations.ts
+++ b/packages/node/src/fleet/peer-configurations.ts
@@ -37,8 +37,8 @@
 const watchGraceMs = 400;
 const fetchTimeoutMs = 1500;
 /**
- * Time for which a node that does not watch lags behind others before it reads the platform itself, in milliseconds: its
- * connections to them may be cut.
+ * Time for which a node lags behind others before it reads the platform itself, in milliseconds: its connections to them may
+ * be cut, those that have the release may be gone, and its own watch may be silent.
  */
 const maxLagMs = 800;
 const maxConfigurationBytes = 16_777_216;
@@ -87,7 +87,7 @@
 		const newestMembers = this.#listNewestMembers();
 		this.#laggingSince = newestMembers.length === 0 ? undefined : this.#laggingSince ?? now;
 		const {state, isWatching, readPlatform} = this.#options;
-		if (this.#laggingSince !== undefined && now - this.#laggingSince >= maxLagMs && !isWatching()) {
+		if (this.#laggingSince !== undefined && now - this.#laggingSince >= maxLagMs) {
 			readPlatform();
 		}
 
--- a/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
+++ b/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
@@ -119,6 +119,43 @@
 		expect({reads: source.reads, watches: source.watches}).to.deep.equal({reads: 2, watches: 0});
 	});
 
+	// Guards against a node that knows of a change and waits for a watch that will not deliver it.
+	it('gives up a silent watch on readNow, and has the change at once', async () => {
+		isSelected = true;
+		watcher.start();
+		await clock.tickAsync(6000);
+		expect(watcher.isWatching()).to.equal(true);
+		source.release = 5;
+		await clock.tickAsync(50);
+		expect(state.getNumber()).to.equal(3);
+		watcher.readNow();
+		await clock.tickAsync(10);
+		expect(state.getNumber()).to.equal(5);
+	});
+
+	// Guards against a node that knows of a change and waits for its back-off, though the source answers others again.
+	it('gives up the pause after failures on readNow', async () => {
+		source.isUnavailable = true;
+		watcher.start();
+		await clock.tickAsync(6000);
+		source.isUnavailable = false;
+		watcher.readNow();
+		await clock.tickAsync(10);
+		expect(state.getNumber()).to.equal(3);
+	});
+
+	it('reads ever more rarely on readNow while reads bring no newer release', async () => {
+		watcher.start();
+		await clock.tickAsync(5000);
+		const {reads} = source;
+		await Array.from({length: 75}).reduce<Promise<unknown>>(async before => {
+			await before;
+			watcher.readNow();
+			await clock.tickAsync(400);
+		}, Promise.resolve());
+		expect(source.reads - reads).to.be.within(4, 7);
+	});
+
 	it('watches without being selected while it has no configuration', async () => {
 		source.release = 0;
 		watcher.start();
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -58,6 +58,10 @@
 /** Time after the start in which a node learns of the others before it may consider itself selected, in milliseconds. */
 const joinGracePeriodMs = 3000;
 
+/** Least time between the first two reads that are asked for because this node is behind, in milliseconds; it doubles after each. */
+const requestedReadPeriodMs = 1000;
+const maxRequestedReadDoublings = 4;
+
 /** Time between the starts of two calls of a prover, in milliseconds. */
 export const proofPeriodMs = 800;
 /** Age of the proof above which a watching node asks the source itself, in milliseconds. */
@@ -82,6 +86,11 @@
 	#watchAllowedAt = 0;
 	#isWatching = false;
 	#isInStandby = false;
+	#isReading = false;
+	/** Reads that were asked for since the configuration last changed, the time of the last one, and the release in force then. */
+	#requestedReads = 0;
+	#requestedReadAt = Number.NEGATIVE_INFINITY;
+	#requestedAtRelease = 0;
 	#answeredAt = performance.now();
 	#unregisterRestoreListener: Unregister | undefined;
 
@@ -107,11 +116,23 @@
 		this.#abortController.abort();
 	}
 
-	/** Reads at once if this node doesn't watch; for a change it has heard of but can't get from another node. */
+	/**
+	 * Reads at once, for a change that this node has heard of but can't get from another one. A watch in progress is given up, as
+	 * it would have delivered the change, and so is a pause after a failure, as the source has answered others. A read in progress
+	 * goes on. Does nothing within a second of such a read, and for longer while reads don't bring a newer release.
+	 */
 	readNow(): void {
-		if (this.#isRunning && this.#isInStandby) {
+		const now = performance.now();
+		const release = this.#options.state.getNumber();
+		const repeats = release === this.#requestedAtRelease ? this.#requestedReads : 0;
+		const periodMs = repeats === 0 ? 0 : requestedReadPeriodMs * (2 ** Math.min(maxRequestedReadDoublings, repeats - 1));
+		if (this.#isRunning && !this.#isReading && now - this.#requestedReadAt >= periodMs) {
+			this.#requestedReadAt = now;
+			this.#requestedReads = repeats + 1;
+			this.#requestedAtRelease = release;
 			this.#version = undefined;
 			clearTimeout(this.#timer);
+			this.#abortController.abort();
 			this.#startTimer(0);
 		}
 	}
@@ -271,7 +292,10 @@
 	async #runCall({startedAt, waitMs}: SourceCall, signal: AbortSignal): Promise<Either<Failure, SourceReadResult>> {
 		const {source} = this.#options;
 		if (this.#version === undefined) {
-			return source.read().run();
+			this.#isReading = true;
+			const read = await source.read().run();
+			this.#isReading = false;
+			return read;
 		}
 
 		const check = setInterval(() => {
