Ask further nodes for a configuration while one that is gone gives no answer

Callers saw: the older configuration on single nodes for as long as these asked nodes that were gone, 1.5 s each. Cause: one node was asked at a time, and only the last one that had failed was passed over. The new case of peer-configurations.test.ts failed before: no configuration after 1.3 s with two of three nodes gone. Why it works: while no node that is asked has begun to answer, one more is asked at each check, three at most; who failed is passed over for 5 s while there are others; the first answer ends the other questions. A node that sends slowly is asked alone.

--- a/packages/node/src/__tests__/configuration-fleet.ts
+++ b/packages/node/src/__tests__/configuration-fleet.ts
@@ -31,6 +31,13 @@
 	readonly stop: () => void;
 };
 
+/** Receives what becomes of a transfer. */
+type TransferHandler = {
+	readonly handleStart: () => void;
+	readonly handleArrival: (process: ModelProcess) => void;
+	readonly handleAbsence: () => void;
+};
+
 const nearLatencyMs = 1;
 const farLatencyMs = 30;
 const storeLatencyMs = 4;
@@ -106,12 +113,20 @@
 	}
 
 	override openExchange(head: RequestHead, handler: ExchangeHandler): Exchange {
-		void this.#fleet.sendConfiguration(this.#targetId, process => {
-			if (process) {
-				new ConfigurationCarrier(process.state).openExchange(head, handler);
-			} else {
+		void this.#fleet.sendConfiguration(this.#targetId, {
+			handleStart() {
+				handler.handleHead({status: 200, headers: []});
+			},
+			handleArrival(process) {
+				new ConfigurationCarrier(process.state).openExchange(head, {
+					...handler, handleHead() {
+						// The response has begun before.
+					},
+				});
+			},
+			handleAbsence() {
 				handler.handleFailure(createFailure('linkUnreachable', 'no process'));
-			}
+			},
 		});
 		return createClosedExchange();
 	}
@@ -185,15 +200,29 @@
 		});
 	}
 
-	/** Opens the way to a node and calls `handleArrival` once it could have sent a configuration; never if its links are silent. */
-	async sendConfiguration(id: string, handleArrival: (process: ModelProcess | undefined) => void): Promise<void> {
+	/** Opens the way to a node, which sends its configuration, to several others ever more slowly. Silent links do nothing. */
+	async sendConfiguration(id: string, {handleStart, handleArrival, handleAbsence}: TransferHandler): Promise<void> {
 		const {transferMs = 5} = this.#plan;
+		await wait(farLatencyMs);
+		if (this.#silentIds.has(id)) {
+			return;
+		}
+
+		if (!this.processes.has(id)) {
+			handleAbsence();
+			return;
+		}
+
+		handleStart();
 		const count = (this.#transfers.get(id) ?? 0) + 1;
 		this.#transfers.set(id, count);
-		await wait(farLatencyMs + (transferMs * count));
+		await wait(transferMs * count);
 		this.#transfers.set(id, this.#transfers.get(id)! - 1);
-		if (!this.#silentIds.has(id)) {
-			handleArrival(this.processes.get(id));
+		const process = this.processes.get(id);
+		if (process) {
+			handleArrival(process);
+		} else if (!this.#silentIds.has(id)) {
+			handleAbsence();
 		}
 	}
 
--- a/packages/node/src/__tests__/unit/peer-configurations.test.ts
+++ b/packages/node/src/__tests__/unit/peer-configurations.test.ts
@@ -36,6 +36,19 @@
 	}
 }
 
+/** A carrier to a node that begins to answer, and sends nothing more. */
+class SlowCarrier extends Carrier {
+	openedExchanges = 0;
+
+	override openExchange(_head: RequestHead, handler: ExchangeHandler): Exchange {
+		this.openedExchanges++;
+		queueMicrotask(() => {
+			handler.handleHead({status: 200, headers: []});
+		});
+		return createClosedExchange();
+	}
+}
+
 describe('PeerConfigurationFetcher', () => {
 	let clock: Clock;
 	let state: ReleaseState;
@@ -58,12 +71,13 @@
 		clock.uninstall();
 	});
 
-	function startFetcher(ids: readonly string[], carriers: Readonly<Record<string, Carrier>>): void {
+	function startFetcher(ids: readonly string[], carriers: Readonly<Record<string, Carrier>>, random = Math.random): void {
 		const table = new MemberTable(createRecord('own', 3));
 		table.merge(ids.map(id => createRecord(id, 8)));
 		fetcher = new PeerConfigurationFetcher({
 			table,
 			state,
+			random,
 			findEgress: id => carriers[id] ?? silentCarrier,
 			isWatching: () => isWatching,
 			readPlatform() {
@@ -107,6 +121,24 @@
 		expect(platformReads.length).to.be.above(0);
 	});
 
+	// Guards against a node that waits for those that are gone, one after the other, for the whole time of each question.
+	it('has a newer configuration within 1.3 s though two of the three nodes that have it are gone', async () => {
+		const holder = new ReleaseState();
+		holder.applyConfiguration({...emptyConfiguration, release: 8});
+		startFetcher(['gone', 'cut', 'one'], {one: new ConfigurationCarrier(holder)}, () => 0);
+		// The clock runs what is queued as a microtask at its next step.
+		await clock.tickAsync(1250);
+		await clock.tickAsync(50);
+		expect(state.getNumber()).to.equal(8);
+	});
+
+	it('asks no other node while one sends its configuration slowly', async () => {
+		const slow = new SlowCarrier();
+		startFetcher(['slow', 'one', 'two'], {slow}, () => 0);
+		await clock.tickAsync(1800);
+		expect({slow: slow.openedExchanges, others: silentCarrier.openedExchanges}).to.deep.equal({slow: 1, others: 0});
+	});
+
 	it('asks another node after one did not answer', async () => {
 		const holder = new ReleaseState();
 		holder.applyConfiguration({...emptyConfiguration, release: 8});
--- a/packages/node/src/fleet/peer-configurations.ts
+++ b/packages/node/src/fleet/peer-configurations.ts
@@ -36,6 +36,10 @@
  */
 const watchGraceMs = 400;
 const fetchTimeoutMs = 1500;
+/** Nodes that are asked at the same time, one more at each check while none of them has begun to answer. */
+const maxFetches = 3;
+/** Time for which a node that failed to answer is passed over while there are others, in milliseconds. */
+const failurePeriodMs = 5000;
 /**
  * Time for which a node lags behind others before it reads the platform itself, in milliseconds: its connections to them may
  * be cut, those that have the release may be gone, and its own watch may be silent.
@@ -57,16 +61,24 @@
 	}
 }
 
+/** A fetch in progress. */
+type PeerFetch = {
+	/** True once the response has begun. */
+	isStarted: boolean;
+	readonly abortController: AbortController;
+};
+
 /** Fetches newer configurations from the nodes that have them in force, preferably from this node's failure domain. */
 export class PeerConfigurationFetcher {
 	readonly #options: PeerConfigurationFetcherOptions;
 	#timer: NodeJS.Timeout | undefined;
 	#laggingSince: number | undefined;
-	#isFetching = false;
+	/** Fetches in progress, by the id of the node that is asked. */
+	readonly #fetches = new Map<string, PeerFetch>();
+	/** Monotonic times until which nodes that failed to answer are passed over, in milliseconds. */
+	#failedUntil: ReadonlyMap<string, number> = new Map();
 	/** Newest release that was logged as heard of. */
 	#loggedRelease = 0;
-	/** Id of the node that failed to answer last; another one is asked next, if there is one. */
-	#failedNodeId: string | undefined;
 
 	constructor(options: PeerConfigurationFetcherOptions) {
 		this.#options = options;
@@ -74,7 +86,7 @@
 
 	start(): void {
 		this.#timer = setInterval(() => {
-			void this.#check(performance.now());
+			this.#check(performance.now());
 		}, checkPeriodMs);
 	}
 
@@ -82,7 +94,7 @@
 		clearInterval(this.#timer);
 	}
 
-	async #check(now: number): Promise<void> {
+	#check(now: number): void {
 		this.#logHeardRelease();
 		const newestMembers = this.#listNewestMembers();
 		this.#laggingSince = newestMembers.length === 0 ? undefined : this.#laggingSince ?? now;
@@ -92,16 +104,28 @@
 		}
 
 		const graceMs = state.getNumber() > 0 && isWatching() ? watchGraceMs : 0;
-		if (this.#laggingSince === undefined || this.#isFetching || now - this.#laggingSince < graceMs) {
-			return;
+		if (this.#laggingSince !== undefined && now - this.#laggingSince >= graceMs && this.#isAnotherAsked()) {
+			this.#askAnother(newestMembers, now);
 		}
+	}
 
-		this.#isFetching = true;
-		const others = newestMembers.filter(({record}) => record.id !== this.#failedNodeId);
-		const candidates = others.length > 0 ? others : newestMembers;
-		const {random = Math.random} = this.#options;
-		await this.#fetchFromMember(candidates[Math.floor(random() * candidates.length)]!);
-		this.#isFetching = false;
+	/** True while no node that is asked has begun to answer, and few are asked: a node that gives no answer may be gone. */
+	#isAnotherAsked(): boolean {
+		return this.#fetches.size < maxFetches && ![...this.#fetches.values()].some(({isStarted}) => isStarted);
+	}
+
+	/** Asks one of the nodes, preferably one that has not failed lately, and among those one of this failure domain. */
+	#askAnother(members: readonly Member[], now: number): void {
+		const {table, random = Math.random} = this.#options;
+		const {failureDomain} = table.getSelf().placement;
+		const unasked = members.filter(({record}) => !this.#fetches.has(record.id));
+		const sound = unasked.filter(({record}) => (this.#failedUntil.get(record.id) ?? now) <= now);
+		const near = sound.filter(({record}) => record.placement.failureDomain === failureDomain);
+		const candidates = [near, sound, unasked].find(group => group.length > 0) ?? [];
+		const member = candidates[Math.floor(random() * candidates.length)];
+		if (member) {
+			void this.#fetchFromMember(member);
+		}
 	}
 
 	/** Logs once for each release that others name before it is in force here. */
@@ -114,33 +138,57 @@
 		}
 	}
 
-	/** Lists the members with the newest configuration; only those of this failure domain, if there are any. */
+	/** Lists the members with the newest configuration. */
 	#listNewestMembers(): readonly Member[] {
 		const {table, state} = this.#options;
 		const newerMembers = table.listLive().filter(({record, status}) => status === 'alive' && record.release > state.getNumber());
 		const newestRelease = Math.max(...newerMembers.map(({record}) => record.release));
-		const newestMembers = newerMembers.filter(({record}) => record.release === newestRelease);
-		const {failureDomain} = table.getSelf().placement;
-		const sameDomainMembers = newestMembers.filter(({record}) => record.placement.failureDomain === failureDomain);
-		return sameDomainMembers.length > 0 ? sameDomainMembers : newestMembers;
+		return newerMembers.filter(({record}) => record.release === newestRelease);
 	}
 
 	async #fetchFromMember({record}: Member): Promise<void> {
 		const {findEgress, logger, state} = this.#options;
 		const carrier = findEgress(record.id);
+		const abortController = new AbortController();
+		const fetch: PeerFetch = {isStarted: false, abortController};
+		this.#fetches.set(record.id, fetch);
 		const answer = carrier
 			? await fetchInternal(carrier, {
-				service: '', path: configurationPath, timeoutMs: fetchTimeoutMs, maxBytes: maxConfigurationBytes,
+				service: '',
+				path: configurationPath,
+				timeoutMs: fetchTimeoutMs,
+				maxBytes: maxConfigurationBytes,
+				handleStart() {
+					fetch.isStarted = true;
+				},
+				signal: abortController.signal,
 			})
 			: Left<Failure, Uint8Array>(createFailure('linkUnreachable', `no link to node ${record.id}: it is not a known member`));
+		this.#fetches.delete(record.id);
+		if (abortController.signal.aborted) {
+			return;
+		}
+
 		answer.chain(body => parseConfiguration(parseJson(body))).ifRight(configuration => {
-			this.#failedNodeId = undefined;
 			state.applyConfiguration(configuration, record.id);
+			this.#cancelFetches();
 		}).ifLeft(({code, detail}) => {
-			this.#failedNodeId = record.id;
-			logger.log('releaseFetchFailed', {node: record.id, code, detail});
+			this.#recordFailure(record.id, performance.now());
+			logger.log('releaseFetchFailed', {peer: record.id, code, detail});
+		});
+	}
+
+	/** Gives up the other fetches once one has delivered. */
+	#cancelFetches(): void {
+		[...this.#fetches.values()].forEach(({abortController}) => {
+			abortController.abort();
 		});
 	}
+
+	#recordFailure(id: string, now: number): void {
+		const others = [...this.#failedUntil].filter(([other, until]) => other !== id && until > now);
+		this.#failedUntil = new Map([...others, [id, now + failurePeriodMs]]);
+	}
 }
 
 function parseJson(body: Uint8Array): unknown {
--- a/packages/node/src/routing/internal-fetch.ts
+++ b/packages/node/src/routing/internal-fetch.ts
@@ -12,6 +12,10 @@
 	readonly timeoutMs: number;
 	/** Maximum size of the response body, in bytes. */
 	readonly maxBytes: number;
+	/** Called when the response begins. */
+	readonly handleStart?: () => void;
+	/** Gives the query up. */
+	readonly signal?: AbortSignal;
 };
 
 function createRequestHead({service, path, timeoutMs}: InternalQuery): RequestHead {
@@ -35,12 +39,22 @@
 		let bytes = 0;
 		const finish = (result: Either<Failure, Uint8Array>): void => {
 			clearTimeout(timer);
+			query.signal?.removeEventListener('abort', handleAbort);
 			resolve(result);
 		};
 
+		const giveUp = (detail: string): void => {
+			exchange.cancel();
+			finish(Left(createFailure('answerTimeout', detail)));
+		};
+
+		const handleAbort = (): void => {
+			giveUp(`the query of ${query.path} was given up`);
+		};
+
 		const handler: ExchangeHandler = {
 			handleHead() {
-				// Only the body is used.
+				query.handleStart?.();
 			},
 			handleData(chunk) {
 				bytes += chunk.length;
@@ -64,9 +78,9 @@
 		};
 		const exchange = carrier.openExchange(createRequestHead(query), handler);
 		const timer = setTimeout(() => {
-			exchange.cancel();
-			finish(Left(createFailure('answerTimeout', `no complete response to ${query.path} within ${query.timeoutMs} ms`)));
+			giveUp(`no complete response to ${query.path} within ${query.timeoutMs} ms`);
 		}, query.timeoutMs);
+		query.signal?.addEventListener('abort', handleAbort, {once: true});
 		exchange.endBody();
 	});
 }
