Let selected watchers pause for a second at most after failures

Callers saw: a change in force late after an outage of the store, the more so the longer it had been. Cause: all nodes paused for up to 4 s after failures. A change must be in force in 2.5 to 3 s, and the fleet learns of it from the selected watchers; their pauses begin together with the outage, so all of a failure domain's may lie beyond the bound. Why it works: four watchers of each failure domain call once a second; the other nodes pause as before.

--- a/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
+++ b/packages/releases/src/__tests__/unit/configuration-watcher.test.ts
@@ -144,6 +144,28 @@
 		expect(state.getNumber()).to.equal(3);
 	});
 
+	// Guards against watchers that all pause for longer than a change may take after an outage of the source.
+	it('has a change within a second of the end of a long outage once it is selected', async () => {
+		watcher.stop();
+		watcher = new ConfigurationWatcher({
+			source, state, logger: new SilentLogger(), isSelectedWatcher: () => true, random: () => 0.999,
+		});
+		source.isUnavailable = true;
+		watcher.start();
+		const delays = await Array.from({length: 8}).reduce<Promise<readonly number[]>>(async (before, _, index) => {
+			const earlier = await before;
+			source.isUnavailable = true;
+			source.failWatches('away');
+			await clock.tickAsync(12_000 + (index * 470));
+			source.isUnavailable = false;
+			source.release++;
+			const backAt = clock.now;
+			await clock.tickAsync(1010);
+			return [...earlier, state.getNumber() === source.release ? 0 : clock.now - backAt];
+		}, Promise.resolve([]));
+		expect(delays.filter(delayMs => delayMs > 0)).to.deep.equal([]);
+	});
+
 	it('reads ever more rarely on readNow while reads bring no newer release', async () => {
 		watcher.start();
 		await clock.tickAsync(5000);
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -51,6 +51,12 @@
 /** Pause after a change, in milliseconds, so that one call fetches several quick changes; short against the time in which they must take effect. */
 const changePauseMs = 300;
 
+/**
+ * Longest pause of a selected watcher after failures, in milliseconds: others rely on it to notice that the source is back, in a part
+ * of the time in which a change must be in force. The few selected nodes cost the source little.
+ */
+const maxWatcherDelayMs = 1000;
+
 /** Period with which a node checks whether it is selected to watch, and whether its watch lasts too long, in milliseconds. */
 const checkPeriodMs = 500;
 /** Mean time between two reads by nodes that don't watch, over the whole fleet, in milliseconds. */
@@ -195,7 +201,7 @@
 	}
 
 	async #runStep(signal: AbortSignal): Promise<void> {
-		const {random = Math.random} = this.#options;
+		const {random = Math.random, isSelectedWatcher = () => true} = this.#options;
 		if (this.#isStandby()) {
 			this.#waitInStandby();
 			return;
@@ -218,7 +224,8 @@
 
 		// A watch without an answer tells of its connection, not of the platform, so the platform is read without delay.
 		const isSilent = result.isLeft() && call.name === 'watch' && performance.now() - call.startedAt >= call.waitMs;
-		const failureDelayMs = isSilent ? 0 : computeBackOffMs(this.#failureCount, random);
+		const maxDelayMs = isSelectedWatcher() ? maxWatcherDelayMs : undefined;
+		const failureDelayMs = isSilent ? 0 : computeBackOffMs(this.#failureCount, random, maxDelayMs);
 		if (this.#failureCount > 0) {
 			this.#options.logger.log('platformCallFailed', {call: call.name, failures: this.#failureCount, retryMs: failureDelayMs});
 		}
