Refuse an unknown route or key for now, not for good, while a newer configuration may have it

Callers saw: 404 for a route that had been added, or 401 for a key, which they take as final, from a node that was behind. Cause: the refusal spoke for the configuration in force, whatever the node knew of a newer one. This is a second matter beside late changes, which must be in force in time all the same. Why it works: while another node names a newer release, or neither the store nor any other node answers, the refusal is 1015, 503 with Retry-After: not run, and nothing said of the route. Where the node knows of nothing newer, 404 and 401 are as before.

--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -72,6 +72,9 @@
 	bodyGrewTooLarge: {
 		code: 1014, status: 413, ran: 'unknown', resend: 'never', meaning: 'The body of undeclared length grew larger than the route allows after a part of it was forwarded.',
 	},
+	releaseBehind: {
+		code: 1015, status: 503, ran: 'not-run', resend: 'later', meaning: 'The node has no such route or key, but knows that its configuration may not be the newest.',
+	},
 
 	// Links
 	linkUnreachable: {
--- a/packages/node/src/callers/ingress.ts
+++ b/packages/node/src/callers/ingress.ts
@@ -51,6 +51,8 @@
 	readonly quotas?: OrganisationQuotas;
 	/** Returns what this node knows of how current its configuration is, for the log lines of requests that it doesn't know. */
 	readonly getKnowledge?: () => LogFields;
+	/** True while a newer configuration than the one in force may exist; without it, that is never known. */
+	readonly isOutdated?: () => boolean;
 	/** Bounds of what is held for callers; by default, those of the process's heap. */
 	readonly limits?: ResourceLimits;
 };
@@ -71,6 +73,8 @@
 
 /** Failures of requests that a newer configuration may allow. */
 const unknownRequestNames: ReadonlySet<ResultName> = new Set(['unknownRoute', 'keyInvalid']);
+/** Time after which a request may come again that a newer configuration may allow, in milliseconds: most changes are in force everywhere by then. */
+const outdatedRetryMs = 1000;
 
 /** Accepts callers' requests, routes them and sends the responses. */
 export class Ingress {
@@ -242,11 +246,19 @@
 		return this.#routes.findRoute(request)
 			.chain(route => checkBodySize(request, route))
 			.chain(route => this.#findIdentity(request, route, configuration).map(identity => ({route, identity})))
+			.mapLeft(failure => this.#replaceUnknown(failure))
 			.chain(({route, identity}) => this.#options.admitRequest(request).map(terms => ({
 				request, route, terms, identity,
 			})));
 	}
 
+	/** Replaces the final refusal of an unknown route or key while a newer configuration may have it. */
+	#replaceUnknown(failure: Failure): Failure {
+		return unknownRequestNames.has(failure.name) && this.#options.isOutdated?.() === true
+			? createFailure('releaseBehind', `${failure.detail} in the configuration in force, which may not be the newest`, outdatedRetryMs)
+			: failure;
+	}
+
 	#findIdentity(request: IngressRequest, route: Route, configuration: Configuration): Either<Failure, CallerIdentity | undefined> {
 		return this.#options.identifier?.findIdentity(request, route, configuration) ?? Right(undefined);
 	}
@@ -309,7 +321,7 @@
 	#recordFailure(failure: Failure): void {
 		this.#options.metrics.addCount('ingress_failures_total', 1, {code: String(failure.code)});
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
-		if (unknownRequestNames.has(failure.name)) {
+		if (unknownRequestNames.has(failure.name) || failure.name === 'releaseBehind') {
 			this.#options.logger.log('requestUnknown', {code: failure.code, detail: failure.detail, ...this.#options.getKnowledge?.()});
 		}
 	}
--- a/packages/node/src/fleet/configuration-knowledge.ts
+++ b/packages/node/src/fleet/configuration-knowledge.ts
@@ -9,9 +9,12 @@
 	readonly state: ReleaseState;
 	readonly gossip: Pick<Gossip, 'getLastMessageAt'>;
 	/** Returns the watcher, which may be created later. */
-	readonly getWatcher: () => Pick<ConfigurationWatcher, 'getAnswerAgeMs' | 'isWatching'>;
+	readonly getWatcher: () => Pick<ConfigurationWatcher, 'getAnswerAgeMs' | 'isFailing' | 'isWatching'>;
 };
 
+/** Time without a message from any other node after which this node may not hear of changes, in milliseconds. */
+const maxGossipSilenceMs = 1500;
+
 /** Collects the knowledge for log lines and decisions. */
 export class ConfigurationKnowledge {
 	readonly #options: ConfigurationKnowledgeOptions;
@@ -20,19 +23,32 @@
 		this.#options = options;
 	}
 
+	/**
+	 * True while a newer configuration may exist: another node names one, or neither the platform nor any other node has said
+	 * anything lately.
+	 */
+	isOutdated(): boolean {
+		const {table, state, getWatcher} = this.#options;
+		return table.getHeardRelease() > state.getNumber() || (this.#getGossipAgeMs() > maxGossipSilenceMs && getWatcher().isFailing());
+	}
+
 	/** Returns the fields that explain which configuration this node has, and what it knows of others. Ages are in milliseconds. */
 	toLogFields(): LogFields {
-		const {table, state, gossip, getWatcher} = this.#options;
+		const {table, state, getWatcher} = this.#options;
 		const {members} = table.store.getState();
 		const others = [...members.values()].filter(({record}) => record.id !== table.self.id);
 		return {
 			release: state.getNumber(),
 			heard: table.getHeardRelease(),
 			answerAgeMs: Math.round(getWatcher().getAnswerAgeMs()),
-			gossipAgeMs: Math.round(performance.now() - gossip.getLastMessageAt()),
+			gossipAgeMs: Math.round(this.#getGossipAgeMs()),
 			isWatching: getWatcher().isWatching(),
 			alive: others.filter(({status}) => status === 'alive').length,
 			suspect: others.filter(({status}) => status === 'suspect').length,
 		};
 	}
+
+	#getGossipAgeMs(): number {
+		return performance.now() - this.#options.gossip.getLastMessageAt();
+	}
 }
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -335,6 +335,7 @@
 			...createIdentifier(platform.callers, this.#egress, () => this.#checkProof()),
 			quotas: this.#quotas,
 			getKnowledge: () => this.#knowledge.toLogFields(),
+			isOutdated: () => this.#knowledge.isOutdated(),
 			limits: selectResourceLimits(getSettings()),
 			metrics: this.#metrics,
 			logger,
--- a/packages/releases/src/configuration-watcher.ts
+++ b/packages/releases/src/configuration-watcher.ts
@@ -148,6 +148,11 @@
 		return this.#isWatching;
 	}
 
+	/** True while the last call to the source has failed. */
+	isFailing(): boolean {
+		return this.#failureCount > 0;
+	}
+
 	/** Returns the time since the source last answered this node, in milliseconds; since the start if it never has. */
 	getAnswerAgeMs(): number {
 		return performance.now() - this.#answeredAt;
