Join the small parts of a response at the egress

Other operators saw: a backend server sent bytes without end, and the process that had called it ended, out of memory. Cause: the window of an exchange counts bytes, and each chunk became a part of its own on its whole way, some hundred bytes of memory for one byte: 65,536 parts for a window. Evidence: the new case of broken-answers.test.ts had 65,536 parts before, at most 128 are allowed. Why it works: parts below 1 KiB are copied into one and passed on when that is full, after 50 ms, at the end of the response or when the credit is used up; a copy doesn't keep the connection's buffer in memory. Bodies of requests were joined like this before.

--- a/packages/node/src/__tests__/host-egress-fixture.ts
+++ b/packages/node/src/__tests__/host-egress-fixture.ts
@@ -41,24 +41,29 @@
 	}
 }
 
+/** Creates the head of a request; `head` replaces some of its fields. */
+export function createTestHead(head: Partial<RequestHead> = {}): RequestHead {
+	return {
+		requestId: 'r-1',
+		target: {kind: 'egress', serverId: 'server-1'},
+		service: 'catalogue',
+		method: 'GET',
+		path: '/sizes?x=1',
+		headers: ['host', 'shop.example', 'x-extra', 'kept', 'x-caller', 'forged', 'connection', 'x-hop', 'x-hop', 'dropped'],
+		remainingMs: 2000,
+		isRepeatable: true,
+		organisation: '',
+		callerService: 'desk',
+		...head,
+	};
+}
+
 /** Sends one request through an egress and collects the response. */
 export async function sendRequest(egress: Carrier, head: Partial<RequestHead>): Promise<ExchangeResult> {
 	return new Promise(resolve => {
 		let status = 0;
 		let body = '';
-		const exchange = egress.openExchange({
-			requestId: 'r-1',
-			target: {kind: 'egress', serverId: 'server-1'},
-			service: 'catalogue',
-			method: 'GET',
-			path: '/sizes?x=1',
-			headers: ['host', 'shop.example', 'x-extra', 'kept', 'x-caller', 'forged', 'connection', 'x-hop', 'x-hop', 'dropped'],
-			remainingMs: 2000,
-			isRepeatable: true,
-			organisation: '',
-			callerService: 'desk',
-			...head,
-		}, {
+		const exchange = egress.openExchange(createTestHead(head), {
 			handleHead(answer) {
 				status = answer.status;
 			},
--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -1,7 +1,10 @@
 import {type Socket} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import {expect} from 'chai';
-import {startHostEgressFixture, waitFor, type HostEgressFixture} from '../host-egress-fixture.js';
+import {exchangeWindowBytes} from '@limpetbarrow/core';
+import {
+	createTestHead, startHostEgressFixture, waitFor, type HostEgressFixture,
+} from '../host-egress-fixture.js';
 import {formatRawResponse, type RawResponder} from '../raw-backend.js';
 
 let fixture: HostEgressFixture;
@@ -136,6 +139,39 @@
 		});
 	});
 
+	// Guards against a response whose parts take far more memory than the bytes that are counted for them.
+	it('is passed on in few parts though its chunks have one byte each', async () => {
+		const parts: Uint8Array[] = [];
+		const {egress} = await startFixture(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n');
+			socket.write('1\r\na\r\n'.repeat(exchangeWindowBytes));
+		});
+		const exchange = egress.openExchange(createTestHead(), {
+			handleHead() {
+				// Only the body is looked at.
+			},
+			handleData(part) {
+				parts.push(part);
+			},
+			handleEnd() {
+				// It never ends.
+			},
+			handleFailure() {
+				// Nor does it fail.
+			},
+			handleCredit() {
+				// The request has no body.
+			},
+		});
+		exchange.endBody();
+		const countBytes = (): number => parts.reduce((sum, part) => sum + part.length, 0);
+		await waitFor(() => countBytes() >= exchangeWindowBytes);
+		exchange.cancel();
+		expect(countBytes()).to.equal(exchangeWindowBytes);
+		expect(parts.length).to.be.at.most(exchangeWindowBytes / 512);
+		expect(Math.max(...parts.map(({buffer}) => buffer.byteLength))).to.be.at.most(exchangeWindowBytes);
+	});
+
 	describe('responses that never end', () => {
 		const remainingMs = 700;
 		const toleranceMs = 150;
--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -6,6 +6,7 @@
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
 import {hasResponseBody, selectResponseHeaders} from '../callers/headers.js';
+import {PartCollector} from '../callers/part-collector.js';
 import {type BackendExchangeOwner} from './backend-exchange-owner.js';
 import {type ConnectionDispatchOptions, type ConnectionRequests} from './connection-requests.js';
 import {type EndEvidence} from './end-evidence.js';
@@ -56,6 +57,11 @@
 	#isResponseUnframed = false;
 	/** Finds the end of the body where the backend server sends more than one response. */
 	#scan: ExtraResponseScan | undefined;
+	/** Joins small parts of the response's body, which a faulty backend server sends without end. */
+	readonly #parts = new PartCollector(part => {
+		this.#handler.handleData(part);
+	});
+
 	#connection: ConnectionRequests | undefined;
 	#earlierRequestIds: ReadonlySet<string> = new Set();
 	/** Length of the response on the connection; undefined if it is sent in chunks or ends with the connection. */
@@ -215,6 +221,7 @@
 
 				this.#handleBody(this.#scan!.add(chunk));
 				if (this.#responseCredit <= 0) {
+					this.#parts.forward();
 					controller.pause();
 				}
 
@@ -258,7 +265,7 @@
 	#handleBody(body: Uint8Array): void {
 		if (body.length > 0) {
 			this.#responseCredit -= body.length;
-			this.#handler.handleData(body);
+			this.#parts.add(body);
 		}
 	}
 
@@ -347,6 +354,7 @@
 
 	#finishResponse(): void {
 		if (this.#state === 'running') {
+			this.#parts.forward();
 			this.#finish(this.#createOutcome(this.#responseStatus >= minServerErrorStatus ? 'failed' : 'answered'), undefined);
 			this.#handler.handleEnd();
 		}
@@ -391,6 +399,7 @@
 	#finish(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		clearTimeout(this.#deadlineTimer);
 		this.#state = 'over';
+		this.#parts.clear();
 		this.#requestBody.close();
 		this.#owner.handleFinished(outcome, failure);
 	}
--- a/packages/node/src/callers/part-collector.ts
+++ b/packages/node/src/callers/part-collector.ts
@@ -9,7 +9,7 @@
 /** Passes on the bytes of a body in order, in parts of at least `minPartBytes` if they arrive soon enough. */
 export class PartCollector {
 	readonly #handlePart: (part: Uint8Array) => void;
-	#parts: Uint8Array[] = [];
+	#held: Buffer | undefined;
 	#bytes = 0;
 	#timer: NodeJS.Timeout | undefined;
 
@@ -18,11 +18,15 @@
 	}
 
 	add(part: Uint8Array): void {
-		this.#parts.push(part);
-		this.#bytes += part.length;
-		if (this.#bytes >= minPartBytes) {
-			this.forward();
-		} else {
+		if (this.#bytes + part.length >= minPartBytes) {
+			const whole = this.#held ? Buffer.concat([this.#held.subarray(0, this.#bytes), part]) : part;
+			this.clear();
+			this.#handlePart(whole);
+		} else if (part.length > 0) {
+			// A copy, as a small part may refer to a large buffer of its connection and would keep it in memory.
+			this.#held ??= Buffer.allocUnsafe(minPartBytes);
+			this.#held.set(part, this.#bytes);
+			this.#bytes += part.length;
 			this.#timer ??= setTimeout(() => {
 				this.forward();
 			}, maxDelayMs);
@@ -31,10 +35,10 @@
 
 	/** Passes on what is held back. */
 	forward(): void {
-		const parts = this.#parts;
+		const part = this.#held && Buffer.from(this.#held.subarray(0, this.#bytes));
 		this.clear();
-		if (parts.length > 0) {
-			this.#handlePart(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
+		if (part) {
+			this.#handlePart(part);
 		}
 	}
 
@@ -42,7 +46,7 @@
 	clear(): void {
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
-		this.#parts = [];
+		this.#held = undefined;
 		this.#bytes = 0;
 	}
 }
