Close a connection on which far more arrives than a head and a body

Cause: only the response head had a bound, which line ends before it evaded, and the bytes between chunks had none. Evidence: three cases of broken-answers.test.ts failed before with 87, 125 and 158 MB read within 700 ms where 4 MiB are allowed: sizes of chunks and extensions, which had no bound in the test, and line ends before a status line, a new case. Trailers have the bound now too. Why it works: each connection counts what arrives beside the body that the HTTP client has found; beyond 256 KiB and 16 bytes for each byte of the body it is closed, the request fails as serverBroke, and the run counts against the backend server.

--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -175,50 +175,53 @@
 	describe('responses that never end', () => {
 		const remainingMs = 700;
 		const toleranceMs = 150;
-		const maxHeadBytes = 4_194_304;
+		const maxBoundedBytes = 4_194_304;
 		const signed = 'x-id: r-1\r\nx-signature: s\r\n';
-		const cases: ReadonlyArray<{readonly where: string; readonly start: string; readonly endlessPart: string; readonly isHead: boolean}> = [
+		const cases: ReadonlyArray<{readonly where: string; readonly start: string; readonly endlessPart: string; readonly isBounded: boolean}> = [
 			{
-				where: 'in place of a response head', start: '', endlessPart: 'spoilt ', isHead: true,
+				where: 'in place of a response head', start: '', endlessPart: 'spoilt ', isBounded: true,
 			},
 			{
-				where: 'in a status line', start: 'HTTP/1.1 200 ', endlessPart: 'OK', isHead: true,
+				where: 'in line ends before a status line', start: '', endlessPart: '\r\n', isBounded: true,
 			},
 			{
-				where: 'in one header value', start: `HTTP/1.1 200 OK\r\n${signed}x-more: `, endlessPart: 'a', isHead: true,
+				where: 'in a status line', start: 'HTTP/1.1 200 ', endlessPart: 'OK', isBounded: true,
 			},
 			{
-				where: 'in many headers', start: `HTTP/1.1 200 OK\r\n${signed}`, endlessPart: 'x-more: a\r\n', isHead: true,
+				where: 'in one header value', start: `HTTP/1.1 200 OK\r\n${signed}x-more: `, endlessPart: 'a', isBounded: true,
 			},
 			{
-				where: 'in interim responses', start: '', endlessPart: 'HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n', isHead: true,
+				where: 'in many headers', start: `HTTP/1.1 200 OK\r\n${signed}`, endlessPart: 'x-more: a\r\n', isBounded: true,
 			},
 			{
-				where: 'in a chunk\'s size', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n`, endlessPart: '0', isHead: false,
+				where: 'in interim responses', start: '', endlessPart: 'HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n', isBounded: true,
 			},
 			{
-				where: 'in a chunk\'s extension', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n5;x=`, endlessPart: 'a', isHead: false,
+				where: 'in a chunk\'s size', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n`, endlessPart: '0', isBounded: true,
 			},
 			{
-				where: 'in trailers', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n`, endlessPart: 'x-more: a\r\n', isHead: false,
+				where: 'in a chunk\'s extension', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n5;x=`, endlessPart: 'a', isBounded: true,
 			},
 			{
-				where: 'in a body without a length', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'body', isHead: false,
+				where: 'in trailers', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n`, endlessPart: 'x-more: a\r\n', isBounded: true,
 			},
 			{
-				where: 'in a body of response heads', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'HTTP/1.1 200 OK\r\nx: ', isHead: false,
+				where: 'in a body without a length', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'body', isBounded: false,
 			},
 			{
-				where: 'in a body of status lines', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'HTTP/1.1 200 OK\r\n', isHead: false,
+				where: 'in a body of response heads', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'HTTP/1.1 200 OK\r\nx: ', isBounded: false,
 			},
 			{
-				where: 'in a chunked body', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n`, endlessPart: '4\r\nbody\r\n', isHead: false,
+				where: 'in a body of status lines', start: `HTTP/1.1 200 OK\r\n${signed}\r\n`, endlessPart: 'HTTP/1.1 200 OK\r\n', isBounded: false,
 			},
 			{
-				where: 'in an unsigned body', start: 'HTTP/1.1 200 OK\r\nx-id: r-1\r\n\r\n', endlessPart: 'body', isHead: false,
+				where: 'in a chunked body', start: `HTTP/1.1 200 OK\r\n${signed}transfer-encoding: chunked\r\n\r\n`, endlessPart: '4\r\nbody\r\n', isBounded: false,
+			},
+			{
+				where: 'in an unsigned body', start: 'HTTP/1.1 200 OK\r\nx-id: r-1\r\n\r\n', endlessPart: 'body', isBounded: false,
 			},
 		];
-		cases.forEach(({where, start, endlessPart, isHead}) => {
+		cases.forEach(({where, start, endlessPart, isBounded}) => {
 			it(`fail by the request's deadline, close the connection and count against the backend server: endless bytes ${where}`, async () => {
 				let bytes = 0;
 				let isClosed = false;
@@ -249,8 +252,8 @@
 				await waitFor(() => isClosed);
 				expect(isClosed).to.equal(true);
 				expect(fixture.logger.lines.some(([event]) => event === 'serverRanBadly')).to.equal(true);
-				if (isHead) {
-					expect(bytes).to.be.below(maxHeadBytes);
+				if (isBounded) {
+					expect(bytes).to.be.below(maxBoundedBytes);
 				}
 			});
 		});
--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -265,6 +265,7 @@
 	#handleBody(body: Uint8Array): void {
 		if (body.length > 0) {
 			this.#responseCredit -= body.length;
+			this.#connection?.recordBody(body.length);
 			this.#parts.add(body);
 		}
 	}
--- a/packages/node/src/backend/connection-requests.ts
+++ b/packages/node/src/backend/connection-requests.ts
@@ -17,6 +17,10 @@
 
 /** Number of request ids that are remembered for a connection. */
 const maxRequestIds = 32;
+/** Largest number of bytes that arrive for a response besides its body: heads, line ends, sizes of chunks. Some may not be parsed yet. */
+const maxFramingBytes = 262_144;
+/** The same for each byte of the body, which may come in chunks of one byte. */
+const maxFramingPerBodyByte = 16;
 const headTerminator = Buffer.from('\r\n\r\n');
 /** The end of a response in chunks, behind which another response begins. */
 const chunkedEndBeforeHead = Buffer.from('\r\n0\r\n\r\nHTTP/1.');
@@ -41,6 +45,8 @@
 	#receivedBytes = 0;
 	#headBytes = 0;
 	#lastPart: Uint8Array = new Uint8Array();
+	/** Bytes of the body that the HTTP client has found in what arrived. */
+	#bodyBytes = 0;
 
 	/** Records a request. Returns the ids of the earlier ones. */
 	recordRequest(requestId: string): ReadonlySet<string> {
@@ -50,9 +56,15 @@
 		this.#receivedBytes = 0;
 		this.#headBytes = 0;
 		this.#lastPart = new Uint8Array();
+		this.#bodyBytes = 0;
 		return new Set(earlier);
 	}
 
+	/** Records a part of the body that was found in what arrived. */
+	recordBody(bytes: number): void {
+		this.#bodyBytes += bytes;
+	}
+
 	/**
 	 * Records that the response to the last request has ended, so that nothing more belongs to it. `bodyBytes` is the length of
 	 * its body on the connection; undefined if it was sent in chunks.
@@ -83,6 +95,9 @@
 		});
 		socket.on('data', (part: Uint8Array) => {
 			this.#recordPart(part);
+			if (this.#isMostlyFraming()) {
+				socket.destroy(new Error(`more than ${maxFramingBytes} bytes that belong to no response body`));
+			}
 		});
 		socket.once('close', () => {
 			if (this.#excessBytes > 0) {
@@ -91,6 +106,11 @@
 		});
 	}
 
+	/** True when far more has arrived than a head and a body, however small its chunks: such bytes may come without end. */
+	#isMostlyFraming(): boolean {
+		return !this.#isResponseEnded && this.#receivedBytes - this.#bodyBytes > maxFramingBytes + (maxFramingPerBodyByte * this.#bodyBytes);
+	}
+
 	#recordPart(part: Uint8Array): void {
 		if (this.#isResponseEnded) {
 			this.#excessBytes += part.length;
