--- a/packages/node/src/callers/part-collector.ts
+++ b/packages/node/src/callers/part-collector.ts
@@ -9,7 +9,7 @@
 /** Passes on the bytes of a body in order, in parts of at least `minPartBytes` if they arrive soon enough. */
 export class PartCollector {
 	readonly #handlePart: (part: Uint8Array) => void;
-	#held: Buffer | undefined;
+	#held: Uint8Array | undefined;
 	#bytes = 0;
 	#timer: NodeJS.Timeout | undefined;
 
