Pass on the first part of a response at once, and what is held of one that fails

Callers would have seen: a response that its backend server breaks off as a reset connection without a head, where they saw the head and the first bytes before; and the begin of a slow response up to 50 ms late. Cause: small parts were held also at the beginning of a body, and dropped when the response failed. What tells how a response is framed stands in a file of its own.

--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -1,17 +1,17 @@
 /** One request to a backend server, from its admission to the end of the response. */
-import {Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	createFailure, exchangeWindowBytes, Exchange, findHeader, type ExchangeHandler, type Failure, type RawHeaders, type RequestHead, type ResponseHead,
+	createFailure, exchangeWindowBytes, Exchange, type ExchangeHandler, type Failure, type RequestHead, type ResponseHead,
 } from '@limpetbarrow/core';
 import {type OutcomeKind, type WorkOutcome} from '@limpetbarrow/detect';
-import {hasResponseBody, selectResponseHeaders} from '../callers/headers.js';
+import {selectResponseHeaders} from '../callers/headers.js';
 import {PartCollector} from '../callers/part-collector.js';
 import {type BackendExchangeOwner} from './backend-exchange-owner.js';
 import {type ConnectionDispatchOptions, type ConnectionRequests} from './connection-requests.js';
 import {type EndEvidence} from './end-evidence.js';
 import {ExtraResponseScan} from './extra-response-scan.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
+import {decodeHeaders, findBodyBytes, isUnframed} from './response-framing.js';
 import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
 
 type BackendExchangeState = 'waiting' | 'running' | 'over';
@@ -21,22 +21,12 @@
 /** Largest number of interim responses (1xx) that a backend server may send for one request. */
 const maxInterimResponses = 16;
 const notModifiedStatus = 304;
-const lengthPattern = /^\d+$/v;
 /** Longest time, and largest share of a request's time, by which its cancellation may come before its deadline and stand for it. */
 const maxCancelLeadMs = 50;
 const maxCancelLeadShare = 0.25;
 /** The HTTP client's error for a 304 whose content-length names a body that is not sent, which HTTP allows. */
 const contentLengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
-function decodeHeaders(headers: Dispatcher.DispatchController['rawHeaders']): RawHeaders {
-	return Array.isArray(headers) ? headers.map(part => Buffer.isBuffer(part) ? part.toString('latin1') : part) : [];
-}
-
-/** True when the response body has neither a content-length nor a transfer coding, so it ends with the connection. */
-function isUnframed(method: string, status: number, headers: RawHeaders): boolean {
-	return hasResponseBody(method, status) && findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined;
-}
-
 /** Sends one request to a backend server and passes its response to the handler. Fails the request at its deadline. */
 export class BackendExchange extends Exchange {
 	readonly #head: RequestHead;
@@ -60,7 +50,7 @@
 	/** Joins small parts of the response's body, which a faulty backend server sends without end. */
 	readonly #parts = new PartCollector(part => {
 		this.#handler.handleData(part);
-	});
+	}, {isFirstPassedOn: true});
 
 	#connection: ConnectionRequests | undefined;
 	#earlierRequestIds: ReadonlySet<string> = new Set();
@@ -249,19 +239,14 @@
 
 	#handleRawHead(head: ResponseHead): void {
 		const {method, requestId} = this.#head;
-		this.#isResponseUnframed = isUnframed(method, head.status, head.headers);
-		this.#responseBytes = this.#findResponseBytes(head);
+		this.#isResponseUnframed = isUnframed(method, head);
+		this.#responseBytes = this.#interimResponseCount > 0 ? undefined : findBodyBytes(method, head);
 		this.#scan = new ExtraResponseScan({
 			head, requestId, earlierRequestIds: this.#earlierRequestIds, isUnframed: this.#isResponseUnframed, findRequestId: found => this.#protocol.findRequestId(found),
 		});
 		this.#handleResponseHead({...head, headers: selectResponseHeaders(head.headers)});
 	}
 
-	#findResponseBytes({status, headers}: ResponseHead): number | undefined {
-		const length = hasResponseBody(this.#head.method, status) ? findHeader(headers, 'content-length') : '0';
-		return length === undefined || !lengthPattern.test(length) || this.#interimResponseCount > 0 ? undefined : Number(length);
-	}
-
 	#handleBody(body: Uint8Array): void {
 		if (body.length > 0) {
 			this.#responseCredit -= body.length;
@@ -379,6 +364,7 @@
 			return;
 		}
 
+		this.#parts.forward();
 		this.#finish(this.#createOutcome(kind), failure);
 		this.#dispatchController?.abort(new Error(failure.detail));
 		this.#handler.handleFailure(failure);
--- a/packages/node/src/callers/part-collector.ts
+++ b/packages/node/src/callers/part-collector.ts
@@ -9,16 +9,22 @@
 /** Passes on the bytes of a body in order, in parts of at least `minPartBytes` if they arrive soon enough. */
 export class PartCollector {
 	readonly #handlePart: (part: Uint8Array) => void;
+	#isNextPassedOn: boolean;
 	#held: Uint8Array | undefined;
 	#bytes = 0;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(handlePart: (part: Uint8Array) => void) {
+	/** With `isFirstPassedOn`, the first part is passed on at once, so that the receiver sees the body begin. */
+	constructor(handlePart: (part: Uint8Array) => void, {isFirstPassedOn = false} = {}) {
 		this.#handlePart = handlePart;
+		this.#isNextPassedOn = isFirstPassedOn;
 	}
 
 	add(part: Uint8Array): void {
-		if (this.#bytes + part.length >= minPartBytes) {
+		if (this.#isNextPassedOn) {
+			this.#isNextPassedOn = false;
+			this.#handlePart(part);
+		} else if (this.#bytes + part.length >= minPartBytes) {
 			const whole = this.#held ? Buffer.concat([this.#held.subarray(0, this.#bytes), part]) : part;
 			this.clear();
 			this.#handlePart(whole);
