Read the store for a release whose only known holder is gone

Callers would have seen: the older configuration on a node for as long as no other node named the newer one to it again. Cause: a node counted itself as behind only while a node that it holds for alive has a newer release. It heard of the release from one that is gone by then, and forgot it. Evidence: the new case of peer-configurations.test.ts failed before: no read within 1.3 s.

--- a/packages/node/src/__tests__/unit/peer-configurations.test.ts
+++ b/packages/node/src/__tests__/unit/peer-configurations.test.ts
@@ -51,6 +51,7 @@
 
 describe('PeerConfigurationFetcher', () => {
 	let clock: Clock;
+	let table: MemberTable;
 	let state: ReleaseState;
 	let silentCarrier: SilentCarrier;
 	let platformReads: readonly number[];
@@ -72,7 +73,7 @@
 	});
 
 	function startFetcher(ids: readonly string[], carriers: Readonly<Record<string, Carrier>>, random = Math.random): void {
-		const table = new MemberTable(createRecord('own', 3));
+		table = new MemberTable(createRecord('own', 3));
 		table.merge(ids.map(id => createRecord(id, 8)));
 		fetcher = new PeerConfigurationFetcher({
 			table,
@@ -103,6 +104,14 @@
 		expect(platformReads.length).to.be.above(0);
 	});
 
+	// Guards against a node that forgets a release once the only node that named it is gone.
+	it('reads the platform within 1.3 s though the only node that named the release is gone', async () => {
+		startFetcher(['one'], {});
+		table.setStatus('one', 'dead');
+		await clock.tickAsync(1300);
+		expect(platformReads.length).to.be.above(0);
+	});
+
 	it('does not read the platform while this node watches it and its watch delivers in time', async () => {
 		isWatching = true;
 		startFetcher(['one'], {});
--- a/packages/node/src/fleet/peer-configurations.ts
+++ b/packages/node/src/fleet/peer-configurations.ts
@@ -97,8 +97,8 @@
 	#check(now: number): void {
 		this.#logHeardRelease();
 		const newestMembers = this.#listNewestMembers();
-		this.#laggingSince = newestMembers.length === 0 ? undefined : this.#laggingSince ?? now;
-		const {state, isWatching, readPlatform} = this.#options;
+		const {table, state, isWatching, readPlatform} = this.#options;
+		this.#laggingSince = table.getHeardRelease() > state.getNumber() ? this.#laggingSince ?? now : undefined;
 		if (this.#laggingSince !== undefined && now - this.#laggingSince >= maxLagMs) {
 			readPlatform();
 		}
