Take a proof of a newer release for word of it

Callers would have seen: the older configuration, and 404 for its new routes, on a node that no record told of the change. Cause: where keys are revoked strictly, each node asks others for proofs of freshness twice a second. A proof for a version that the node lacks shows that this version exists, but served only to reject keys; the change itself was awaited from the records alone. Evidence: the new case of peer-configurations.test.ts (no read within 1.3 s) fails without it, as nothing else names the release there, and that of outdated-refusals.test.ts gets 404. Why it works: a second way of hearing of a change that needs no spread of records; what follows is as for a record.

--- a/packages/node/src/__tests__/unit/outdated-refusals.test.ts
+++ b/packages/node/src/__tests__/unit/outdated-refusals.test.ts
@@ -4,7 +4,7 @@
 import {MetricRegistry, SilentLogger, type NodeRecord} from '@limpetbarrow/core';
 import {MemberTable} from '@limpetbarrow/members';
 import {
-	emptyConfiguration, hashKey, ReleaseState, routeSchema,
+	ConfigurationFreshness, emptyConfiguration, hashKey, ReleaseState, routeSchema,
 } from '@limpetbarrow/releases';
 import {CallerIdentifier} from '../../callers/caller-identity.js';
 import {Ingress} from '../../callers/ingress.js';
@@ -28,6 +28,7 @@
 	let port: number;
 	let lastMessageAt: number;
 	let isFailing: boolean;
+	let getProvenRelease: () => number;
 
 	beforeEach(async () => {
 		table = new MemberTable(createRecord('own', 3));
@@ -38,8 +39,9 @@
 		});
 		lastMessageAt = performance.now();
 		isFailing = false;
+		getProvenRelease = () => 0;
 		const knowledge = new ConfigurationKnowledge({
-			table, state: releases, gossip: {getLastMessageAt: () => lastMessageAt}, getWatcher: () => ({getAnswerAgeMs: () => 0, isWatching: () => false, isFailing: () => isFailing}),
+			table, state: releases, getProvenRelease: () => getProvenRelease(), gossip: {getLastMessageAt: () => lastMessageAt}, getWatcher: () => ({getAnswerAgeMs: () => 0, isWatching: () => false, isFailing: () => isFailing}),
 		});
 		ingress = new Ingress({
 			releases,
@@ -84,6 +86,16 @@
 		expect(await fetchStatuses()).to.deep.equal([404, 401]);
 	});
 
+	// Guards against a final refusal by a node that holds a proof of a newer configuration, though no record names one.
+	it('says that the request may come again while a proof of freshness names a newer release', async () => {
+		const freshness = new ConfigurationFreshness(() => releases.getNumber());
+		getProvenRelease = () => freshness.getHighestVersion();
+		freshness.recordProof(freshness.readClocks(), 3);
+		expect(await fetchStatuses()).to.deep.equal([404, 401]);
+		freshness.recordProof(freshness.readClocks(), 4);
+		expect(await fetchStatuses()).to.deep.equal([503, 503]);
+	});
+
 	// Guards against a final refusal by a node that is cut off from the platform and from all others.
 	it('says that the request may come again while neither the platform nor any other node answers', async () => {
 		isFailing = true;
--- a/packages/node/src/__tests__/unit/peer-configurations.test.ts
+++ b/packages/node/src/__tests__/unit/peer-configurations.test.ts
@@ -56,6 +56,7 @@
 	let silentCarrier: SilentCarrier;
 	let platformReads: readonly number[];
 	let isWatching: boolean;
+	let provenRelease: number;
 	let fetcher: PeerConfigurationFetcher;
 
 	beforeEach(() => {
@@ -65,6 +66,7 @@
 		silentCarrier = new SilentCarrier();
 		platformReads = [];
 		isWatching = false;
+		provenRelease = 0;
 	});
 
 	afterEach(() => {
@@ -79,6 +81,7 @@
 			table,
 			state,
 			random,
+			getHeardRelease: () => Math.max(table.getHeardRelease(), provenRelease),
 			findEgress: id => carriers[id] ?? silentCarrier,
 			isWatching: () => isWatching,
 			readPlatform() {
@@ -112,6 +115,16 @@
 		expect(platformReads.length).to.be.above(0);
 	});
 
+	// Guards against a node that holds a proof of a newer release, and hears of it in no record.
+	it('reads the platform within 1.3 s of a proof of a newer release that no record names', async () => {
+		startFetcher([], {});
+		await clock.tickAsync(2000);
+		expect(platformReads).to.deep.equal([]);
+		provenRelease = 8;
+		await clock.tickAsync(1300);
+		expect(platformReads.length).to.be.above(0);
+	});
+
 	it('does not read the platform while this node watches it and its watch delivers in time', async () => {
 		isWatching = true;
 		startFetcher(['one'], {});
--- a/packages/node/src/fleet/configuration-knowledge.ts
+++ b/packages/node/src/fleet/configuration-knowledge.ts
@@ -8,6 +8,8 @@
 	readonly table: MemberTable;
 	readonly state: ReleaseState;
 	readonly gossip: Pick<Gossip, 'getLastMessageAt'>;
+	/** Returns the highest release that a proof of freshness names, 0 without any. */
+	readonly getProvenRelease?: () => number;
 	/** Returns the watcher, which may be created later. */
 	readonly getWatcher: () => Pick<ConfigurationWatcher, 'getAnswerAgeMs' | 'isFailing' | 'isWatching'>;
 };
@@ -23,13 +25,19 @@
 		this.#options = options;
 	}
 
+	/** Returns the newest release that is known to exist: named by another node's record, or by a proof of freshness. */
+	getHeardRelease(): number {
+		const {table, getProvenRelease = () => 0} = this.#options;
+		return Math.max(table.getHeardRelease(), getProvenRelease());
+	}
+
 	/**
 	 * True while a newer configuration may exist: another node names one, or neither the platform nor any other node has said
 	 * anything lately.
 	 */
 	isOutdated(): boolean {
-		const {table, state, getWatcher} = this.#options;
-		return table.getHeardRelease() > state.getNumber() || (this.#getGossipAgeMs() > maxGossipSilenceMs && getWatcher().isFailing());
+		const {state, getWatcher} = this.#options;
+		return this.getHeardRelease() > state.getNumber() || (this.#getGossipAgeMs() > maxGossipSilenceMs && getWatcher().isFailing());
 	}
 
 	/** Returns the fields that explain which configuration this node has, and what it knows of others. Ages are in milliseconds. */
@@ -39,7 +47,7 @@
 		const others = [...members.values()].filter(({record}) => record.id !== table.self.id);
 		return {
 			release: state.getNumber(),
-			heard: table.getHeardRelease(),
+			heard: this.getHeardRelease(),
 			answerAgeMs: Math.round(getWatcher().getAnswerAgeMs()),
 			gossipAgeMs: Math.round(this.#getGossipAgeMs()),
 			isWatching: getWatcher().isWatching(),
--- a/packages/node/src/fleet/peer-configurations.ts
+++ b/packages/node/src/fleet/peer-configurations.ts
@@ -18,6 +18,8 @@
 	readonly table: MemberTable;
 	readonly state: ReleaseState;
 	readonly findEgress: FindEgress;
+	/** Returns the newest release that is known to exist; by default, that of the members' records. */
+	readonly getHeardRelease?: () => number;
 	/** True while this node learns of changes by its own watch on the platform. */
 	readonly isWatching: () => boolean;
 	/** Starts a read of the platform; called when no other node supplies the configuration that this one lacks. */
@@ -97,8 +99,8 @@
 	#check(now: number): void {
 		this.#logHeardRelease();
 		const newestMembers = this.#listNewestMembers();
-		const {table, state, isWatching, readPlatform} = this.#options;
-		this.#laggingSince = table.getHeardRelease() > state.getNumber() ? this.#laggingSince ?? now : undefined;
+		const {table, state, isWatching, readPlatform, getHeardRelease = () => table.getHeardRelease()} = this.#options;
+		this.#laggingSince = getHeardRelease() > state.getNumber() ? this.#laggingSince ?? now : undefined;
 		if (this.#laggingSince !== undefined && now - this.#laggingSince >= maxLagMs) {
 			readPlatform();
 		}
@@ -130,8 +132,8 @@
 
 	/** Logs once for each release that others name before it is in force here. */
 	#logHeardRelease(): void {
-		const {table, state, logger, getKnowledge = () => ({})} = this.#options;
-		const heard = table.getHeardRelease();
+		const {table, state, logger, getKnowledge = () => ({}), getHeardRelease = () => table.getHeardRelease()} = this.#options;
+		const heard = getHeardRelease();
 		if (heard > Math.max(state.getNumber(), this.#loggedRelease)) {
 			this.#loggedRelease = heard;
 			logger.log('releaseHeard', {...getKnowledge(), heard, from: this.#listNewestMembers().length});
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -143,6 +143,7 @@
 		});
 		this.#knowledge = new ConfigurationKnowledge({
 			table: this.#table, state: this.#releases, gossip: this.#gossip, getWatcher: () => this.#configurationWatcher,
+			getProvenRelease: () => this.#configurationProof.freshness.getHighestVersion(),
 		});
 		this.#router = this.#createRouter();
 		this.#ingress = this.#createIngress(this.#router);
@@ -175,7 +176,7 @@
 		this.#peerConfigurationFetcher = new PeerConfigurationFetcher({
 			table: this.#table, state: this.#releases, findEgress: nodeId => this.#findLink(nodeId), isWatching: () => this.#configurationWatcher.isWatching(), readPlatform: () => {
 				this.#configurationWatcher.readNow();
-			}, getKnowledge: () => this.#knowledge.toLogFields(), logger,
+			}, getHeardRelease: () => this.#knowledge.getHeardRelease(), getKnowledge: () => this.#knowledge.toLogFields(), logger,
 		});
 	}
 
--- a/packages/releases/src/configuration-freshness.ts
+++ b/packages/releases/src/configuration-freshness.ts
@@ -100,6 +100,11 @@
 		return this.getAgeMs(now, wallNow) <= maxAgeMs;
 	}
 
+	/** Returns the highest version that a proof names, 0 without proofs: that version exists, whether this node has it or not. */
+	getHighestVersion(): number {
+		return Math.max(0, ...this.#proofs.map(({version}) => version));
+	}
+
 	/** Drops all proofs. */
 	clear(): void {
 		this.#proofs = [];
