Count the bytes that arrive on a connection by its socket

Cause: after a pause the HTTP client puts back what it has not parsed and reads it again, so that the parts that are seen add up to far more than what has arrived. Evidence: the new case of broken-answers.test.ts failed before: 71,424 of 131,072 bytes, then closed.

--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -172,6 +172,47 @@
 		expect(Math.max(...parts.map(({buffer}) => buffer.byteLength))).to.be.at.most(exchangeWindowBytes);
 	});
 
+	// Guards against a sound response that is taken for one without end, as parts of it are read again after each pause.
+	it('is not taken for one without end: a response in small chunks that its caller reads slowly', async () => {
+		const bodyBytes = 2 * exchangeWindowBytes;
+		const stepBytes = 256;
+		let received = 0;
+		let outcome = '';
+		const {egress} = await startFixture(socket => {
+			socket.write('HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n');
+			socket.write(`100\r\n${'a'.repeat(stepBytes)}\r\n`.repeat(bodyBytes / stepBytes));
+			socket.write('0\r\n\r\n');
+		});
+		const exchange = egress.openExchange(createTestHead({remainingMs: 10_000}), {
+			handleHead() {
+				// Only the body is looked at.
+			},
+			handleData(part) {
+				received += part.length;
+			},
+			handleEnd() {
+				outcome = 'whole';
+			},
+			handleFailure({detail}) {
+				outcome = detail;
+			},
+			handleCredit() {
+				// The request has no body.
+			},
+		});
+		exchange.endBody();
+		const grantCredit = async (): Promise<void> => {
+			if (outcome === '') {
+				await wait(1);
+				exchange.grantCredit(stepBytes);
+				await grantCredit();
+			}
+		};
+
+		await grantCredit();
+		expect({outcome, received}).to.deep.equal({outcome: 'whole', received: bodyBytes});
+	});
+
 	describe('responses that never end', () => {
 		const remainingMs = 700;
 		const toleranceMs = 150;
--- a/packages/node/src/backend/connection-requests.ts
+++ b/packages/node/src/backend/connection-requests.ts
@@ -47,6 +47,9 @@
 	#lastPart: Uint8Array = new Uint8Array();
 	/** Bytes of the body that the HTTP client has found in what arrived. */
 	#bodyBytes = 0;
+	/** The connection, and the bytes that had arrived on it before the last request. */
+	#socket: Socket | undefined;
+	#bytesBefore = 0;
 
 	/** Records a request. Returns the ids of the earlier ones. */
 	recordRequest(requestId: string): ReadonlySet<string> {
@@ -57,6 +60,7 @@
 		this.#headBytes = 0;
 		this.#lastPart = new Uint8Array();
 		this.#bodyBytes = 0;
+		this.#bytesBefore = this.#socket?.bytesRead ?? 0;
 		return new Set(earlier);
 	}
 
@@ -90,12 +94,14 @@
 		this.#requestIds = this.#requestIds.slice(-1);
 		this.#excessBytes = 0;
 		this.#isReset = false;
+		this.#socket = socket;
+		this.#bytesBefore = 0;
 		socket.once('end', () => {
 			this.#isReset = hasBeenReset(socket);
 		});
 		socket.on('data', (part: Uint8Array) => {
 			this.#recordPart(part);
-			if (this.#isMostlyFraming()) {
+			if (this.#isMostlyFraming(socket)) {
 				socket.destroy(new Error(`more than ${maxFramingBytes} bytes that belong to no response body`));
 			}
 		});
@@ -106,9 +112,13 @@
 		});
 	}
 
-	/** True when far more has arrived than a head and a body, however small its chunks: such bytes may come without end. */
-	#isMostlyFraming(): boolean {
-		return !this.#isResponseEnded && this.#receivedBytes - this.#bodyBytes > maxFramingBytes + (maxFramingPerBodyByte * this.#bodyBytes);
+	/**
+	 * True when far more has arrived than a head and a body, however small its chunks: such bytes may come without end. The
+	 * socket counts them, as after a pause the HTTP client reads a part of them again.
+	 */
+	#isMostlyFraming(socket: Socket): boolean {
+		const framingBytes = socket.bytesRead - this.#bytesBefore - this.#bodyBytes;
+		return !this.#isResponseEnded && framingBytes > maxFramingBytes + (maxFramingPerBodyByte * this.#bodyBytes);
 	}
 
 	#recordPart(part: Uint8Array): void {
