End an exchange once when its handler cancels it at the last small part

Callers would have seen nothing; the egress would have counted one run twice and freed its slot twice, and a handler that had cancelled would have been told of an end. Cause: the parts that are held are passed on at the end of a response, and the state was read before that only. Evidence: two new cases of broken-answers.test.ts failed before ('end' and serverBroke after the cancellation). Why it works: the state is read again after the parts have been passed on.

--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -5,7 +5,7 @@
 import {
 	createTestHead, startHostEgressFixture, waitFor, type HostEgressFixture,
 } from '../host-egress-fixture.js';
-import {formatRawResponse, type RawResponder} from '../raw-backend.js';
+import {findRawHeader, formatRawResponse, type RawResponder} from '../raw-backend.js';
 
 let fixture: HostEgressFixture;
 
@@ -172,6 +172,40 @@
 		expect(Math.max(...parts.map(({buffer}) => buffer.byteLength))).to.be.at.most(exchangeWindowBytes);
 	});
 
+	// Guards against an exchange that is ended twice, as its handler cancels it when it gets the last small parts.
+	[{how: 'ends', end: '0\r\n\r\n'}, {how: 'breaks', end: 'spoilt\r\n'}].forEach(({how, end}) => {
+		it(`is not told of the end of a response that it cancels at its last part, when that response ${how}`, async () => {
+			const calls: string[] = [];
+			const {egress} = await startFixture((socket, text) => {
+				socket.write(`HTTP/1.1 200 OK\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n`);
+				socket.write(`1\r\na\r\n1\r\nb\r\n${end}`);
+			});
+			const exchange = egress.openExchange(createTestHead(), {
+				handleHead() {
+					// Only the body is looked at.
+				},
+				handleData(part) {
+					calls.push(new TextDecoder().decode(part));
+					if (calls.length === 2) {
+						exchange.cancel();
+					}
+				},
+				handleEnd() {
+					calls.push('end');
+				},
+				handleFailure({name}) {
+					calls.push(name);
+				},
+				handleCredit() {
+					// The request has no body.
+				},
+			});
+			exchange.endBody();
+			await waitFor(() => calls.length > 2, 300);
+			expect(calls).to.deep.equal(['a', 'b']);
+		});
+	});
+
 	// Guards against a sound response that is taken for one without end, as parts of it are read again after each pause.
 	it('is not taken for one without end: a response in small chunks that its caller reads slowly', async () => {
 		const bodyBytes = 2 * exchangeWindowBytes;
--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -339,13 +339,21 @@
 	}
 
 	#finishResponse(): void {
-		if (this.#state === 'running') {
-			this.#parts.forward();
+		if (this.#isRunningAfterParts()) {
 			this.#finish(this.#createOutcome(this.#responseStatus >= minServerErrorStatus ? 'failed' : 'answered'), undefined);
 			this.#handler.handleEnd();
 		}
 	}
 
+	/** Passes on what is held of the body. Returns false if the exchange was over, or its handler has cancelled it now. */
+	#isRunningAfterParts(): boolean {
+		if (this.#state === 'running') {
+			this.#parts.forward();
+		}
+
+		return this.#state === 'running';
+	}
+
 	#handleDeadline(): void {
 		this.#fail(this.#createTimeoutFailure(), 'timedOut');
 	}
@@ -360,11 +368,10 @@
 	}
 
 	#fail(failure: Failure, kind: OutcomeKind): void {
-		if (this.#state !== 'running') {
+		if (!this.#isRunningAfterParts()) {
 			return;
 		}
 
-		this.#parts.forward();
 		this.#finish(this.#createOutcome(kind), failure);
 		this.#dispatchController?.abort(new Error(failure.detail));
 		this.#handler.handleFailure(failure);
