Bound what strangers' unknown requests cost, and take what the project had

Each 404 or 401 collected what the node knows of all members for a log line that was mostly dropped, and the line repeated what the sender had written, up to a whole head. Now it is ten lines a second at most, without the sender's bytes, and the newest release of the records is worked out once for each state of them. One constant for the silence of gossip, and one generator of random numbers for both models of a fleet, in place of two each.

--- a/packages/members/src/member-table.ts
+++ b/packages/members/src/member-table.ts
@@ -37,6 +37,8 @@
 export class MemberTable {
 	readonly store: Store<MemberSnapshot>;
 	readonly self: NodeIdentity;
+	/** The highest release of the entries, as long as they stay the same. */
+	#heard: {readonly entries: MemberSnapshot['entries']; readonly release: number} | undefined;
 
 	/** `known` gives the initial members besides the node itself. */
 	constructor(self: NodeRecord, known?: Pick<MemberSnapshot, 'members' | 'entries'>) {
@@ -68,7 +70,12 @@
 	 * a node that is gone: either shows that the release exists.
 	 */
 	getHeardRelease(): number {
-		return Math.max(...[...this.store.getState().entries.values()].map(({parts}) => findRelease(parts)));
+		const {entries} = this.store.getState();
+		if (this.#heard?.entries !== entries) {
+			this.#heard = {entries, release: Math.max(...[...entries.values()].map(({parts}) => findRelease(parts)))};
+		}
+
+		return this.#heard.release;
 	}
 
 	findMember(id: string): Member | undefined {
--- a/packages/node/src/__tests__/configuration-fleet.ts
+++ b/packages/node/src/__tests__/configuration-fleet.ts
@@ -12,6 +12,7 @@
 import {ConfigurationCarrier, PeerConfigurationFetcher} from '../fleet/peer-configurations.js';
 import {WatcherRole} from '../fleet/watcher-role.js';
 import {createClosedExchange} from '../routing/closed-exchange.js';
+import {createRandom, wait} from './freshness-model.js';
 
 /** Size and ways of a fleet. */
 export type ConfigurationFleetPlan = {
@@ -44,21 +45,6 @@
 const callTimeoutMs = 1500;
 const contactsPerKind = 3;
 
-/** Creates numbers from 0 to below 1 that repeat with the seed (Park and Miller). */
-export function createRandom(seed: number): () => number {
-	let state = seed;
-	return () => {
-		state = (state * 48_271) % 2_147_483_647;
-		return state / 2_147_483_647;
-	};
-}
-
-async function wait(ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
-
 /** The store as one node reaches it. Watches that wait when an outage begins never get an answer. */
 class ModelSource extends ConfigurationSource {
 	readonly #fleet: ConfigurationFleet;
@@ -91,7 +77,6 @@
 
 	#answer(fromVersion: number): EitherAsync<Failure, SourceReadResult> {
 		return EitherAsync.fromPromise(async () => {
-			this.#fleet.storeCalls++;
 			await wait(storeLatencyMs);
 			const {release, isStoreAway} = this.#fleet;
 			return isStoreAway
@@ -140,7 +125,6 @@
 	/** Number of outages of the store so far. */
 	outages = 0;
 	release = 1;
-	storeCalls = 0;
 	/** Ids of the nodes whose links to others are silent. */
 	readonly #silentIds = new Set<string>();
 	readonly #plan: ConfigurationFleetPlan;
--- a/packages/node/src/__tests__/freshness-model.ts
+++ b/packages/node/src/__tests__/freshness-model.ts
@@ -49,7 +49,7 @@
 const sampleMs = 100;
 
 /** Creates numbers from 0 to below 1 that repeat with the seed (Park and Miller). */
-function createRandom(seed: number): () => number {
+export function createRandom(seed: number): () => number {
 	let state = seed;
 	return () => {
 		state = (state * 48_271) % 2_147_483_647;
@@ -57,7 +57,8 @@
 	};
 }
 
-async function wait(ms: number): Promise<void> {
+/** Lets the fake time pass. */
+export async function wait(ms: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		setTimeout(resolve, ms);
 	});
--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -108,7 +108,7 @@
 		this.#startedAt = performance.now();
 		const remainingMs = Math.max(1, Math.floor(this.getRemainingMs()));
 		this.#deadlineTimer = setTimeout(() => {
-			this.#handleDeadline();
+			this.#fail(this.#createTimeoutFailure(), 'timedOut');
 		}, remainingMs);
 		const options: ConnectionDispatchOptions = {
 			method: this.#head.method,
@@ -354,10 +354,6 @@
 		return this.#state === 'running';
 	}
 
-	#handleDeadline(): void {
-		this.#fail(this.#createTimeoutFailure(), 'timedOut');
-	}
-
 	#createTimeoutFailure(): Failure {
 		return createFailure(this.#dispatchController ? 'serverTimeout' : 'serverRefused', `no complete response within ${Math.round(this.#head.remainingMs)} ms`);
 	}
--- a/packages/node/src/callers/ingress.ts
+++ b/packages/node/src/callers/ingress.ts
@@ -73,6 +73,8 @@
 
 /** Failures of requests that a newer configuration may allow. */
 const unknownRequestNames: ReadonlySet<ResultName> = new Set(['unknownRoute', 'keyInvalid']);
+/** Least time between two log lines about such requests, in milliseconds. */
+const unknownLogPeriodMs = 100;
 /** Time after which a request may come again that a newer configuration may allow, in milliseconds: most changes are in force everywhere by then. */
 const outdatedRetryMs = 1000;
 
@@ -90,6 +92,7 @@
 	readonly #heldBytes: HeldBytes;
 	readonly #connections: CallerConnections;
 	#requestsInProgress = 0;
+	#unknownLoggedAt = Number.NEGATIVE_INFINITY;
 	#isStopping = false;
 
 	constructor(options: IngressOptions) {
@@ -322,7 +325,15 @@
 		this.#options.metrics.addCount('ingress_failures_total', 1, {code: String(failure.code)});
 		this.#options.logger.log('requestFailed', {code: failure.code, detail: failure.detail});
 		if (unknownRequestNames.has(failure.name) || failure.name === 'releaseBehind') {
-			this.#options.logger.log('requestUnknown', {code: failure.code, detail: failure.detail, ...this.#options.getKnowledge?.()});
+			this.#logUnknownRequest(failure, performance.now());
+		}
+	}
+
+	/** Logs an unknown request without what its sender wrote, and not each one of many: anyone can send them. */
+	#logUnknownRequest({code}: Failure, now: number): void {
+		if (now - this.#unknownLoggedAt >= unknownLogPeriodMs) {
+			this.#unknownLoggedAt = now;
+			this.#options.logger.log('requestUnknown', {code, ...this.#options.getKnowledge?.()});
 		}
 	}
 
--- a/packages/node/src/fleet/configuration-knowledge.ts
+++ b/packages/node/src/fleet/configuration-knowledge.ts
@@ -2,6 +2,7 @@
 import {type LogFields} from '@limpetbarrow/core';
 import {type Gossip, type MemberTable} from '@limpetbarrow/members';
 import {type ConfigurationWatcher, type ReleaseState} from '@limpetbarrow/releases';
+import {maxGossipSilenceMs} from './watcher-role.js';
 
 /** Sources of the knowledge. */
 export type ConfigurationKnowledgeOptions = {
@@ -14,9 +15,6 @@
 	readonly getWatcher: () => Pick<ConfigurationWatcher, 'getAnswerAgeMs' | 'isFailing' | 'isWatching'>;
 };
 
-/** Time without a message from any other node after which this node may not hear of changes, in milliseconds. */
-const maxGossipSilenceMs = 1500;
-
 /** Collects the knowledge for log lines and decisions. */
 export class ConfigurationKnowledge {
 	readonly #options: ConfigurationKnowledgeOptions;
--- a/packages/node/src/fleet/watcher-role.ts
+++ b/packages/node/src/fleet/watcher-role.ts
@@ -5,7 +5,7 @@
 } from '@limpetbarrow/releases';
 
 /** Time without a gossip message from any other node after which a node watches the configuration itself, in milliseconds. */
-const maxGossipSilenceMs = 1500;
+export const maxGossipSilenceMs = 1500;
 /** Nodes of each failure domain that watch the configuration; the fleet learns of a change while any of its watches works. */
 const watchersPerDomain = 4;
 
