--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
+[ -f ../../target/limpetbarrow.cjs ] || { echo 'the program is not built' >&2; exit 2; }
 exec node case.mjs
--- a/review/lib-2/run-case.mjs
+++ b/review/lib-2/run-case.mjs
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /** Runs one case: starts a deployment, plays the case, and turns its verdict into an exit code. */
 import path from 'node:path';
 import process from 'node:process';
@@ -5,6 +6,14 @@
 
 const timeLimitMs = 112_000;
 
+// An error of the script itself must not look like a broken rule.
+['uncaughtException', 'unhandledRejection'].forEach(event => {
+	process.once(event, error => {
+		process.stderr.write(`${String(error?.stack ?? error)}\n`);
+		process.exit(2);
+	});
+});
+
 /** True unless the case is to run without its disruption. */
 export const isDisrupted = process.env.TROUBLE !== '0';
 
