Marks of requests that crash backends outlive the node's process

Cause: the marks were in the memory of the process beside the crashed server and in its gossip record, and other nodes merged the records of live members only. Any end of that process, and any absence of its node, ended the mark.

Fix: each node keeps the marks of all others until they expire (FleetMarks); only the process that published a mark, or its successor that restored it, clears it. The write of the entry at the start reads them back, and the list of entries, which a starting node reads anyway, gives those of all other nodes. Entries of removed nodes stay until their marks expire. 32 marks a node, 8 servers a mark.

--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -52,6 +52,9 @@
 	serverLimitChanged: {number: 310, level: 'info', meaning: 'A backend server names the rate of requests that it takes, in requests a second; none is named any more where `limit` is missing.'},
 	unframedResponseJudged: {number: 312, level: 'info', meaning: 'A response without a length ended; `reason` says what showed that its backend server\'s process outlived the end (`isProven`), or what spoke against it.'},
 	departureHeard: {number: 311, level: 'info', meaning: 'A response said that its backend server leaves; this node sends that run of it nothing more.'},
+	poisonCleared: {number: 313, level: 'info', meaning: 'A request that was marked as poison was answered, so its mark ended.'},
+	poisonRestored: {number: 314, level: 'info', meaning: 'This node has the marks of poison requests again that its earlier process stored.'},
+	poisonNotStored: {number: 315, level: 'warn', meaning: 'A change of this node\'s marks of poison requests is in force, but could not be stored; the node will retry.'},
 	serverReplaced: {number: 305, level: 'warn', meaning: 'Another backend server was found at the address; the announced one is no longer used.'},
 
 	// Sequencer
--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -14,4 +14,5 @@
 export * from './peer-summary-source.js';
 export * from './health-monitor.js';
 export * from './poison.js';
+export * from './fleet-marks.js';
 export * from './sickness-filter.js';
--- a/packages/detect/src/poison.ts
+++ b/packages/detect/src/poison.ts
@@ -10,6 +10,9 @@
 /** Most marks that one node publishes. */
 export const maxMarks = 32;
 
+/** Most crashed servers that one node names in a mark; a host has one process of its backend server at a time. */
+const maxServersPerMark = 8;
+
 /** Most marks of the whole fleet that a node keeps. */
 export const maxMergedMarks = 1024;
 
@@ -60,10 +63,13 @@
 	readonly #answered = new Map<string, true>();
 	readonly #marks = new Map<string, PoisonMark>();
 
-	/** Records a request that was answered completely. It is no poison request, even if it runs at the same time as one. */
-	recordAnswer(fingerprint: string): void {
+	/**
+	 * Records a request that was answered completely. It is no poison request, even if it runs at the same time as one. Returns
+	 * true if that clears a mark.
+	 */
+	recordAnswer(fingerprint: string): boolean {
 		setBounded(this.#answered, fingerprint, true, maxAnswered);
-		this.#marks.delete(fingerprint);
+		return this.#marks.delete(fingerprint);
 	}
 
 	/** Records a request whose connection broke while a backend server ran it. */
@@ -77,12 +83,20 @@
 		const suspects = this.#listSuspects(serverId, now).filter(({fingerprint}) => !this.#answered.has(fingerprint));
 		this.#suspects.delete(serverId);
 		suspects.forEach(({fingerprint}) => {
-			const serverIds = [...new Set([...this.#marks.get(fingerprint)?.serverIds ?? [], serverId])];
+			const serverIds = [...new Set([...this.#marks.get(fingerprint)?.serverIds ?? [], serverId])].slice(-maxServersPerMark);
 			setBounded(this.#marks, fingerprint, {fingerprint, serverIds, expiresAt: now + quarantineMs}, maxMarks);
 		});
 		return suspects.length > 0;
 	}
 
+	/** Restores marks that an earlier process of this node has made. */
+	restoreMarks(marks: readonly PoisonMark[], now: number): void {
+		const restored = mergePoisonMarks([...this.#marks.values(), ...marks.filter(({fingerprint}) => !this.#answered.has(fingerprint))], now);
+		[...restored.values()].toSorted((a, b) => a.expiresAt - b.expiresAt).forEach(mark => {
+			setBounded(this.#marks, mark.fingerprint, {...mark, serverIds: mark.serverIds.slice(-maxServersPerMark)}, maxMarks);
+		});
+	}
+
 	/** Lists the unexpired marks, which this node publishes. */
 	listMarks(now: number): readonly PoisonMark[] {
 		return [...this.#marks.values()].filter(({expiresAt}) => expiresAt > now);
--- a/packages/node/src/backend/egress.ts
+++ b/packages/node/src/backend/egress.ts
@@ -11,6 +11,7 @@
 import {Quarantine} from './quarantine.js';
 import {reportEndEvidence} from './end-evidence.js';
 import {reportExcess} from './report-excess.js';
+import {reportMarks} from './report-marks.js';
 
 /** Dependencies of an egress. */
 export type EgressOptions = {
@@ -52,8 +53,8 @@
 			this.#handleHealthChange(change);
 		});
 		this.#quarantine = new Quarantine(options.listFleetMarks);
-		this.#quarantine.changes.registerListener(marks => {
-			options.logger.log('poisonMarked', {fingerprint: marks.at(-1)?.fingerprint, servers: marks.at(-1)?.serverIds.join(',')});
+		this.#quarantine.changes.registerListener(change => {
+			reportMarks(options.logger, change);
 			this.#publishRecord();
 		});
 		options.announcements.store.registerListener(({after}) => {
--- a/packages/node/src/backend/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -7,6 +7,7 @@
 import {refuseExchange} from '../routing/closed-exchange.js';
 import {reportEndEvidence} from './end-evidence.js';
 import {reportExcess} from './report-excess.js';
+import {reportMarks} from './report-marks.js';
 import {type LoadedHead} from './gated-requests.js';
 import {GatedServer} from './gated-server.js';
 import {Quarantine} from './quarantine.js';
@@ -18,8 +19,10 @@
 	readonly protocol: ServerProtocol;
 	/** Creates the budget for retries to one backend server of a service. */
 	readonly createRetries: (service: string) => RetryPolicy;
-	/** Lists the poison marks that all nodes publish. */
+	/** Lists the poison marks of all nodes. */
 	readonly listFleetMarks: () => readonly PoisonMark[];
+	/** Called with the node's own poison marks when they have changed, to keep them for its later processes. */
+	readonly storeMarks?: (marks: readonly PoisonMark[]) => void;
 	/** False once the node takes no more work for its backend server, because it stops. */
 	readonly isTakingWork: () => boolean;
 	readonly metrics: MetricRegistry;
@@ -43,9 +46,10 @@
 		super();
 		this.#options = options;
 		this.#quarantine = new Quarantine(options.listFleetMarks);
-		this.#quarantine.changes.registerListener(marks => {
-			options.logger.log('poisonMarked', {fingerprint: marks.at(-1)?.fingerprint, servers: marks.at(-1)?.serverIds.join(',')});
+		this.#quarantine.changes.registerListener(change => {
+			reportMarks(options.logger, change);
 			this.#publishRecord();
+			options.storeMarks?.(change.marks);
 		});
 		options.announcements.store.registerListener(({after}) => {
 			this.#updateServers(after.servers);
@@ -116,6 +120,11 @@
 		return this.#quarantine.listMarks();
 	}
 
+	/** Restores poison marks that an earlier process of this node has stored. */
+	restorePoison(marks: readonly PoisonMark[]): void {
+		this.#quarantine.restoreMarks(marks);
+	}
+
 	/** Number of requests running or waiting at all backend servers, including those that are draining. */
 	countRequests(): number {
 		return this.#listAllServers().reduce((sum, server) => sum + server.countRequests(), 0);
--- a/packages/node/src/backend/quarantine.ts
+++ b/packages/node/src/backend/quarantine.ts
@@ -13,12 +13,18 @@
 /** Tests whether nothing listens at an address any more. */
 export type ProbeAddress = (address: Address) => Promise<boolean>;
 
+/** A change of a node's own marks, and what it came from: a crash, an answer that clears a mark, or the node's earlier process. */
+export type MarkChange = {
+	readonly cause: 'crash' | 'answer' | 'restart';
+	readonly marks: readonly PoisonMark[];
+};
+
 const minServerErrorStatus = 500;
 
 /** Tracks the requests to one node's backend servers by fingerprint. */
 export class Quarantine {
-	/** Publishes the node's own marks when they have changed. */
-	readonly changes = new Subject<readonly PoisonMark[]>();
+	/** Publishes each change of the node's own marks. */
+	readonly changes = new Subject<MarkChange>();
 	readonly #poisonRegister = new PoisonRegister();
 	readonly #listFleetMarks: () => readonly PoisonMark[];
 	readonly #probe: ProbeAddress;
@@ -44,7 +50,9 @@
 			openBackendExchange,
 			isFingerprintQuarantined: fingerprint => this.isQuarantined(fingerprint),
 			recordAnswer: fingerprint => {
-				this.#poisonRegister.recordAnswer(fingerprint);
+				if (this.#poisonRegister.recordAnswer(fingerprint)) {
+					this.#publishMarks('answer');
+				}
 			},
 			recordBreak: fingerprint => {
 				void this.#handleConnectionBreak(server.id, server.address, fingerprint);
@@ -68,6 +76,14 @@
 		return this.#poisonRegister.listMarks(Date.now());
 	}
 
+	/** Restores marks that an earlier process of this node has made. */
+	restoreMarks(marks: readonly PoisonMark[]): void {
+		if (marks.length > 0) {
+			this.#poisonRegister.restoreMarks(marks, Date.now());
+			this.#publishMarks('restart');
+		}
+	}
+
 	/** Merges the marks that other nodes publish with this node's own; called periodically. */
 	mergeFleetMarks(): void {
 		this.#mergedMarks = mergePoisonMarks([...this.#listFleetMarks(), ...this.listMarks()], Date.now());
@@ -85,10 +101,14 @@
 		const isCrashed = await this.#probe(address);
 		this.#probedServerIds.delete(serverId);
 		if (isCrashed && this.#poisonRegister.recordCrash(serverId, Date.now())) {
-			this.mergeFleetMarks();
-			this.changes.publish(this.listMarks());
+			this.#publishMarks('crash');
 		}
 	}
+
+	#publishMarks(cause: MarkChange['cause']): void {
+		this.mergeFleetMarks();
+		this.changes.publish({cause, marks: this.listMarks()});
+	}
 }
 
 type FingerprintedExchangeOptions = {
--- a/packages/node/src/fleet/store-discovery.ts
+++ b/packages/node/src/fleet/store-discovery.ts
@@ -2,11 +2,15 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {EitherAsync, Left} from 'purify-ts';
 import {
-	createFailure, parseAddress, pickRandom, type Address, type Failure, type Logger, type Unregister,
+	createFailure, parseAddress, pickRandom, type Address, type Failure, type Logger, type PoisonMark, type Unregister,
 } from '@limpetbarrow/core';
+import {type NodeMarks} from '@limpetbarrow/detect';
 import {type LeftServers} from '@limpetbarrow/members';
 import {type EraChange, type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
-import {NodeEntry, nodeKeyPrefix, parseNodeEntry} from '../node-entry.js';
+import {
+	NodeEntry, nodeKeyPrefix, parseNodeEntry, type NodeEntryFields,
+} from '../node-entry.js';
+import {MarkStorage} from './mark-storage.js';
 
 /** Dependencies of discovery. */
 export type StoreDiscoveryOptions = {
@@ -14,6 +18,10 @@
 	readonly self: {readonly id: string; readonly failureDomain: string; readonly gossipAddress: Address};
 	/** Called with the backend servers of this host that have left, as the previous process of this node stored them. */
 	readonly handleDepartures?: (left: LeftServers) => void;
+	/** Called with the poison marks that an earlier process of this node stored. */
+	readonly handleOwnMarks?: (marks: readonly PoisonMark[]) => void;
+	/** Called with the poison marks that the other nodes have stored, whether they are live or not. */
+	readonly handleNodeMarks?: (nodes: readonly NodeMarks[]) => void;
 	readonly logger: Logger;
 	/** Called with the gossip addresses of other nodes. */
 	readonly handlePeers: (peers: readonly Address[]) => void;
@@ -50,10 +58,15 @@
 	return first;
 }
 
+function hasUnexpiredMarks(entry: NodeEntryFields | undefined): boolean {
+	return entry?.poison.some(({expiresAt}) => expiresAt > Date.now()) === true;
+}
+
 /** Keeps this node's entry in the object API and finds the entries of other nodes. */
 export class StoreDiscovery {
 	readonly #options: StoreDiscoveryOptions;
 	readonly #entry: NodeEntry;
+	readonly #markStorage: MarkStorage;
 	readonly #unregisterEraListener: Unregister;
 	#timer: NodeJS.Timeout | undefined;
 	#retryMs = firstRetryMs;
@@ -68,8 +81,11 @@
 
 	constructor(options: StoreDiscoveryOptions) {
 		this.#options = options;
-		const {store, self, handleDepartures = () => undefined} = options;
-		this.#entry = new NodeEntry({store, self, handleStoredDepartures: handleDepartures});
+		const {store, self, handleDepartures = () => undefined, handleOwnMarks, logger} = options;
+		this.#entry = new NodeEntry({
+			store, self, handleStoredDepartures: handleDepartures, handleStoredMarks: handleOwnMarks,
+		});
+		this.#markStorage = new MarkStorage({writeMarks: marks => this.#entry.writeMarks(marks), logger});
 		this.#unregisterEraListener = store.eraChanges.registerListener(change => {
 			this.#handleEraChange(change);
 		});
@@ -96,6 +112,11 @@
 		});
 	}
 
+	/** Stores this node's poison marks for its later processes and for the other nodes. */
+	storeMarks(marks: readonly PoisonMark[]): void {
+		this.#markStorage.update(marks);
+	}
+
 	/** Starts to list the entries, and writes this node's entry if it has not been written yet. */
 	start(): void {
 		this.#isStarted = true;
@@ -118,6 +139,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		this.#unregisterEraListener();
+		this.#markStorage.stop();
 		clearTimeout(this.#timer);
 	}
 
@@ -174,13 +196,19 @@
 	}
 
 	#handleList(objects: readonly StoredObject[]): void {
-		const {self, logger, handlePeers} = this.#options;
-		const otherEntries = objects.filter(({key}) => key !== this.#entry.key).map(({value}) => parseNodeEntry(value)).filter(entry => entry !== undefined);
+		const {
+			self, logger, handlePeers, handleNodeMarks,
+		} = this.#options;
+		const otherEntries = objects.filter(({key}) => key !== this.#entry.key).flatMap(({key, value}) => {
+			const entry = parseNodeEntry(value);
+			return entry ? [{...entry, nodeId: key.slice(nodeKeyPrefix.length)}] : [];
+		});
 		const sameDomainEntries = otherEntries.filter(({failureDomain}) => failureDomain === self.failureDomain);
 		const otherDomainEntries = otherEntries.filter(({failureDomain}) => failureDomain !== self.failureDomain);
 		const contacts = [...pickRandom(sameDomainEntries, maxSameDomainContacts), ...pickRandom(otherDomainEntries, maxOtherDomainContacts)].flatMap(({gossip}) => parseAddress(gossip) ?? []);
 		logger.log('discoveryDone', {nodes: otherEntries.length + 1, contacts: contacts.length, incarnation: this.#entry.getIncarnation()});
 		handlePeers(contacts);
+		handleNodeMarks?.(otherEntries.filter(({poison}) => poison.length > 0).map(({nodeId, incarnation, poison}) => ({nodeId, incarnation, marks: poison})));
 		if (!objects.some(({key}) => key === this.#entry.key)) {
 			this.#entry.forgetStored();
 			this.#checkSoon();
@@ -189,7 +217,10 @@
 		void this.#sweepStaleEntries(objects);
 	}
 
-	/** Removes entries whose node was not live in two sweeps in a row. Only the live node with the lowest id sweeps. */
+	/**
+	 * Removes entries whose node was not live in two sweeps in a row and whose poison marks have expired: the marks hold for the
+	 * whole fleet. Only the live node with the lowest id sweeps.
+	 */
 	async #sweepStaleEntries(objects: readonly StoredObject[]): Promise<void> {
 		const now = performance.now();
 		const liveIds = new Set(this.#options.listLiveIds());
@@ -200,7 +231,7 @@
 
 		this.#sweptAt = now;
 		const absentEntries = objects.filter(({key}) => !liveIds.has(key.slice(nodeKeyPrefix.length)));
-		const staleEntries = absentEntries.filter(({key}) => this.#absentKeys.has(key));
+		const staleEntries = absentEntries.filter(({key, value}) => this.#absentKeys.has(key) && !hasUnexpiredMarks(parseNodeEntry(value)));
 		this.#absentKeys = new Set(absentEntries.map(({key}) => key));
 		await Promise.all(staleEntries.map(async ({key, version}) => this.#options.store.remove(key, version).run()));
 	}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
 	MetricRegistry, type Carrier, type Logger, type NodeRecord, type RequestTarget,
 } from '@limpetbarrow/core';
 import {NearestChooser} from '@limpetbarrow/choose';
+import {FleetMarks} from '@limpetbarrow/detect';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {
 	announcementSweepMs, Announcements, Gossip, MemberTable,
@@ -17,6 +18,7 @@
 import {HttpReleasePeers} from './fleet/http-release-peers.js';
 import {Ingress} from './callers/ingress.js';
 import {registerProcessGauges, registerInProgressGauges, type InProgressCount} from './operators/process-gauges.js';
+import {listFleetMarks} from './fleet/list-fleet-marks.js';
 import {PeerBaselineSource} from './backend/peer-baseline-source.js';
 import {drainNode, type StoppingNode} from './planned-stop.js';
 import {ServerDirectory} from './routing/server-directory.js';
@@ -51,6 +53,7 @@
 	readonly #objectStore: HttpObjectStore;
 	readonly #table: MemberTable;
 	readonly #announcements: Announcements;
+	readonly #fleetMarks = new FleetMarks();
 	readonly #releases = new ReleaseState();
 	readonly #releasePeers: HttpReleasePeers;
 	readonly #releaseFollower: ReleaseFollower;
@@ -159,7 +162,7 @@
 			announcements: this.#announcements,
 			releases: this.#releases,
 			baselineSource: new PeerBaselineSource(this.#settings.id, this.#directory, nodeId => this.#findLink(nodeId)),
-			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
+			listFleetMarks: () => listFleetMarks(this.#fleetMarks, this.#table),
 			metrics: this.#metrics,
 			logger: this.#logger,
 		});
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -1,8 +1,9 @@
 /** A sidecar node: serves the callers and the single backend server of its host, and links to the other nodes. */
 import {
-	MetricRegistry, type Address, type Carrier, type Logger, type NodeRecord, type RequestTarget,
+	MetricRegistry, type Address, type Carrier, type Logger, type NodeRecord, type PoisonMark, type RequestTarget,
 } from '@limpetbarrow/core';
 import {WindowedRetryBudget} from '@limpetbarrow/choose';
+import {FleetMarks} from '@limpetbarrow/detect';
 import {LinkPool, LinkServer} from '@limpetbarrow/link';
 import {
 	announcementSweepMs, Announcements, Gossip, MemberTable,
@@ -27,6 +28,7 @@
 import {ServerDirectory} from './routing/server-directory.js';
 import {type ServerProtocol} from './backend/server-protocol.js';
 import {SidecarCalls} from './operators/sidecar-calls.js';
+import {listFleetMarks} from './fleet/list-fleet-marks.js';
 import {createSidecarRecord} from './fleet/sidecar-record.js';
 import {selectResourceLimits, type SidecarSettings} from './sidecar-settings.js';
 import {StoreDiscovery} from './fleet/store-discovery.js';
@@ -56,6 +58,9 @@
 	readonly announcements: Announcements;
 	readonly discovery: StoreDiscovery;
 	readonly incarnation: number;
+	/** Poison marks of the other nodes, and those that the earlier process of this node stored. */
+	readonly fleetMarks: FleetMarks;
+	readonly ownMarks: readonly PoisonMark[];
 };
 
 /** Announcement periods for which an announcement is valid; a backend server that misses that many in a row is dropped. */
@@ -73,7 +78,8 @@
 		const {
 			id, failureDomain, gossip, advertisedGossip = gossip,
 		} = options.getSettings();
-		const started: {node?: SidecarNode} = {};
+		const started: {node?: SidecarNode; ownMarks: readonly PoisonMark[]} = {ownMarks: []};
+		const fleetMarks = new FleetMarks();
 		const announcements = new Announcements(options.logger, options.getSettings().announcementPeriodMs * announcementsPerLease);
 		const discovery = new StoreDiscovery({
 			store: options.platform.store,
@@ -81,13 +87,23 @@
 			handleDepartures(left) {
 				announcements.recordLeft(left);
 			},
+			handleOwnMarks(marks) {
+				started.ownMarks = marks;
+				started.node?.restorePoison(marks);
+			},
+			handleNodeMarks(nodes) {
+				fleetMarks.recordStored(nodes, Date.now());
+			},
 			logger: options.logger,
 			handlePeers(peers) {
 				started.node?.addPeers(peers);
 			},
 			listLiveIds: () => started.node?.listLiveIds() ?? [],
 		});
-		const node = new SidecarNode(options, {announcements, discovery, incarnation: await discovery.takeIncarnation()});
+		const incarnation = await discovery.takeIncarnation();
+		const node = new SidecarNode(options, {
+			announcements, discovery, incarnation, fleetMarks, ownMarks: started.ownMarks,
+		});
 		started.node = node;
 		try {
 			await node.#start();
@@ -103,6 +119,7 @@
 	readonly #metrics = new MetricRegistry();
 	readonly #releases = new ReleaseState();
 	readonly #announcements: Announcements;
+	readonly #fleetMarks: FleetMarks;
 	readonly #table: MemberTable;
 	readonly #directory: ServerDirectory;
 	readonly #linkPool: LinkPool;
@@ -122,7 +139,9 @@
 	#isStopping = false;
 	#isTakingWork = true;
 
-	private constructor(options: SidecarOptions, {announcements, discovery, incarnation}: StartupState) {
+	private constructor(options: SidecarOptions, {
+		announcements, discovery, incarnation, fleetMarks, ownMarks,
+	}: StartupState) {
 		const {logger, platform} = options;
 		const settings = options.getSettings();
 		const limits = selectResourceLimits(settings);
@@ -131,9 +150,11 @@
 		registerProcessGauges(this.#metrics);
 		this.#table = new MemberTable(createSidecarRecord(settings, incarnation));
 		this.#announcements = announcements;
+		this.#fleetMarks = fleetMarks;
 		this.#directory = new ServerDirectory(this.#table);
 		this.#linkPool = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
 		this.#egress = this.#createEgress();
+		this.#egress.restorePoison(ownMarks);
 		const configurations = new ConfigurationCarrier(this.#releases);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#isForEgress(target) ? this.#egress : configurations, logger, this.#metrics);
 		this.#linkServer.setMaxPendingConnections(limits.maxPendingLinks);
@@ -180,6 +201,11 @@
 		});
 	}
 
+	/** Restores poison marks that the store has told only now, after this node had started without it. */
+	restorePoison(marks: readonly PoisonMark[]): void {
+		this.#egress.restorePoison(marks);
+	}
+
 	/** Adds gossip addresses of other nodes as seeds. */
 	addPeers(addresses: readonly Address[]): void {
 		this.#gossip.addSeeds(addresses);
@@ -282,7 +308,10 @@
 		return new HostEgress({
 			announcements: this.#announcements,
 			protocol: this.#options.platform.servers,
-			listFleetMarks: () => this.#table.listLive().flatMap(({record}) => record.poison),
+			listFleetMarks: () => listFleetMarks(this.#fleetMarks, this.#table),
+			storeMarks: marks => {
+				this.#discovery.storeMarks(marks);
+			},
 			createRetries: service => this.#createRetries(service),
 			isTakingWork: () => this.#isTakingWork,
 			metrics: this.#metrics,
