End a caller's connection before it is closed, and read on meanwhile

A refusal was lost while a large upload went on arriving.

Cause: the node closed the socket when the kernel had taken the last byte. A socket that is closed with unread bytes, or on which more arrive, is reset, and what the kernel has not delivered is dropped. The process also ended while it held responses.

Fix: PacedConnection.destroySoon, through which all orderly closes go, ends this side, discards what arrives within 16 MiB, and closes when the caller has closed or after 30 s. Nothing is parsed after it or after a parse error. The idle timeout uses it. A planned stop waits within its time limit for connections that were written to in the last 5 s.

--- a/packages/node/src/__tests__/pipeline-fixture.ts
+++ b/packages/node/src/__tests__/pipeline-fixture.ts
@@ -140,6 +140,8 @@
 	});
 
 	readonly socket = new Socket();
+	/** Port of the ingress. */
+	port = 0;
 	/** Bytes that the caller has received, as Latin-1 text. */
 	received = '';
 	isClosed = false;
@@ -148,6 +150,7 @@
 
 	async start(): Promise<void> {
 		const {port} = await this.ingress.listen({host, port: 0});
+		this.port = port;
 		this.socket.on('data', (chunk: Uint8Array) => {
 			this.received += Buffer.from(chunk).toString('latin1');
 		});
--- a/packages/node/src/__tests__/unit/paced-connection.test.ts
+++ b/packages/node/src/__tests__/unit/paced-connection.test.ts
@@ -8,7 +8,9 @@
 import fc from 'fast-check';
 import {MetricRegistry, SilentLogger} from '@limpetbarrow/core';
 import {ConnectionLimit, type LimitedConnection} from '../../callers/connection-limit.js';
-import {computePieceLength, PacedConnection, stalledMs} from '../../callers/paced-connection.js';
+import {
+	computePieceLength, lingerMs, maxDiscardedBytes, PacedConnection, stalledMs,
+} from '../../callers/paced-connection.js';
 import {PartCollector} from '../../callers/part-collector.js';
 import {waitUntil} from '../pipeline-fixture.js';
 
@@ -134,6 +136,32 @@
 			expect(backlog).to.equal(0);
 		});
 
+		// Guards against callers that never close a connection, or that send without end on one that is being closed.
+		describe('that is being closed', () => {
+			it('closes after some time although the caller doesn\'t', async () => {
+				await waitUntil(() => connections === 1);
+				const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+				accepted.destroySoon();
+				await new Promise<void>(resolve => {
+					setImmediate(resolve);
+				});
+				clock.tick(lingerMs - 1);
+				expect(accepted.destroyed).to.equal(false);
+				clock.tick(1);
+				clock.uninstall();
+				expect(accepted.destroyed).to.equal(true);
+			});
+
+			it('discards what arrives, hands on nothing and reads only so much', async () => {
+				await waitUntil(() => connections === 1);
+				accepted.destroySoon();
+				caller.write(Buffer.alloc(3 * maxDiscardedBytes));
+				await waitUntil(() => false, 500);
+				expect([received, backlog, accepted.destroyed]).to.deep.equal(['', 0, false]);
+				expect(caller.writableLength).to.be.above(0);
+			});
+		});
+
 		it('hands on the end after the last byte', async () => {
 			caller.end(head);
 			await waitUntil(() => isEnded);
--- a/packages/node/src/__tests__/unit/planned-stop.test.ts
+++ b/packages/node/src/__tests__/unit/planned-stop.test.ts
@@ -10,6 +10,7 @@
 	servers = 1;
 	connections = 1;
 	inProgress = 1;
+	delivering = 0;
 	/** Requests whose failure can't be written, as their callers don't read. */
 	unfinished = 0;
 	readonly steps: string[] = [];
@@ -38,6 +39,10 @@
 		return this.inProgress;
 	}
 
+	override countDelivering(): number {
+		return this.delivering;
+	}
+
 	override failRequests(): void {
 		this.steps.push('failRequests');
 		this.inProgress = this.unfinished;
@@ -134,6 +139,19 @@
 		expect(result).to.equal(false);
 	});
 
+	// Guards against a process that ends while its kernel still holds responses, which it drops if their callers send more.
+	it('waits for callers that may still be reading the last responses', async () => {
+		node.servers = 0;
+		node.connections = 0;
+		node.inProgress = 0;
+		node.delivering = 1;
+		await clock.tickAsync(times.stopTimeoutMs - 100);
+		expect(result).to.equal(undefined);
+		node.delivering = 0;
+		await clock.tickAsync(40);
+		expect(result).to.equal(true);
+	});
+
 	it('ends at its time limit and reports that requests were in progress', async () => {
 		await clock.tickAsync(times.stopTimeoutMs + 200);
 		expect(result).to.equal(false);
--- a/packages/node/src/callers/caller-connection.ts
+++ b/packages/node/src/callers/caller-connection.ts
@@ -110,9 +110,10 @@
 		this.#forwardRequests();
 	}
 
-	/** Records that nothing more can be read, so that the body of the last request can't be completed. */
+	/** Records that nothing more can be parsed, so that the body of the last request can't be completed. */
 	recordReadFailure(failure: Failure): void {
 		this.#readFailure = failure;
+		this.#socket.discardInput();
 	}
 
 	getReadFailure(): Failure | undefined {
@@ -163,6 +164,21 @@
 		}
 	}
 
+	/** Sends a response for which there is no request, and closes the connection. */
+	closeWith(response: string): void {
+		this.#isClosing = true;
+		if (this.#socket.writable) {
+			this.#socket.end(response);
+		}
+
+		this.#socket.destroySoon();
+	}
+
+	/** True while the caller may still be reading the last response of a connection that is being closed. */
+	isDelivering(): boolean {
+		return this.#socket.isDelivering();
+	}
+
 	/** Closes the connection after the last pending response; later requests are left unread. */
 	closeAfterLastResponse(): void {
 		const last = this.#pendingResponses.at(-1);
--- a/packages/node/src/callers/caller-connections.ts
+++ b/packages/node/src/callers/caller-connections.ts
@@ -46,6 +46,11 @@
 		return this.#connections.size;
 	}
 
+	/** Number of connections that are being closed and whose callers may still be reading the last response. */
+	countDelivering(): number {
+		return [...this.#connections.values()].filter(connection => connection.isDelivering()).length;
+	}
+
 	/** Closes the connections without pending responses. */
 	closeIdle(): void {
 		this.#connections.forEach(connection => {
--- a/packages/node/src/callers/ingress.ts
+++ b/packages/node/src/callers/ingress.ts
@@ -126,6 +126,10 @@
 			// Nothing else reads a connection that the HTTP server has handed over, and its end would go unnoticed.
 			socket.resume();
 		});
+		// Without a listener, the HTTP server closes idle connections at once, whether their last response has arrived or not.
+		this.#server.on('timeout', (socket: Socket) => {
+			this.#connections.findConnection(socket)?.closeIfIdle();
+		});
 		this.#server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
 			this.#handleClientError(error, socket as Socket);
 		});
@@ -152,6 +156,11 @@
 		return this.#connections.countConnections();
 	}
 
+	/** Number of connections that are being closed and whose callers may still be reading the last response. */
+	countDelivering(): number {
+		return this.#connections.countDelivering();
+	}
+
 	/** Ends the requests in progress. Any of them may have run. */
 	failRequests(): void {
 		[...this.#exchanges].forEach(exchange => {
@@ -359,12 +368,11 @@
 		}
 
 		this.#recordFailure(failure);
-		if (!socket.writable) {
+		if (connection) {
+			connection.closeWith(formatRawFailure(failure));
+		} else {
 			socket.destroy();
-			return;
 		}
-
-		socket.end(formatRawFailure(failure));
 	}
 }
 
--- a/packages/node/src/callers/paced-connection.ts
+++ b/packages/node/src/callers/paced-connection.ts
@@ -19,6 +19,12 @@
 
 /** End of an empty line, with which each head ends; the parser accepts no other line ends. */
 const headEnd = Buffer.from('\n\r\n');
+/** Longest time for which a connection stays open after its last response while the other side has not closed it, in milliseconds. */
+export const lingerMs = 30_000;
+/** Bytes that are discarded on a connection that is being closed; what follows is left unread until the connection is closed. */
+export const maxDiscardedBytes = 16_777_216;
+/** Time after the last write during which the other side may still have to read what was written, in milliseconds. */
+const deliveryMs = 5000;
 /** Time without progress after which what is written counts as unread by the other side, in milliseconds. */
 export const stalledMs = 5000;
 const lineFeed = 0x0A;
@@ -56,6 +62,12 @@
 	#progressAt = 0;
 	#isWanted = false;
 	#isEnded = false;
+	#isClosing = false;
+	/** True once this side has ended and only the other side's end is awaited. */
+	#isLingering = false;
+	#isInputDiscarded = false;
+	#discardedBytes = 0;
+	#lingerTimer: NodeJS.Timeout | undefined;
 
 	constructor(socket: Socket, options: PacedConnectionOptions) {
 		// A read buffer of one byte holds at most one piece, so the owner is asked before each.
@@ -68,7 +80,11 @@
 		});
 		socket.once('end', () => {
 			this.#isEnded = true;
-			this.resumeFeeding();
+			if (this.#isLingering) {
+				this.destroy();
+			} else {
+				this.resumeFeeding();
+			}
 		});
 		socket.once('error', error => {
 			this.destroy(error);
@@ -112,17 +128,41 @@
 		return this.writableLength > 0 && performance.now() - this.#progressAt > stalledMs;
 	}
 
-	/** Closes the connection once everything that was written has left. */
+	/** True while the other side may still be reading what was written before this side ended. */
+	isDelivering(): boolean {
+		return this.#isLingering && !this.destroyed && this.#progressAt > 0 && performance.now() - this.#progressAt < deliveryMs;
+	}
+
+	/** Parses nothing more: discards what is waiting and, within a bound, what arrives. The end of the other side is still noticed. */
+	discardInput(): void {
+		if (!this.#isInputDiscarded && !this.destroyed) {
+			this.#isInputDiscarded = true;
+			this.#setBacklog(new Uint8Array());
+			this.#socket.resume();
+		}
+	}
+
+	/**
+	 * Closes the connection once everything that was written has left and the other side has closed it, or has had time to.
+	 * The kernel resets a connection that is closed with unread bytes or on which more arrive, and drops what it has not
+	 * delivered yet; so this side ends first, and what arrives is discarded (RFC 9112, section 9.6).
+	 */
 	destroySoon(): void {
+		if (this.#isClosing) {
+			return;
+		}
+
+		this.#isClosing = true;
+		this.discardInput();
 		if (this.writable) {
 			this.end();
 		}
 
 		if (this.writableFinished) {
-			this.destroy();
+			this.#linger();
 		} else {
 			this.once('finish', () => {
-				this.destroy();
+				this.#linger();
 			});
 		}
 	}
@@ -171,11 +211,30 @@
 	}
 
 	override _destroy(error: DestroyError, handleDestroyed: HandleDone): void {
+		clearTimeout(this.#lingerTimer);
 		this.#setBacklog(new Uint8Array());
 		this.#socket.destroy();
 		handleDestroyed(error);
 	}
 
+	#linger(): void {
+		if (this.destroyed) {
+			return;
+		}
+
+		if (this.#isEnded) {
+			this.destroy();
+			return;
+		}
+
+		this.#isLingering = true;
+		this.#socket.setTimeout(0);
+		this.#lingerTimer = setTimeout(() => {
+			this.destroy();
+		}, lingerMs);
+		this.#lingerTimer.unref();
+	}
+
 	#watchProgress(handleWritten: HandleDone): HandleDone {
 		this.#progressAt = performance.now();
 		return error => {
@@ -189,6 +248,15 @@
 			return;
 		}
 
+		if (this.#isInputDiscarded) {
+			this.#discardedBytes += bytes.length;
+			if (this.#discardedBytes > maxDiscardedBytes) {
+				this.#socket.pause();
+			}
+
+			return;
+		}
+
 		this.#setBacklog(this.#backlog.length === 0 ? bytes : Buffer.concat([this.#backlog, bytes]));
 		this.resumeFeeding();
 		if (this.#backlog.length > 0) {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -230,6 +230,7 @@
 				this.#ingress.stopListening();
 			},
 			countRequestsInProgress: () => this.#countInProgress(),
+			countDelivering: () => this.#ingress.countDelivering(),
 			failRequests: () => {
 				this.#logger.log('nodeStopForced', {requests: this.#countInProgress()});
 				this.#ingress.failRequests();
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -23,6 +23,9 @@
 	/** Number of requests in progress in all parts of the node. */
 	abstract countRequestsInProgress(): number;
 
+	/** Number of connections that are being closed and whose callers may still be reading the last response. */
+	abstract countDelivering(): number;
+
 	/** Ends the callers' requests in progress, each with a failure that says whether it may have run. */
 	abstract failRequests(): void;
 }
@@ -73,7 +76,7 @@
  * Drains a node: waits until its backend servers have moved and other nodes know it, then refuses further work from other
  * nodes. It goes on listening until callers have closed their connections or the lame-duck time is over, and waits for the
  * requests in progress. Shortly before the time limit it fails the requests that are left, so that each caller gets a
- * response. Resolves to true when all requests had ended by themselves.
+ * response. It ends once callers have closed the connections of their last responses, or the time limit is reached. Resolves to true when all requests had ended by themselves.
  */
 export async function drainNode(node: StoppingNode, {lameDuckMs, stopTimeoutMs}: StopTimes): Promise<boolean> {
 	const startedAt = performance.now();
@@ -91,5 +94,8 @@
 		await waitUntil(() => node.countRequestsInProgress() === 0, startedAt + stopTimeoutMs, minFinalPolls);
 	}
 
+	// The kernel holds what callers have not read yet, and drops it if they send more once the process has closed the connection.
+	await waitUntil(() => node.countDelivering() === 0, startedAt + stopTimeoutMs);
+
 	return isDrained;
 }
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -251,6 +251,7 @@
 				this.#ingress.stopListening();
 			},
 			countRequestsInProgress: () => this.#countInProgress(),
+			countDelivering: () => this.#ingress.countDelivering(),
 			failRequests: () => {
 				logger.log('nodeStopForced', {requests: this.#countInProgress()});
 				this.#router.failRequests();
