Deliver whole bodies that end like the beginning of a response

Cause: the scan for a second response took every beginning of a head at the end of a body for another response's, also where a length or the last chunk says that the body ends there.

Fix: there it belongs to the body unless it names the id of this request or an earlier one. A body with a length may have been cut and filled up by the next response, whose head's rest then follows: the exchange pauses at the last byte for 250 ms, which keeps the connection from carrying another request, and fails as before if anything has arrived behind the body or the connection broke. Received bytes are counted by the socket, as after a pause the HTTP client reads a part again.

--- a/packages/node/src/__tests__/unit/double-responses.test.ts
+++ b/packages/node/src/__tests__/unit/double-responses.test.ts
@@ -32,6 +32,8 @@
 }
 
 const pauses: readonly number[] = [0, 20, 120];
+/** Numbers of bytes of a head, before the line with the request's id is complete. */
+const cutBytes: readonly number[] = [5, 12, 17, 20];
 
 // Guards against a second response of a backend server that reaches the caller as a part of the first one's body.
 describe('a backend server that responds twice', () => {
@@ -181,6 +183,55 @@
 				expect(await send()).to.include({outcome: 'serverBroke'});
 			});
 		});
+
+		// Guards against a second response whose head the length cuts, so that nothing in the body tells whose it is.
+		cutBytes.forEach(cut => {
+			pauses.forEach(pauseMs => {
+				it(`fails the request when ${cut} bytes of a second response fill the first one up, the rest ${pauseMs} ms later`, async () => {
+					const {send, logger} = await startFixture((socket, text) => {
+						const whole = formatRawResponse(text, {body});
+						writeParts(socket, [`${whole.slice(0, -cut)}${whole.slice(0, cut)}`, whole.slice(cut)], pauseMs);
+					});
+					expect(await send()).to.include({outcome: 'serverBroke'});
+					expect(logger.lines.some(([event]) => event === 'responseExceeded')).to.equal(true);
+				});
+			});
+		});
+	});
+
+	// Guards against whole responses that fail because of how their bodies end.
+	describe('not, but whose body ends with', () => {
+		const ends = ['HTTP/', 'HTTP/1.1', 'HTTP/1.1 200', 'HTTP/1.1 200 OK\r\n', 'HTTP/1.1 200 OK\r\ncontent-type: te', 'GET / HTTP/1.0'];
+		const sizes = [60, 900, 50_000];
+		ends.forEach(end => {
+			sizes.forEach(size => {
+				const content = `${'.'.repeat(size)}${end}`;
+				it(`${JSON.stringify(end)}, delivers ${size} bytes with a length`, async () => {
+					const {send} = await startFixture((socket, text) => {
+						socket.write(formatRawResponse(text, {body: content}));
+					});
+					expect(await send()).to.deep.equal({outcome: '200', body: content});
+					await wait(20);
+					expect(await send({requestId: 'r-2'})).to.deep.equal({outcome: '200', body: content});
+					expect(fixture.backend.connectionCount).to.equal(1);
+				});
+
+				it(`${JSON.stringify(end)}, delivers ${size} bytes with a length whose connection is closed`, async () => {
+					const {send} = await startFixture((socket, text) => {
+						socket.end(formatRawResponse(text, {body: content}));
+					});
+					expect(await send()).to.deep.equal({outcome: '200', body: content});
+				});
+
+				it(`${JSON.stringify(end)}, delivers ${size} bytes in chunks`, async () => {
+					const {send} = await startFixture((socket, text) => {
+						const chunk = `${content.length.toString(16)}\r\n${content}\r\n0\r\n\r\n`;
+						socket.write(`HTTP/1.1 200 OK\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n${chunk}`);
+					});
+					expect(await send()).to.deep.equal({outcome: '200', body: content});
+				});
+			});
+		});
 	});
 });
 
--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -24,6 +24,11 @@
 /** Longest time, and largest share of a request's time, by which its cancellation may come before its deadline and stand for it. */
 const maxCancelLeadMs = 50;
 const maxCancelLeadShare = 0.25;
+/**
+ * Time for which the rest of a head is awaited whose beginning ends a body with a length, in milliseconds. A backend server
+ * that sends too little of one response and then another one writes that head at once.
+ */
+const headRestTimeoutMs = 250;
 /** The HTTP client's error for a 304 whose content-length names a body that is not sent, which HTTP allows. */
 const contentLengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
@@ -54,8 +59,12 @@
 
 	#connection: ConnectionRequests | undefined;
 	#earlierRequestIds: ReadonlySet<string> = new Set();
-	/** Length of the response on the connection; undefined if it is sent in chunks or ends with the connection. */
+	/** Length of the response's body on the connection; undefined if it is sent in chunks or ends with the connection. */
+	#bodyLength: number | undefined;
+	/** The same; undefined also behind interim responses, whose bytes can't be told from those of the head. */
 	#responseBytes: number | undefined;
+	/** Runs while the rest of a head may follow the body. */
+	#headRestTimer: NodeJS.Timeout | undefined;
 	/** Monotonic times, in milliseconds, at which the request body ended and the response head arrived. */
 	#requestBodyEndedAt: number | undefined;
 	#responseHeadAt: number | undefined;
@@ -157,7 +166,8 @@
 
 	/** Reads on if the response is paused for lack of credit; it is paused again at the next part of the body. */
 	resumeReading(): void {
-		if (this.#dispatchController?.paused) {
+		const isAwaitingHeadRest = this.#headRestTimer !== undefined && this.#connection?.isOpen() === true;
+		if (this.#dispatchController?.paused && !isAwaitingHeadRest) {
 			this.#dispatchController.resume();
 		}
 	}
@@ -216,6 +226,7 @@
 				}
 
 				this.#handleVerdict();
+				this.#awaitHeadRest(controller);
 			},
 			onResponseEnd: () => {
 				this.#handleResponseEnd();
@@ -240,7 +251,8 @@
 	#handleRawHead(head: ResponseHead): void {
 		const {method, requestId} = this.#head;
 		this.#isResponseUnframed = isUnframed(method, head);
-		this.#responseBytes = this.#interimResponseCount > 0 ? undefined : findBodyBytes(method, head);
+		this.#bodyLength = findBodyBytes(method, head);
+		this.#responseBytes = this.#interimResponseCount > 0 ? undefined : this.#bodyLength;
 		this.#scan = new ExtraResponseScan({
 			head, requestId, earlierRequestIds: this.#earlierRequestIds, isUnframed: this.#isResponseUnframed, findRequestId: found => this.#protocol.findRequestId(found),
 		});
@@ -310,8 +322,7 @@
 		}
 
 		if (this.#state === 'running' && this.#scan) {
-			this.#handleBody(this.#scan.finish());
-			this.#handleVerdict();
+			this.#finishScan(this.#scan);
 		}
 
 		if (this.#state !== 'running' || !this.#isResponseUnframed) {
@@ -330,6 +341,36 @@
 		});
 	}
 
+	/**
+	 * Waits at the last byte of a body whose end may be the beginning of another response's head. Either the body is whole, as its
+	 * length says, or it was cut and the next response fills it up; then the rest of that head follows. The connection carries no
+	 * other request meanwhile.
+	 */
+	#awaitHeadRest(controller: Dispatcher.DispatchController): void {
+		if (this.#state !== 'running' || this.#bodyLength === undefined || this.#scan!.countBytes() < this.#bodyLength || !this.#scan!.isEndUnclear()) {
+			return;
+		}
+
+		controller.pause();
+		this.#headRestTimer = setTimeout(() => {
+			this.#headRestTimer = undefined;
+			controller.resume();
+		}, headRestTimeoutMs);
+	}
+
+	/** Ends the scan with the response. A body with a length that another response has filled up is not whole. */
+	#finishScan(scan: ExtraResponseScan): void {
+		const isFilledUp = this.#bodyLength !== undefined && scan.isEndUnclear() && this.#connection?.isBrokenBehindResponse() === true;
+		const rest = scan.finish();
+		if (isFilledUp) {
+			this.#owner.handleExcess?.({requestId: this.#head.requestId, bytes: rest.length + this.#connection!.countExcessBytes()});
+			this.#fail(createFailure('serverBroke', 'another response follows within the response'), 'failed');
+		} else {
+			this.#handleBody(rest);
+			this.#handleVerdict();
+		}
+	}
+
 	/**
 	 * When a process crashes, the kernel closes its connections in the normal way, so the end of the connection does not
 	 * prove that a response without a length is complete. Such a response counts only if the process still runs.
@@ -388,6 +429,7 @@
 
 	#finish(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		clearTimeout(this.#deadlineTimer);
+		clearTimeout(this.#headRestTimer);
 		this.#state = 'over';
 		this.#parts.clear();
 		this.#requestBody.close();
--- a/packages/node/src/backend/connection-requests.ts
+++ b/packages/node/src/backend/connection-requests.ts
@@ -78,7 +78,22 @@
 		const chunkedEnd = Buffer.from(this.#lastPart).indexOf(chunkedEndBeforeHead);
 		this.#excessBytes += bodyBytes === undefined
 			? (chunkedEnd === -1 ? 0 : this.#lastPart.length - chunkedEnd - chunkedEndBytes)
-			: Math.max(0, this.#receivedBytes - this.#headBytes - bodyBytes);
+			: Math.max(0, this.#countReceivedBytes() - this.#headBytes - bodyBytes);
+	}
+
+	/** True when bytes have arrived behind the last response, or the connection has broken since. */
+	isBrokenBehindResponse(): boolean {
+		return this.#excessBytes > 0 || this.#isReset || (this.#socket?.errored ?? undefined) !== undefined;
+	}
+
+	/** Number of bytes that have arrived beyond responses. */
+	countExcessBytes(): number {
+		return this.#excessBytes;
+	}
+
+	/** True while the backend server may send more on the connection. */
+	isOpen(): boolean {
+		return this.#socket?.readable === true;
 	}
 
 	/** True when the backend server has reset the connection, even if the runtime reported a normal end. */
@@ -121,6 +136,11 @@
 		return !this.#isResponseEnded && framingBytes > maxFramingBytes + (maxFramingPerBodyByte * this.#bodyBytes);
 	}
 
+	/** Bytes that have arrived since the last request, each counted once: after a pause the HTTP client reads a part again. */
+	#countReceivedBytes(): number {
+		return this.#socket ? this.#socket.bytesRead - this.#bytesBefore : this.#receivedBytes;
+	}
+
 	#recordPart(part: Uint8Array): void {
 		if (this.#isResponseEnded) {
 			this.#excessBytes += part.length;
--- a/packages/node/src/backend/extra-response-scan.ts
+++ b/packages/node/src/backend/extra-response-scan.ts
@@ -126,6 +126,20 @@
 		return this.#verdict;
 	}
 
+	/**
+	 * True when a body that ended now would end with what may be the beginning of another response's head, without the id of a
+	 * request.
+	 */
+	isEndUnclear(): boolean {
+		const head = this.#findHeldHead();
+		return head !== undefined && this.#findOwner(head) === 'unclear';
+	}
+
+	/** Number of bytes of the body so far, with those that are held back. */
+	countBytes(): number {
+		return this.#bodyBytes + this.#heldBytes.length;
+	}
+
 	/** Number of bytes found beyond the body so far. */
 	countExcessBytes(): number {
 		return this.#excessBytes;
@@ -153,18 +167,21 @@
 		return body;
 	}
 
-	/** Ends the scan when nothing more arrives. Returns the rest of the body. */
+	/**
+	 * Ends the scan when nothing more arrives. Returns the rest of the body. Where a length or the last chunk says that the body
+	 * ends here, the beginning of a head without the id of a request belongs to it.
+	 */
 	finish(): Uint8Array {
 		const held = this.#heldBytes;
+		const head = this.#findHeldHead();
 		this.#heldBytes = new Uint8Array();
 		if (this.#copy) {
 			this.#judgeCopy(this.#copy);
 			return new Uint8Array();
 		}
 
-		const head = held.length < minCutHeadBytes ? undefined : parseFoundHead(Buffer.from(held).toString('latin1'), 0);
 		const owner = head && this.#findOwner(head);
-		if (!head || owner === 'other') {
+		if (!head || owner === 'other' || (owner === 'unclear' && !this.#options.isUnframed)) {
 			return held;
 		}
 
@@ -181,6 +198,11 @@
 		return end === undefined ? {end: bytes.length - countHeadStartBytes(bytes), head: undefined} : {end, head: parseFoundHead(text, end)};
 	}
 
+	/** Returns the beginning of a head that is held back; undefined if there is none. */
+	#findHeldHead(): FoundHead | undefined {
+		return this.#heldBytes.length < minCutHeadBytes ? undefined : parseFoundHead(Buffer.from(this.#heldBytes).toString('latin1'), 0);
+	}
+
 	#isBodyEnd(head: FoundHead | undefined): boolean {
 		return head !== undefined && (head.bytes === undefined || this.#findOwner(head) !== 'other');
 	}
