Replace links that are silent under steady load

Cause: a link counted its silence from the moment at which its exchanges last rose from none to one. An attempt that isn't accepted is given up after 150 ms, so the 2 s began anew with each attempt, and the pauses were too short for an idle probe.

Fix: what is awaited belongs to the connection. From the first exchange after the other side has last acknowledged everything, it has 2 s to do so again, whether that exchange still exists or not; without exchanges a probe asks for it at each tick.

--- a/packages/link/src/__tests__/unit/link.test.ts
+++ b/packages/link/src/__tests__/unit/link.test.ts
@@ -4,7 +4,7 @@
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {MetricRegistry, SilentLogger} from '@limpetbarrow/core';
 import {
-	LinkClient, LinkServer, linkIdleTimeoutMs, resumeTimeoutMs, sessionRetentionMs, silenceTimeoutMs,
+	connectTimeoutMs, LinkClient, LinkServer, linkIdleTimeoutMs, resumeTimeoutMs, sessionRetentionMs, silenceTimeoutMs,
 } from '../../index.js';
 import {
 	createHead, formatAnswer, RecordingCarrier, OutcomeRecorder,
@@ -15,6 +15,8 @@
 const serverNode = {id: 'two', incarnation: 7};
 const address = {host: '127.0.0.1', port: 1};
 const parts = 3;
+/** Time after which an exchange is given up, in milliseconds. */
+const attemptMs = 150;
 
 class LinkFixture {
 	readonly carrier = new RecordingCarrier();
@@ -196,6 +198,61 @@
 		});
 	});
 
+	describe('under steady load of exchanges that are given up soon, one at a time', () => {
+		/** Opens an exchange, gives it up, and waits, each for less than the time after which an idle connection is probed. */
+		function sendSteadily(totalMs: number, number = 0): void {
+			if (totalMs <= 0) {
+				return;
+			}
+
+			const exchange = fixture.send(`steady-${number}`);
+			runFor(clock, fixture.network, attemptMs);
+			exchange.cancel();
+			runFor(clock, fixture.network, attemptMs);
+			sendSteadily(totalMs - (2 * attemptMs), number + 1);
+		}
+
+		beforeEach(() => {
+			fixture.send('a');
+			fixture.network.settle();
+			fixture.answerAll();
+			fixture.network.settle();
+		});
+
+		// Guards against a time-out that starts anew with each exchange and so is never over.
+		const silences: ReadonlyArray<readonly [string, (network: FakeNetwork) => void]> = [
+			['both directions are silent', network => {
+				network.pauseConnections();
+			}],
+			['nothing reaches the other side', network => {
+				network.pauseDirection('up');
+			}],
+			['nothing comes back', network => {
+				network.pauseDirection('down');
+			}],
+		];
+		silences.forEach(([what, silence]) => {
+			it(`replaces the connection when ${what}`, () => {
+				silence(fixture.network);
+				sendSteadily(silenceTimeoutMs + 1000);
+				expect(fixture.metrics.getCount('link_replaced_total')).to.equal(1);
+				fixture.network.resumeDirections();
+				runFor(clock, fixture.network, connectTimeoutMs);
+				fixture.send('b');
+				runFor(clock, fixture.network, 500);
+				fixture.answerAll();
+				runFor(clock, fixture.network, 200);
+				expect(fixture.getOutcome('b')).to.include({ends: 1, isWhole: true});
+			});
+		});
+
+		it('keeps a connection that works', () => {
+			sendSteadily(5 * silenceTimeoutMs);
+			expect(fixture.metrics.getCount('link_replaced_total')).to.equal(0);
+			expect(fixture.network.countOpened()).to.equal(1);
+		});
+	});
+
 	describe('when the server refuses or ends the session', () => {
 		it('reports a request that crossed the close frame as not run, and one that was received as unknown', () => {
 			fixture.send('a');
--- a/packages/link/src/client-session.ts
+++ b/packages/link/src/client-session.ts
@@ -49,6 +49,14 @@
 	readonly isEstablished: boolean;
 };
 
+/** What the other side has to acknowledge. */
+type AwaitedAnswer = {
+	/** Monotonic time from which on it is awaited, in milliseconds. */
+	readonly since: number;
+	/** Sequence number of the last frame that had been sent then. */
+	readonly sequence: number;
+};
+
 function registerOwnTick(listener: () => void): () => void {
 	const timer = setInterval(listener, heartbeatIntervalMs);
 	timer.unref();
@@ -67,7 +75,11 @@
 	#activeConnection: ActiveConnection | undefined;
 	#attempt = 0;
 	#wasEstablished = false;
-	#busySince = performance.now();
+	/**
+	 * The oldest sign of life that is awaited on the connection. It outlives the exchanges that ask for it: a time that starts anew
+	 * with each exchange would never be over on a silent connection under steady load.
+	 */
+	#awaitedAnswer: AwaitedAnswer | undefined;
 	#idleSince = performance.now();
 	#connectionLostAt: number | undefined;
 	#consecutiveRefusals = 0;
@@ -97,8 +109,12 @@
 	startBusyPeriod(): void {
 		const now = performance.now();
 		const idleMs = now - this.#idleSince;
-		this.#busySince = now;
-		if (!this.#activeConnection?.isEstablished || idleMs < probeAfterIdleMs) {
+		if (!this.#activeConnection?.isEstablished) {
+			return;
+		}
+
+		this.#awaitAnswer(now);
+		if (idleMs < probeAfterIdleMs) {
 			return;
 		}
 
@@ -177,24 +193,28 @@
 			return;
 		}
 
-		if (this.#handler.countExchanges() === 0) {
-			this.#checkIdle();
-			return;
-		}
-
 		const now = performance.now();
-		if (now - Math.max(connection.getLastReceivedAt(), this.#busySince) > silenceTimeoutMs) {
-			this.#replaceConnection('nothing received');
-		} else if (this.#isAcknowledgementOverdue(now)) {
-			this.#replaceConnection('frames not acknowledged');
-		} else {
+		if (this.#awaitedAnswer && now - this.#awaitedAnswer.since > silenceTimeoutMs) {
+			this.#replaceConnection(connection.getLastReceivedAt() < this.#awaitedAnswer.since ? 'nothing received' : 'frames not acknowledged');
+		} else if (this.#handler.countExchanges() > 0) {
+			// The other side sends heartbeats of its own while it has exchanges.
+			this.#awaitAnswer(Math.min(this.state.getOldestUnacknowledgedSentAt() ?? now, Math.max(connection.getLastReceivedAt(), now - heartbeatIntervalMs)));
 			this.state.sendControl({kind: 'heartbeat', isProbe: false});
+		} else if (this.#awaitedAnswer) {
+			this.state.sendControl({kind: 'heartbeat', isProbe: true});
+		} else {
+			this.#checkIdle();
 		}
 	}
 
-	/** True when the oldest unacknowledged frame has waited longer than `silenceTimeoutMs`. */
+	#awaitAnswer(since: number): void {
+		this.#awaitedAnswer ??= {since, sequence: this.state.getLastSentSequence()};
+	}
+
+	/** True when frames that were sent before an answer was awaited have not been acknowledged for longer than `silenceTimeoutMs`. */
 	#isAcknowledgementOverdue(now: number): boolean {
-		return now - Math.max(this.state.getOldestUnacknowledgedSentAt() ?? now, this.#busySince) > silenceTimeoutMs;
+		const sentAt = this.state.getOldestUnacknowledgedSentAt();
+		return this.#awaitedAnswer !== undefined && sentAt !== undefined && now - Math.max(sentAt, this.#awaitedAnswer.since) > silenceTimeoutMs;
 	}
 
 	#checkIdle(): void {
@@ -219,6 +239,7 @@
 		this.#removeConnection()?.close();
 		this.state.pause();
 		this.#hasStalledAcknowledgements ||= wasEstablished && this.#isAcknowledgementOverdue(now);
+		this.#awaitedAnswer = undefined;
 		this.#connectionLostAt ??= now;
 		this.#consecutiveRefusals = isRefused ? this.#consecutiveRefusals + 1 : 0;
 		if (!wasEstablished) {
@@ -255,6 +276,10 @@
 		foldResult(this.state.accept(packet), failure => {
 			this.#endOnInvalidFrame(failure);
 		}, isNew => {
+			if (packet.acknowledged >= (this.#awaitedAnswer?.sequence ?? 0)) {
+				this.#awaitedAnswer = undefined;
+			}
+
 			if (frame.kind !== 'heartbeat' && isNew) {
 				this.#handler.handleFrame(frame, payload);
 			}
@@ -273,7 +298,6 @@
 
 		clearTimeout(active.handshakeTimer);
 		this.#activeConnection = {...active, isEstablished: true, startedAt: performance.now()};
-		this.#busySince = performance.now();
 		this.#connectionLostAt = undefined;
 		this.#consecutiveRefusals = 0;
 		this.#hasStalledAcknowledgements = false;
@@ -286,6 +310,7 @@
 			this.#endOnInvalidFrame(failure);
 		}, resent => {
 			this.#options.metrics.addCount('link_resent_frames_total', resent);
+			this.#awaitAnswer(performance.now());
 		});
 	}
 
--- a/packages/link/src/link-session.ts
+++ b/packages/link/src/link-session.ts
@@ -43,6 +43,11 @@
 		return this.#lastReceivedSequence;
 	}
 
+	/** Sequence number of the last frame sent. */
+	getLastSentSequence(): number {
+		return this.#lastSentSequence;
+	}
+
 	/** Number of received frames that were not acknowledged to the other side yet. */
 	countPendingAcknowledgements(): number {
 		return this.#lastReceivedSequence - this.#lastSequenceAcknowledgedToPeer;
