--- a/packages/node/src/__tests__/unit/broken-answers.test.ts
+++ b/packages/node/src/__tests__/unit/broken-answers.test.ts
@@ -247,6 +247,53 @@
 		expect({outcome, received}).to.deep.equal({outcome: 'whole', received: bodyBytes});
 	});
 
+	// Guards against a status that HTTP doesn't have and that reaches callers, or an assertion of the HTTP client.
+	describe('a status that no response has', () => {
+		const statuses = ['000', '001', '099', '101', '600', '999', '0', '20', '1000', '-01', '2OO'];
+		const forms: ReadonlyArray<readonly [string, string]> = [
+			['with a length', 'content-length: 5\r\n\r\nwhole'],
+			['in chunks', 'transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'],
+			['that ends with its connection', 'connection: close\r\n\r\nwhole'],
+			['with an upgrade', 'connection: upgrade\r\nupgrade: websocket\r\n\r\n'],
+		];
+		const interims: ReadonlyArray<readonly [string, string]> = [['', ''], [', behind an interim response', 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n']];
+		statuses.forEach(status => {
+			forms.forEach(([form, rest]) => {
+				interims.forEach(([behind, interim]) => {
+					it(`fails the request as serverBroke: ${status} ${form}${behind}`, async () => {
+						const {send, logger} = await startFixture((socket, text) => {
+							socket.write(`${interim}HTTP/1.1 ${status} Odd\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\n${rest}`);
+							if (rest.startsWith('connection: close')) {
+								socket.end();
+							}
+						});
+						expect(await send({isRepeatable: false})).to.deep.equal({outcome: 'serverBroke', body: ''});
+						const [, {detail = ''} = {}] = logger.lines.find(([event]) => event === 'egressFailed') ?? [];
+						expect(String(detail)).not.to.match(/==|assert/iv);
+					});
+				});
+			});
+		});
+
+		it('is found in whatever parts it arrives', async () => {
+			const {send} = await startFixture((socket, text) => {
+				[...`HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Odd\r\nx-id: ${findRawHeader(text, 'x-id')}\r\nx-signature: s\r\ncontent-length: 0\r\n\r\n`].forEach((letter, index) => {
+					setTimeout(() => {
+						socket.write(letter);
+					}, index);
+				});
+			});
+			expect(await send()).to.include({outcome: 'serverBroke'});
+		});
+	});
+
+	it('is passed on: the last status that HTTP has', async () => {
+		const {send} = await startFixture((socket, text) => {
+			socket.write(formatRawResponse(text).replace('200', '599'));
+		});
+		expect(await send()).to.include({outcome: '599'});
+	});
+
 	describe('responses that never end', () => {
 		const remainingMs = 700;
 		const toleranceMs = 150;
--- a/packages/node/src/backend/backend-connector.ts
+++ b/packages/node/src/backend/backend-connector.ts
@@ -1,40 +1,27 @@
-/** Opens connections to a backend server on which a reset is always an error and the size of a response head is limited. */
-import {Buffer} from 'node:buffer';
+/** Opens connections to a backend server on which a reset is always an error and response heads are checked. */
 import {type Socket} from 'node:net';
 import {buildConnector} from 'undici';
+import {ResponseHeadReader} from './response-head-reader.js';
 
 /** Error code that the HTTP client (undici) reports as a broken connection. */
 const clientSocketErrorCode = 'UND_ERR_SOCKET';
-/** Largest response head, in bytes. The HTTP client limits the headers, but not the status line. */
-const maxResponseHeadBytes = 65_536;
-const headTerminator = Buffer.from('\r\n\r\n');
 
 /**
- * Destroys the connection when a response head exceeds `maxResponseHeadBytes`. The count starts again with the first data
- * after each write to the socket, as a write means that a request was sent.
+ * Destroys the connection when a response head is one that the HTTP client can't handle. The first data after each write to the
+ * socket begins a head, as a write means that a request was sent.
  */
-function registerHeadLimit(socket: Socket): void {
+function registerHeadChecks(socket: Socket): void {
+	const reader = new ResponseHeadReader();
 	let writtenBytes = 0;
-	let headBytes = 0;
-	let lastBytes: Uint8Array = Buffer.alloc(0);
-	let isReadingHead = true;
-	socket.on('data', (chunk: Uint8Array) => {
+	socket.on('data', (part: Uint8Array) => {
 		if (socket.bytesWritten !== writtenBytes) {
 			writtenBytes = socket.bytesWritten;
-			headBytes = 0;
-			lastBytes = Buffer.alloc(0);
-			isReadingHead = true;
+			reader.startResponse();
 		}
 
-		if (!isReadingHead) {
-			return;
-		}
-
-		headBytes += chunk.length;
-		isReadingHead = !Buffer.concat([lastBytes, chunk]).includes(headTerminator);
-		lastBytes = chunk.subarray(-headTerminator.length + 1);
-		if (isReadingHead && headBytes > maxResponseHeadBytes) {
-			socket.destroy(new Error(`response head exceeds ${maxResponseHeadBytes} bytes`));
+		const fault = reader.read(part);
+		if (fault !== undefined) {
+			socket.destroy(new Error(fault));
 		}
 	});
 }
@@ -54,7 +41,7 @@
 		connect(options, (...result) => {
 			const [, socket] = result;
 			if (socket) {
-				registerHeadLimit(socket);
+				registerHeadChecks(socket);
 				handleSocket(socket);
 				socket.on('end', handleEnd);
 			}
