Hold back large requests that crash backend servers

Cause: a body of more than one flow-control window has no fingerprint without an idempotency key, as it is passed on before it ends, so the request could neither be marked nor refused.

Fix: from one window on, the first window and the length that the head names stand for the body. Both are known when a held request has to be passed on or refused.

--- a/packages/node/src/__tests__/unit/quarantine.test.ts
+++ b/packages/node/src/__tests__/unit/quarantine.test.ts
@@ -1,12 +1,15 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import {
-	createFailure, Exchange, type ExchangeHandler, type PoisonMark, type RequestHead,
+	createFailure, Exchange, exchangeWindowBytes, type ExchangeHandler, type PoisonMark, type RequestHead,
 } from '@limpetbarrow/core';
 import {Quarantine} from '../../index.js';
 
 const address = {host: '127.0.0.1', port: 1};
 const poison = 'a size no shoe has';
+/** Larger than a flow-control window, so that it is passed on before it has ended. */
+const largePoison = poison.repeat(6000);
+const windowBytes = exchangeWindowBytes;
 
 /** A backend server that crashes on one body and counts the requests that it ran. */
 class FakeServer {
@@ -39,7 +42,7 @@
 
 	override endBody(): void {
 		this.#server.runs++;
-		if (this.#body === poison) {
+		if (this.#body === poison || this.#body === largePoison || this.#body === largePoison.slice(0, windowBytes)) {
 			this.#handler.handleFailure(createFailure('serverBroke', 'crashed'));
 			return;
 		}
@@ -57,15 +60,23 @@
 	}
 }
 
-function createHead(): RequestHead {
+function createHead(body: string): RequestHead {
 	return {
-		requestId: 'r', target: {kind: 'egress', serverId: 's'}, service: 'fitting-desk', method: 'POST', path: '/orders', headers: [], remainingMs: 1000, isRepeatable: false, organisation: '',
+		requestId: 'r',
+		target: {kind: 'egress', serverId: 's'},
+		service: 'fitting-desk',
+		method: 'POST',
+		path: '/orders',
+		headers: ['content-length', String(body.length)],
+		remainingMs: 1000,
+		isRepeatable: false,
+		organisation: '',
 	};
 }
 
 async function sendRequest(quarantine: Quarantine, server: FakeServer, body: string): Promise<string> {
 	const outcome = await new Promise<string>(resolve => {
-		const exchange = quarantine.openExchange(createHead(), {
+		const exchange = quarantine.openExchange(createHead(body), {
 			handleHead() {
 				// Only the end counts.
 			},
@@ -82,7 +93,12 @@
 				resolve(name);
 			},
 		}, {id: server.id, address}, handler => server.openExchange(handler));
-		exchange.writeBody(Buffer.from(body));
+		// The first part is as large as the credit of a sender allows.
+		exchange.writeBody(Buffer.from(body.slice(0, windowBytes)));
+		if (body.length > windowBytes) {
+			exchange.writeBody(Buffer.from(body.slice(windowBytes)));
+		}
+
 		exchange.endBody();
 	});
 	await new Promise(resolve => {
@@ -127,6 +143,25 @@
 		expect(await sendToEach(nodes, 'size 36')).to.deep.equal(['answered', 'answered', 'answered']);
 	});
 
+	// Guards against requests that are never held back because their bodies are large.
+	describe('of a body that is larger than a window', () => {
+		[largePoison, largePoison.slice(0, windowBytes)].forEach(body => {
+			it(`refuses it on all nodes after two servers crashed on it: ${body.length} bytes`, async () => {
+				const nodes = createNodes(true);
+				expect(await sendToEach(nodes, body)).to.deep.equal(['serverBroke', 'serverBroke', 'poisonRequest']);
+				expect(await sendToEach(nodes, body)).to.deep.equal(['poisonRequest', 'poisonRequest', 'poisonRequest']);
+				expect(nodes.map(({server}) => server.runs)).to.deep.equal([1, 1, 0]);
+			});
+		});
+
+		it('forwards those that begin differently or have another length', async () => {
+			const nodes = createNodes(true);
+			await sendToEach(nodes, largePoison);
+			expect(await sendToEach(nodes, `.${largePoison}`)).to.deep.equal(['answered', 'answered', 'answered']);
+			expect(await sendToEach(nodes, `${largePoison}.`)).to.deep.equal(['answered', 'answered', 'answered']);
+		});
+	});
+
 	it('refuses nothing when connections broke but the servers still run', async () => {
 		const nodes = createNodes(false);
 		expect(await sendToEach(nodes, poison)).to.deep.equal(['serverBroke', 'serverBroke', 'serverBroke']);
--- a/packages/node/src/backend/fingerprint.ts
+++ b/packages/node/src/backend/fingerprint.ts
@@ -1,6 +1,6 @@
 /** Request fingerprints, which identify a request when it is sent again. */
 import {createHash} from 'node:crypto';
-import {exchangeWindowBytes, type RequestHead} from '@limpetbarrow/core';
+import {exchangeWindowBytes, findHeader, type RequestHead} from '@limpetbarrow/core';
 
 const headHashLength = 10;
 const bodyHashLength = 14;
@@ -14,6 +14,8 @@
 export class FingerprintBuilder {
 	readonly headHash: string;
 	readonly #idempotencyKey: string | undefined;
+	/** The body's length as the head names it; empty if it doesn't. */
+	readonly #namedLength: string;
 	readonly #hash = createHash('sha256');
 	#bodyBytes = 0;
 	#isBodyComplete = false;
@@ -21,12 +23,14 @@
 	constructor(head: RequestHead) {
 		this.headHash = hashHead(head);
 		this.#idempotencyKey = head.idempotencyKey;
+		this.#namedLength = findHeader(head.headers, 'content-length') ?? '';
 	}
 
 	addChunk(chunk: Uint8Array): void {
+		const room = Math.max(0, exchangeWindowBytes - this.#bodyBytes);
 		this.#bodyBytes += chunk.length;
-		if (this.#bodyBytes <= exchangeWindowBytes) {
-			this.#hash.update(chunk);
+		if (room > 0) {
+			this.#hash.update(chunk.subarray(0, room));
 		}
 	}
 
@@ -36,14 +40,23 @@
 	}
 
 	/**
-	 * Returns the fingerprint of the head and a complete body of at most one window, else of the head and the idempotency
-	 * key; undefined if there is neither.
+	 * Returns the fingerprint of the head and the body. A larger body than one window is passed on before it has ended, so its first
+	 * window and the length that the head names stand for it. While a smaller body is incomplete, the head and the idempotency key
+	 * do; undefined if there is no key.
 	 */
 	findFingerprint(): string | undefined {
-		if (this.#isBodyComplete && this.#bodyBytes <= exchangeWindowBytes) {
-			return `${this.headHash}.${this.#hash.copy().digest('base64url').slice(0, bodyHashLength)}`;
+		if (this.#bodyBytes >= exchangeWindowBytes) {
+			return `${this.headHash}.${this.#hashBody()}.${this.#namedLength}`;
+		}
+
+		if (this.#isBodyComplete) {
+			return `${this.headHash}.${this.#hashBody()}`;
 		}
 
 		return this.#idempotencyKey === undefined ? undefined : `${this.headHash}.key-${createHash('sha256').update(this.#idempotencyKey).digest('base64url').slice(0, bodyHashLength)}`;
 	}
+
+	#hashBody(): string {
+		return this.#hash.copy().digest('base64url').slice(0, bodyHashLength);
+	}
 }
