Count each run of a backend server that a request crashes

Callers would see: a service whose backend servers start again under their ids after a crash, as the users' page allows, has a request refused only once it has crashed two different ids; where it has one backend server, never.

Cause: a mark held the ids of crashed backend servers, and a host's backend server that starts again under its id is the same one there.

Evidence: host-egress.test.ts, "are refused after two of its runs have crashed, though it has one id": failed before (a third crash), passes.

--- a/packages/node/src/__tests__/unit/host-egress.test.ts
+++ b/packages/node/src/__tests__/unit/host-egress.test.ts
@@ -34,6 +34,28 @@
 		});
 	});
 
+	describe('requests that crash a backend server', () => {
+		// Guards against a backend server that starts again under its id, so that only one crash is counted, however often it crashes.
+		it('are refused after two of its runs have crashed, though it has one id', async () => {
+			const {send, backend, announce} = await startFixture(() => {
+				fixture.backend.close();
+			});
+			const port = backend.getPort();
+			const outcomes = await [2, 3, 4].reduce<Promise<readonly string[]>>(async (before, generation) => {
+				const earlier = await before;
+				const {outcome} = await send({isRepeatable: false, path: '/crash'});
+				await wait(100);
+				if (outcome === 'serverBroke') {
+					await backend.listen(port);
+					announce({generation});
+				}
+
+				return [...earlier, outcome];
+			}, Promise.resolve([]));
+			expect(outcomes).to.deep.equal(['serverBroke', 'serverBroke', 'poisonRequest']);
+		});
+	});
+
 	describe('responses', () => {
 		const cases: ReadonlyArray<{readonly what: string; readonly outcome: string; readonly answer: RawResponder}> = [
 			{
--- a/packages/node/src/backend/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -68,7 +68,9 @@
 		}
 
 		this.#options.metrics.addCount('egress_requests_total');
-		return this.#quarantine.openExchange(head, handler, localServer.announcement, backendHandler => localServer.server.openExchange(head, backendHandler));
+		const {id, generation, address} = localServer.announcement;
+		// A backend server may start again under its id; each of its runs that crashes counts.
+		return this.#quarantine.openExchange(head, handler, {id: `${id}@${generation}`, address}, backendHandler => localServer.server.openExchange(head, backendHandler));
 	}
 
 	/** Load that such a request would meet at a backend server of this host. */
