Discard what follows a refusal up to the largest body of the users' limits

A refusal of an upload of 64 MiB, the users' MaxBodyBytes, whose caller reads only when it has sent all would have been lost with the connection 30 s later, as the node left unread what came behind 16 MiB. By lingering-close.test.ts with 64 MiB; the bound is 80 MiB now.

--- a/packages/node/src/__tests__/unit/lingering-close.test.ts
+++ b/packages/node/src/__tests__/unit/lingering-close.test.ts
@@ -12,7 +12,7 @@
 const sendGapMs = 30;
 const readTimeoutMs = 6000;
 const uploadBytes = 400_000;
-const largeUploadBytes = 12_000_000;
+const largeUploadBytes = 67_108_864;
 
 // Guards against responses that are dropped undelivered by the reset of a connection on which the caller still sends.
 describe('a connection that is closed while its caller still sends', function () {
--- a/packages/node/src/__tests__/unit/paced-connection.test.ts
+++ b/packages/node/src/__tests__/unit/paced-connection.test.ts
@@ -155,8 +155,14 @@
 			it('discards what arrives, hands on nothing and reads only so much', async () => {
 				await waitUntil(() => connections === 1);
 				accepted.destroySoon();
-				caller.write(Buffer.alloc(3 * maxDiscardedBytes));
-				await waitUntil(() => false, 500);
+				// The kernel holds a part of what is left unread.
+				const part = Buffer.alloc(1_048_576);
+				const parts = Math.ceil(1.4 * maxDiscardedBytes / part.length);
+				Array.from({length: parts}).forEach(() => {
+					caller.write(part);
+				});
+				await waitUntil(() => (parts * part.length) - caller.writableLength > maxDiscardedBytes, 4000);
+				await waitUntil(() => false, 300);
 				expect([received, backlog, accepted.destroyed]).to.deep.equal(['', 0, false]);
 				expect(caller.writableLength).to.be.above(0);
 			});
--- a/packages/node/src/callers/paced-connection.ts
+++ b/packages/node/src/callers/paced-connection.ts
@@ -21,8 +21,11 @@
 const headEnd = Buffer.from('\n\r\n');
 /** Longest time for which a connection stays open after its last response while the other side has not closed it, in milliseconds. */
 export const lingerMs = 30_000;
-/** Bytes that are discarded on a connection that is being closed; what follows is left unread until the connection is closed. */
-export const maxDiscardedBytes = 16_777_216;
+/**
+ * Bytes that are discarded on a connection that is being closed, somewhat more than a body of 64 MiB; what follows is left
+ * unread until the connection is closed.
+ */
+export const maxDiscardedBytes = 83_886_080;
 /** Time after the last write during which the other side may still have to read what was written, in milliseconds. */
 const deliveryMs = 5000;
 /** Time without progress after which what is written counts as unread by the other side, in milliseconds. */
--- a/packages/node/src/planned-stop.ts
+++ b/packages/node/src/planned-stop.ts
@@ -76,7 +76,8 @@
  * Drains a node: waits until its backend servers have moved and other nodes know it, then refuses further work from other
  * nodes. It goes on listening until callers have closed their connections or the lame-duck time is over, and waits for the
  * requests in progress. Shortly before the time limit it fails the requests that are left, so that each caller gets a
- * response. It ends once callers have closed the connections of their last responses, or the time limit is reached. Resolves to true when all requests had ended by themselves.
+ * response. It ends once callers have closed the connections of their last responses, or at the time limit. Resolves to true
+ * when all requests had ended by themselves.
  */
 export async function drainNode(node: StoppingNode, {lameDuckMs, stopTimeoutMs}: StopTimes): Promise<boolean> {
 	const startedAt = performance.now();
