--- a/packages/detect/src/__tests__/unit/fleet-marks.test.ts
+++ b/packages/detect/src/__tests__/unit/fleet-marks.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	FleetMarks, limitExpiry, maxMarks, quarantineMs, type NodeMarks,
+	FleetMarks, applyExpiryLimit, maxMarks, quarantineMs, type NodeMarks,
 } from '../../index.js';
 
 const now = 1000;
@@ -64,6 +64,6 @@
 	});
 
 	it('from a clock that was ahead expire in time', () => {
-		expect(limitExpiry(createNode('a', 1, ['p'], now + (2 * quarantineMs)).marks, now)[0]?.expiresAt).to.equal(now + quarantineMs);
+		expect(applyExpiryLimit(createNode('a', 1, ['p'], now + (2 * quarantineMs)).marks, now)[0]?.expiresAt).to.equal(now + quarantineMs);
 	});
 });
--- a/packages/detect/src/fleet-marks.ts
+++ b/packages/detect/src/fleet-marks.ts
@@ -25,7 +25,7 @@
 }
 
 /** Lets stored marks end in time even if the clock of their node was ahead when they were made. */
-export function limitExpiry(marks: readonly PoisonMark[], now: number): readonly PoisonMark[] {
+export function applyExpiryLimit(marks: readonly PoisonMark[], now: number): readonly PoisonMark[] {
 	return marks.map(mark => ({...mark, expiresAt: Math.min(mark.expiresAt, now + quarantineMs)}));
 }
 
@@ -44,16 +44,16 @@
 			const isCleared = ({fingerprint}: PoisonMark): boolean => known?.incarnation === incarnation && known.published.has(fingerprint) && !published.has(fingerprint);
 			return [nodeId, {incarnation, published, marks: selectLatest([...(known?.marks ?? []).filter(mark => !isCleared(mark)), ...marks], now)}];
 		});
-		this.#keepUnexpired(new Map([...this.#kept, ...changed]), now);
+		this.#setUnexpired(new Map([...this.#kept, ...changed]), now);
 	}
 
 	/** Records what nodes have stored; a node that has published marks since then knows better. */
 	recordStored(nodes: readonly NodeMarks[], now: number): void {
 		const unknown = nodes.filter(({nodeId, incarnation}) => (this.#kept.get(nodeId)?.incarnation ?? -1) < incarnation);
-		this.#keepUnexpired(new Map([...this.#kept, ...unknown.map(({nodeId, incarnation, marks}): readonly [string, KeptMarks] => [nodeId, {
+		this.#setUnexpired(new Map([...this.#kept, ...unknown.map(({nodeId, incarnation, marks}): readonly [string, KeptMarks] => [nodeId, {
 			incarnation,
 			published: new Set(marks.map(({fingerprint}) => fingerprint)),
-			marks: selectLatest([...this.#kept.get(nodeId)?.marks ?? [], ...limitExpiry(marks, now)], now),
+			marks: selectLatest([...this.#kept.get(nodeId)?.marks ?? [], ...applyExpiryLimit(marks, now)], now),
 		}])]), now);
 	}
 
@@ -62,7 +62,7 @@
 		return [...this.#kept.values()].flatMap(({marks}) => marks).filter(({expiresAt}) => expiresAt > now);
 	}
 
-	#keepUnexpired(kept: ReadonlyMap<string, KeptMarks>, now: number): void {
+	#setUnexpired(kept: ReadonlyMap<string, KeptMarks>, now: number): void {
 		this.#kept = new Map([...kept].filter(([, {marks}]) => marks.some(({expiresAt}) => expiresAt > now)));
 	}
 }
--- a/packages/detect/src/poison.ts
+++ b/packages/detect/src/poison.ts
@@ -90,7 +90,7 @@
 	}
 
 	/** Restores marks that an earlier process of this node has made. */
-	restoreMarks(marks: readonly PoisonMark[], now: number): void {
+	addEarlierMarks(marks: readonly PoisonMark[], now: number): void {
 		const restored = mergePoisonMarks([...this.#marks.values(), ...marks.filter(({fingerprint}) => !this.#answered.has(fingerprint))], now);
 		[...restored.values()].toSorted((a, b) => a.expiresAt - b.expiresAt).forEach(mark => {
 			setBounded(this.#marks, mark.fingerprint, {...mark, serverIds: mark.serverIds.slice(-maxServersPerMark)}, maxMarks);
--- a/packages/link/src/client-session.ts
+++ b/packages/link/src/client-session.ts
@@ -113,7 +113,7 @@
 			return;
 		}
 
-		this.#awaitAnswer(now);
+		this.#setAwaitedAnswer(now);
 		if (idleMs < probeAfterIdleMs) {
 			return;
 		}
@@ -198,7 +198,7 @@
 			this.#replaceConnection(connection.getLastReceivedAt() < this.#awaitedAnswer.since ? 'nothing received' : 'frames not acknowledged');
 		} else if (this.#handler.countExchanges() > 0) {
 			// The other side sends heartbeats of its own while it has exchanges.
-			this.#awaitAnswer(Math.min(this.state.getOldestUnacknowledgedSentAt() ?? now, Math.max(connection.getLastReceivedAt(), now - heartbeatIntervalMs)));
+			this.#setAwaitedAnswer(Math.min(this.state.getOldestUnacknowledgedSentAt() ?? now, Math.max(connection.getLastReceivedAt(), now - heartbeatIntervalMs)));
 			this.state.sendControl({kind: 'heartbeat', isProbe: false});
 		} else if (this.#awaitedAnswer) {
 			this.state.sendControl({kind: 'heartbeat', isProbe: true});
@@ -207,7 +207,7 @@
 		}
 	}
 
-	#awaitAnswer(since: number): void {
+	#setAwaitedAnswer(since: number): void {
 		this.#awaitedAnswer ??= {since, sequence: this.state.getLastSentSequence()};
 	}
 
@@ -310,7 +310,7 @@
 			this.#endOnInvalidFrame(failure);
 		}, resent => {
 			this.#options.metrics.addCount('link_resent_frames_total', resent);
-			this.#awaitAnswer(performance.now());
+			this.#setAwaitedAnswer(performance.now());
 		});
 	}
 
--- a/packages/node/src/__tests__/unit/lingering-close.test.ts
+++ b/packages/node/src/__tests__/unit/lingering-close.test.ts
@@ -68,7 +68,7 @@
 	 * Asks for a large response and reads it slowly. Sends `first` once a part of it has arrived, and `next` from then on as long as
 	 * it arrives; expects that it arrives whole.
 	 */
-	async function expectWholeResponse(first: string, next: string): Promise<void> {
+	async function assertWholeResponse(first: string, next: string): Promise<void> {
 		socket.write(formatRequest('/large'));
 		await waitUntil(() => fixture.carrier.listPaths().includes('/large'));
 		fixture.carrier.answer('/large', '.'.repeat(responseBytes));
@@ -85,25 +85,25 @@
 
 	describe('delivers a response that is read slowly, behind which come', () => {
 		it('bytes that are no request', async () => {
-			await expectWholeResponse('no request\r\n\r\n', 'nor is this\r\n\r\n');
+			await assertWholeResponse('no request\r\n\r\n', 'nor is this\r\n\r\n');
 		});
 
 		it('a request that closes the connection, and more', async () => {
-			await expectWholeResponse(formatRequest('/last', 'GET', 'connection: close'), formatRequest('/more'));
+			await assertWholeResponse(formatRequest('/last', 'GET', 'connection: close'), formatRequest('/more'));
 		});
 
 		it('a request whose head is too large', async () => {
-			await expectWholeResponse(formatRequest('/wide', 'GET', `x: ${'y'.repeat(2 * maxHeaderBytes)}`), 'x: y\r\n');
+			await assertWholeResponse(formatRequest('/wide', 'GET', `x: ${'y'.repeat(2 * maxHeaderBytes)}`), 'x: y\r\n');
 		});
 
 		it('requests to a node that stops', async () => {
 			fixture.ingress.startStopping();
-			await expectWholeResponse(formatRequest('/next'), formatRequest('/next'));
+			await assertWholeResponse(formatRequest('/next'), formatRequest('/next'));
 		});
 
 		it('an upload to a node that stops', async () => {
 			fixture.ingress.startStopping();
-			await expectWholeResponse(`POST /upload HTTP/1.1\r\nhost: h\r\ncontent-length: ${uploadBytes}\r\n\r\n`, '.'.repeat(uploadBytes / 20));
+			await assertWholeResponse(`POST /upload HTTP/1.1\r\nhost: h\r\ncontent-length: ${uploadBytes}\r\n\r\n`, '.'.repeat(uploadBytes / 20));
 		});
 	});
 
--- a/packages/node/src/backend/backend-exchange.ts
+++ b/packages/node/src/backend/backend-exchange.ts
@@ -10,7 +10,9 @@
 import {type ConnectionDispatchOptions, type ConnectionRequests} from './connection-requests.js';
 import {type EndEvidence} from './end-evidence.js';
 import {ExtraResponseScan} from './extra-response-scan.js';
+import {HeadRestWait} from './head-rest-wait.js';
 import {getBodyForm, RequestBody, type BodyForm} from './request-body.js';
+import {computeMaxCancelLead, RequestTiming} from './request-timing.js';
 import {decodeHeaders, findBodyBytes, isUnframed} from './response-framing.js';
 import {PlainServerProtocol, type ServerProtocol} from './server-protocol.js';
 
@@ -21,14 +23,6 @@
 /** Largest number of interim responses (1xx) that a backend server may send for one request. */
 const maxInterimResponses = 16;
 const notModifiedStatus = 304;
-/** Longest time, and largest share of a request's time, by which its cancellation may come before its deadline and stand for it. */
-const maxCancelLeadMs = 50;
-const maxCancelLeadShare = 0.25;
-/**
- * Time for which the rest of a head is awaited whose beginning ends a body with a length, in milliseconds. A backend server
- * that sends too little of one response and then another one writes that head at once.
- */
-const headRestTimeoutMs = 250;
 /** The HTTP client's error for a 304 whose content-length names a body that is not sent, which HTTP allows. */
 const contentLengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
 
@@ -44,7 +38,6 @@
 	#state: BackendExchangeState = 'waiting';
 	#dispatchController: Dispatcher.DispatchController | undefined;
 	#responseCredit = exchangeWindowBytes;
-	#startedAt = 0;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#responseStatus = 0;
 	#interimResponseCount = 0;
@@ -63,11 +56,8 @@
 	#bodyLength: number | undefined;
 	/** The same; undefined also behind interim responses, whose bytes can't be told from those of the head. */
 	#responseBytes: number | undefined;
-	/** Runs while the rest of a head may follow the body. */
-	#headRestTimer: NodeJS.Timeout | undefined;
-	/** Monotonic times, in milliseconds, at which the request body ended and the response head arrived. */
-	#requestBodyEndedAt: number | undefined;
-	#responseHeadAt: number | undefined;
+	readonly #headRestWait = new HeadRestWait();
+	readonly #timing = new RequestTiming();
 
 	constructor(head: RequestHead, handler: ExchangeHandler, owner: BackendExchangeOwner, protocol: ServerProtocol = new PlainServerProtocol()) {
 		super();
@@ -114,7 +104,7 @@
 	/** Sends the request over a connection of the pool and starts the deadline timer. */
 	start(pool: Dispatcher): void {
 		this.#state = 'running';
-		this.#startedAt = performance.now();
+		this.#timing.recordStart(this.#requestBodyForm === 'none');
 		const remainingMs = Math.max(1, Math.floor(this.getRemainingMs()));
 		this.#deadlineTimer = setTimeout(() => {
 			this.#fail(this.#createTimeoutFailure(), 'timedOut');
@@ -145,7 +135,7 @@
 			return;
 		}
 
-		this.#requestBodyEndedAt = performance.now();
+		this.#timing.recordBodyEnd();
 		this.#requestBody.end();
 		if (this.#state !== 'waiting') {
 			return;
@@ -166,8 +156,8 @@
 
 	/** Reads on if the response is paused for lack of credit; it is paused again at the next part of the body. */
 	resumeReading(): void {
-		const isAwaitingHeadRest = this.#headRestTimer !== undefined && this.#connection?.isOpen() === true;
-		if (this.#dispatchController?.paused && !isAwaitingHeadRest) {
+		const isHeadRestAwaited = this.#headRestWait.isRunning() && this.#connection?.isOpen() === true;
+		if (this.#dispatchController?.paused && !isHeadRestAwaited) {
 			this.#dispatchController.resume();
 		}
 	}
@@ -184,20 +174,12 @@
 		}
 
 		if (this.#state === 'running') {
-			const failure = this.getRemainingMs() <= this.#getMaxCancelLeadMs() ? this.#createTimeoutFailure() : undefined;
-			this.#finish(this.#createOutcome(failure ? 'timedOut' : 'cancelled'), failure);
+			const failure = this.getRemainingMs() <= computeMaxCancelLead(this.#head.remainingMs) ? this.#createTimeoutFailure() : undefined;
+			this.#finish(this.#timing.createOutcome(failure ? 'timedOut' : 'cancelled', this.#responseCredit > 0), failure);
 			this.#dispatchController?.abort(new Error('cancelled'));
 		}
 	}
 
-	/**
-	 * Time before the deadline from which a cancellation stands for it, in milliseconds. Over a link the request may have taken
-	 * longer than its cancellation, which the other node sends at the same deadline.
-	 */
-	#getMaxCancelLeadMs(): number {
-		return Math.min(maxCancelLeadMs, this.#head.remainingMs * maxCancelLeadShare);
-	}
-
 	#createDispatchHandler(): Dispatcher.DispatchHandler {
 		return {
 			onRequestStart: controller => {
@@ -226,7 +208,7 @@
 				}
 
 				this.#handleVerdict();
-				this.#awaitHeadRest(controller);
+				this.#waitForHeadRest(controller);
 			},
 			onResponseEnd: () => {
 				this.#handleResponseEnd();
@@ -294,7 +276,7 @@
 			this.#fail(failure, 'failed');
 		} else {
 			this.#responseStatus = response.status;
-			this.#responseHeadAt = performance.now();
+			this.#timing.recordResponseHead();
 			this.#handler.handleHead({...response, load: this.#owner.getLoad(), ...(this.#isResponseUnframed && {isUnframed: true})});
 		}
 	}
@@ -341,21 +323,10 @@
 		});
 	}
 
-	/**
-	 * Waits at the last byte of a body whose end may be the beginning of another response's head. Either the body is whole, as its
-	 * length says, or it was cut and the next response fills it up; then the rest of that head follows. The connection carries no
-	 * other request meanwhile.
-	 */
-	#awaitHeadRest(controller: Dispatcher.DispatchController): void {
-		if (this.#state !== 'running' || this.#bodyLength === undefined || this.#scan!.countBytes() < this.#bodyLength || !this.#scan!.isEndUnclear()) {
-			return;
+	#waitForHeadRest(controller: Dispatcher.DispatchController): void {
+		if (this.#state === 'running' && this.#bodyLength !== undefined && this.#scan!.countBytes() >= this.#bodyLength && this.#scan!.isEndUnclear()) {
+			this.#headRestWait.start(controller);
 		}
-
-		controller.pause();
-		this.#headRestTimer = setTimeout(() => {
-			this.#headRestTimer = undefined;
-			controller.resume();
-		}, headRestTimeoutMs);
 	}
 
 	/** Ends the scan with the response. A body with a length that another response has filled up is not whole. */
@@ -381,7 +352,7 @@
 
 	#finishResponse(): void {
 		if (this.#isRunningAfterParts()) {
-			this.#finish(this.#createOutcome(this.#responseStatus >= minServerErrorStatus ? 'failed' : 'answered'), undefined);
+			this.#finish(this.#timing.createOutcome(this.#responseStatus >= minServerErrorStatus ? 'failed' : 'answered', this.#responseCredit > 0), undefined);
 			this.#handler.handleEnd();
 		}
 	}
@@ -409,27 +380,14 @@
 			return;
 		}
 
-		this.#finish(this.#createOutcome(kind), failure);
+		this.#finish(this.#timing.createOutcome(kind, this.#responseCredit > 0), failure);
 		this.#dispatchController?.abort(new Error(failure.detail));
 		this.#handler.handleFailure(failure);
 	}
 
-	/**
-	 * Counts only the time that the backend server used: from the end of the request body to the response head. For an
-	 * exchange that did not complete, the time goes on until now if the response head is missing or the caller has credit
-	 * left for more of the body; time during which a slow caller held the response up does not count.
-	 */
-	#createOutcome(kind: OutcomeKind): WorkOutcome {
-		const at = performance.now();
-		const serverTimeFrom = Math.max(this.#startedAt, this.#requestBodyEndedAt ?? (this.#requestBodyForm === 'none' ? this.#startedAt : at));
-		const isWaitingForServer = kind !== 'answered' && this.#responseCredit > 0;
-		const serverTimeUntil = this.#responseHeadAt === undefined || isWaitingForServer ? at : this.#responseHeadAt;
-		return {at, kind, durationMs: Math.max(0, serverTimeUntil - serverTimeFrom)};
-	}
-
 	#finish(outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		clearTimeout(this.#deadlineTimer);
-		clearTimeout(this.#headRestTimer);
+		this.#headRestWait.stop();
 		this.#state = 'over';
 		this.#parts.clear();
 		this.#requestBody.close();
--- a/packages/node/src/backend/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -22,7 +22,7 @@
 	/** Lists the poison marks of all nodes. */
 	readonly listFleetMarks: () => readonly PoisonMark[];
 	/** Called with the node's own poison marks when they have changed, to keep them for its later processes. */
-	readonly storeMarks?: (marks: readonly PoisonMark[]) => void;
+	readonly recordMarks?: (marks: readonly PoisonMark[]) => void;
 	/** False once the node takes no more work for its backend server, because it stops. */
 	readonly isTakingWork: () => boolean;
 	readonly metrics: MetricRegistry;
@@ -49,7 +49,7 @@
 		this.#quarantine.changes.registerListener(change => {
 			reportMarks(options.logger, change);
 			this.#publishRecord();
-			options.storeMarks?.(change.marks);
+			options.recordMarks?.(change.marks);
 		});
 		options.announcements.store.registerListener(({after}) => {
 			this.#updateServers(after.servers);
@@ -123,8 +123,8 @@
 	}
 
 	/** Restores poison marks that an earlier process of this node has stored. */
-	restorePoison(marks: readonly PoisonMark[]): void {
-		this.#quarantine.restoreMarks(marks);
+	addEarlierMarks(marks: readonly PoisonMark[]): void {
+		this.#quarantine.addEarlierMarks(marks);
 	}
 
 	/** Number of requests running or waiting at all backend servers, including those that are draining. */
--- a/packages/node/src/backend/quarantine.ts
+++ b/packages/node/src/backend/quarantine.ts
@@ -77,9 +77,9 @@
 	}
 
 	/** Restores marks that an earlier process of this node has made. */
-	restoreMarks(marks: readonly PoisonMark[]): void {
+	addEarlierMarks(marks: readonly PoisonMark[]): void {
 		if (marks.length > 0) {
-			this.#poisonRegister.restoreMarks(marks, Date.now());
+			this.#poisonRegister.addEarlierMarks(marks, Date.now());
 			this.#publishMarks('restart');
 		}
 	}
--- a/packages/node/src/callers/caller-connection.ts
+++ b/packages/node/src/callers/caller-connection.ts
@@ -113,7 +113,7 @@
 	/** Records that nothing more can be parsed, so that the body of the last request can't be completed. */
 	recordReadFailure(failure: Failure): void {
 		this.#readFailure = failure;
-		this.#socket.discardInput();
+		this.#socket.stopParsing();
 	}
 
 	getReadFailure(): Failure | undefined {
--- a/packages/node/src/callers/paced-connection.ts
+++ b/packages/node/src/callers/paced-connection.ts
@@ -137,7 +137,7 @@
 	}
 
 	/** Parses nothing more: discards what is waiting and, within a bound, what arrives. The end of the other side is still noticed. */
-	discardInput(): void {
+	stopParsing(): void {
 		if (!this.#isInputDiscarded && !this.destroyed) {
 			this.#isInputDiscarded = true;
 			this.#setBacklog(new Uint8Array());
@@ -156,16 +156,16 @@
 		}
 
 		this.#isClosing = true;
-		this.discardInput();
+		this.stopParsing();
 		if (this.writable) {
 			this.end();
 		}
 
 		if (this.writableFinished) {
-			this.#linger();
+			this.#waitForEnd();
 		} else {
 			this.once('finish', () => {
-				this.#linger();
+				this.#waitForEnd();
 			});
 		}
 	}
@@ -220,7 +220,7 @@
 		handleDestroyed(error);
 	}
 
-	#linger(): void {
+	#waitForEnd(): void {
 		if (this.destroyed) {
 			return;
 		}
--- a/packages/node/src/fleet/store-discovery.ts
+++ b/packages/node/src/fleet/store-discovery.ts
@@ -113,7 +113,7 @@
 	}
 
 	/** Stores this node's poison marks for its later processes and for the other nodes. */
-	storeMarks(marks: readonly PoisonMark[]): void {
+	recordMarks(marks: readonly PoisonMark[]): void {
 		this.#markStorage.update(marks);
 	}
 
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -16,6 +16,7 @@
 export * from './operators/control-server.js';
 export * from './sidecar-settings.js';
 export * from './sidecar-node.js';
+export type {SidecarOptions, SidecarPlatform} from './sidecar-options.js';
 export * from './fleet/configuration-keys.js';
 export * from './fleet/configuration-proof.js';
 export * from './fleet/freshness-exchange.js';
--- a/packages/node/src/node-entry.ts
+++ b/packages/node/src/node-entry.ts
@@ -10,7 +10,7 @@
 import {
 	formatAddress, type Address, type Failure, type PoisonMark,
 } from '@limpetbarrow/core';
-import {limitExpiry, maxMarks, mergePoisonMarks} from '@limpetbarrow/detect';
+import {applyExpiryLimit, maxMarks, mergePoisonMarks} from '@limpetbarrow/detect';
 import {mergeLeft, type LeftServers} from '@limpetbarrow/members';
 import {type ObjectStore, type StoredObject} from '@limpetbarrow/object-store';
 
@@ -160,7 +160,7 @@
 					this.#departures = mergeLeft(this.#departures, new Map(Object.entries(fields?.left ?? {})));
 					handleStoredDepartures(this.#departures);
 					if (isOfEarlierProcess && fields) {
-						const earlierMarks = limitExpiry(fields.poison, Date.now());
+						const earlierMarks = applyExpiryLimit(fields.poison, Date.now());
 						this.#marks = [...mergePoisonMarks([...this.#marks, ...earlierMarks], Date.now()).values()].slice(0, maxMarks);
 						handleStoredMarks?.(earlierMarks);
 					}
--- a/packages/node/src/run-sidecar.ts
+++ b/packages/node/src/run-sidecar.ts
@@ -7,7 +7,8 @@
 	createDescriptorWriter, createFailure, foldResult, formatFailure, LineLogger, type Failure,
 } from '@limpetbarrow/core';
 import {runDaemon} from './run-daemon.js';
-import {SidecarNode, type SidecarPlatform} from './sidecar-node.js';
+import {SidecarNode} from './sidecar-node.js';
+import {type SidecarPlatform} from './sidecar-options.js';
 import {reloadableSettings, listChangedSettings, type SidecarSettings} from './sidecar-settings.js';
 
 /** Options that the adapter for a platform supplies. */
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -1,6 +1,6 @@
 /** A sidecar node: serves the callers and the single backend server of its host, and links to the other nodes. */
 import {
-	MetricRegistry, type Address, type Carrier, type Logger, type NodeRecord, type PoisonMark, type RequestTarget,
+	MetricRegistry, type Address, type Carrier, type NodeRecord, type PoisonMark, type RequestTarget,
 } from '@limpetbarrow/core';
 import {WindowedRetryBudget} from '@limpetbarrow/choose';
 import {FleetMarks} from '@limpetbarrow/detect';
@@ -8,16 +8,14 @@
 import {
 	announcementSweepMs, Announcements, Gossip, MemberTable,
 } from '@limpetbarrow/members';
-import {type ObjectStore} from '@limpetbarrow/object-store';
-import {ConfigurationWatcher, ReleaseState, type ConfigurationSource} from '@limpetbarrow/releases';
+import {ConfigurationWatcher, ReleaseState} from '@limpetbarrow/releases';
 import {Right} from 'purify-ts';
-import {ControlServer, type ControlProtocol} from './operators/control-server.js';
+import {ControlServer} from './operators/control-server.js';
 import {createIdentifier} from './callers/create-identifier.js';
 import {ConfigurationKnowledge} from './fleet/configuration-knowledge.js';
 import {registerConfigurationMetrics} from './fleet/configuration-metrics.js';
-import {ConfigurationProof, type ConfigurationProofOptions} from './fleet/configuration-proof.js';
+import {ConfigurationProof} from './fleet/configuration-proof.js';
 import {HostEgress} from './backend/host-egress.js';
-import {type CallerProtocol} from './callers/ingress-request.js';
 import {Ingress} from './callers/ingress.js';
 import {ConfigurationCarrier, PeerConfigurationFetcher} from './fleet/peer-configurations.js';
 import {drainNode} from './planned-stop.js';
@@ -26,43 +24,14 @@
 import {QuotaExchange} from './callers/quota-exchange.js';
 import {RequestRouter} from './routing/request-router.js';
 import {ServerDirectory} from './routing/server-directory.js';
-import {type ServerProtocol} from './backend/server-protocol.js';
 import {SidecarCalls} from './operators/sidecar-calls.js';
 import {listFleetMarks} from './fleet/list-fleet-marks.js';
 import {createSidecarRecord} from './fleet/sidecar-record.js';
-import {selectResourceLimits, type SidecarSettings} from './sidecar-settings.js';
+import {type SidecarOptions, type StartupState} from './sidecar-options.js';
+import {selectResourceLimits} from './sidecar-settings.js';
 import {StoreDiscovery} from './fleet/store-discovery.js';
 import {WatcherRole} from './fleet/watcher-role.js';
 
-/** Protocols and stores of the platform that a sidecar runs on. */
-export type SidecarPlatform = {
-	readonly store: ObjectStore;
-	readonly source: ConfigurationSource;
-	readonly callers: CallerProtocol;
-	readonly servers: ServerProtocol;
-	readonly control: ControlProtocol;
-};
-
-/** Dependencies of a sidecar node. */
-export type SidecarOptions = {
-	/** The settings in force; they may change while the node runs. */
-	readonly getSettings: () => SidecarSettings;
-	readonly platform: SidecarPlatform;
-	readonly logger: Logger;
-	/** Tells whether requests need keys under a configuration; `hasKeys` by default. */
-	readonly hasKeys?: NonNullable<ConfigurationProofOptions['hasKeys']>;
-};
-
-/** Components that are created before the node itself, and the incarnation of its process. */
-type StartupState = {
-	readonly announcements: Announcements;
-	readonly discovery: StoreDiscovery;
-	readonly incarnation: number;
-	/** Poison marks of the other nodes, and those that the earlier process of this node stored. */
-	readonly fleetMarks: FleetMarks;
-	readonly ownMarks: readonly PoisonMark[];
-};
-
 /** Announcement periods for which an announcement is valid; a backend server that misses that many in a row is dropped. */
 const announcementsPerLease = 6;
 /** Share of the configured retry ratio and allowance that is used; the rest is room for requests that are counted late. */
@@ -89,7 +58,7 @@
 			},
 			handleOwnMarks(marks) {
 				started.ownMarks = marks;
-				started.node?.restorePoison(marks);
+				started.node?.addEarlierMarks(marks);
 			},
 			handleNodeMarks(nodes) {
 				fleetMarks.recordStored(nodes, Date.now());
@@ -154,7 +123,7 @@
 		this.#directory = new ServerDirectory(this.#table);
 		this.#linkPool = new LinkPool(this.#table.self, {logger, metrics: this.#metrics});
 		this.#egress = this.#createEgress();
-		this.#egress.restorePoison(ownMarks);
+		this.#egress.addEarlierMarks(ownMarks);
 		const configurations = new ConfigurationCarrier(this.#releases);
 		this.#linkServer = new LinkServer(this.#table.self, target => this.#isForEgress(target) ? this.#egress : configurations, logger, this.#metrics);
 		this.#linkServer.setMaxPendingConnections(limits.maxPendingLinks);
@@ -202,8 +171,8 @@
 	}
 
 	/** Restores poison marks that the store has told only now, after this node had started without it. */
-	restorePoison(marks: readonly PoisonMark[]): void {
-		this.#egress.restorePoison(marks);
+	addEarlierMarks(marks: readonly PoisonMark[]): void {
+		this.#egress.addEarlierMarks(marks);
 	}
 
 	/** Adds gossip addresses of other nodes as seeds. */
@@ -310,8 +279,8 @@
 			announcements: this.#announcements,
 			protocol: this.#options.platform.servers,
 			listFleetMarks: () => listFleetMarks(this.#fleetMarks, this.#table),
-			storeMarks: marks => {
-				this.#discovery.storeMarks(marks);
+			recordMarks: marks => {
+				this.#discovery.recordMarks(marks);
 			},
 			createRetries: service => this.#createRetries(service),
 			isTakingWork: () => this.#isTakingWork,
