Test of fair queues: compare the waits of organisations at one moment

The test reads three waits one after the other, and each is shorter by the time that has passed since: the request in progress has less left. The clock is paused now; the comparison stays exact.

--- a/packages/node/src/__tests__/unit/fair-egress.test.ts
+++ b/packages/node/src/__tests__/unit/fair-egress.test.ts
@@ -1,3 +1,4 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {maxQueuedRequests} from '@limpetbarrow/admission';
 import {
@@ -72,9 +73,24 @@
 		expect(outcomes).to.deep.equal([[`large-${maxQueuedRequests}`, 'queueFull']]);
 	});
 
-	it('tells each organisation the wait that its requests would meet', () => {
-		const [own, other, absent] = ['large', 'small', undefined].map(organisation => fixture.egress.findLoad('server-1', {priority: 1, organisation, remainingMs})!.waitMs!);
-		expect(own).to.be.greaterThan(10 * other!);
-		expect(absent).to.equal(other);
+	describe('while the clock is paused', () => {
+		let clock: Clock;
+
+		// The request in progress has less left at each later moment, and so have those that wait for it.
+		beforeEach(() => {
+			const now = performance.now();
+			clock = install({toFake: ['performance']});
+			clock.tick(now);
+		});
+
+		afterEach(() => {
+			clock.uninstall();
+		});
+
+		it('tells each organisation the wait that its requests would meet', () => {
+			const [own, other, absent] = ['large', 'small', undefined].map(organisation => fixture.egress.findLoad('server-1', {priority: 1, organisation, remainingMs})!.waitMs!);
+			expect(own).to.be.greaterThan(10 * other!);
+			expect(absent).to.equal(other);
+		});
 	});
 });
