Log what a request asks for, what a refusal is based on, and a process that is behind

The lines that end a request name its priority, objective, deadline and organisation; a refusal for want of time says how many of the queued requests go first and whether the expected duration is one of the route or of other requests; processDelayed (115) tells a process that is behind from a request that waits.

--- a/packages/admission/src/__tests__/unit/admission-controller.test.ts
+++ b/packages/admission/src/__tests__/unit/admission-controller.test.ts
@@ -152,6 +152,14 @@
 			expect(refusal?.retryAfterMs).to.equal(300);
 		});
 
+		it('says in a refusal how many requests go first, and whether the route has a record', () => {
+			const gate = createGate(['well']);
+			gate.recordWork('read', 80);
+			const load = {...createBusy(3, 300), ahead: [], waitingCount: 2};
+			expect(gate.findRefusal({...read, patienceMs: 100}, load, 100)?.detail).to.include('behind 0 of 2 queued and 3 running requests, expected duration 80 ms,');
+			expect(gate.findRefusal({...read, route: 'other', patienceMs: 100}, load, 100)?.detail).to.include('ms (no record of the route),');
+		});
+
 		it('refuses a last resort as well when it would wait too long', () => {
 			expect(createGate(['well']).findRefusal({...read, patienceMs: 0, isLastResort: true}, createBusy(3, 300), 100)?.name).to.equal('queueDeadline');
 		});
--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -153,17 +153,18 @@
 		}
 
 		if (waitMs > maxWaitMs) {
-			const {patienceMs, remainingMs} = request;
-			return createFailure(
-				'queueDeadline',
-				`expected wait ${Math.round(waitMs)} ms and duration ${Math.round(workMs)} ms, longest accepted wait ${Math.round(patienceMs)} ms, ${Math.round(remainingMs)} ms until the deadline`,
-				waitMs,
-			);
+			return createFailure('queueDeadline', this.#describeWait(request, load, {waitMs, workMs}), waitMs);
 		}
 
 		return request.isLastResort ? undefined : this.#findHealthRefusal(request, workMs, load, now);
 	}
 
+	#describeWait({route, patienceMs, remainingMs}: AdmissionRequest, {ahead, waitingCount, running}: ServerLoad, {waitMs, workMs}: {readonly waitMs: number; readonly workMs: number}): string {
+		const source = this.#times.hasRecord(route) ? '' : ' (no record of the route)';
+		return `expected wait ${Math.round(waitMs)} ms behind ${ahead.length} of ${waitingCount} queued and ${running.length} running requests, expected duration ${Math.round(workMs)} ms${source}, `
+			+ `longest accepted wait ${Math.round(patienceMs)} ms, ${Math.round(remainingMs)} ms until the deadline`;
+	}
+
 	/**
 	 * A backend server that is failing or unreachable, or whose expected duration takes up the latency objective, gets one
 	 * trial at a time; a failing one gets twice as many after each that succeeds, so that it returns soon after a spell.
--- a/packages/admission/src/duration-estimator.ts
+++ b/packages/admission/src/duration-estimator.ts
@@ -20,6 +20,11 @@
 		}
 	}
 
+	/** True once the duration of a request of the route has been recorded. */
+	hasRecord(route: string): boolean {
+		return this.#byRoute.has(route);
+	}
+
 	/** Estimates the duration of a request of the route, in milliseconds; for one without a record, the default or the mean of all. */
 	estimateDuration(route: string, defaultMs = this.#overallMs): number {
 		return this.#byRoute.get(route) ?? defaultMs;
--- a/packages/core/src/log-events.ts
+++ b/packages/core/src/log-events.ts
@@ -31,6 +31,7 @@
 	settingsApplied: {number: 110, level: 'info', meaning: 'The settings were read again; the settings that are named have changed.'},
 	settingsNotApplied: {number: 111, level: 'warn', meaning: 'The settings could not be read again; the previous ones stay in force.'},
 	requestUnknown: {number: 114, level: 'info', meaning: 'The configuration in force has no such route or key; the line says what this node knows of how current it is.'},
+	processDelayed: {number: 115, level: 'info', meaning: 'A periodic timer of the process ran late by `ms`: until then the process handled nothing.'},
 	logLinesDropped: {number: 112, level: 'warn', meaning: 'Log lines were dropped because the limits of the log were reached.'},
 	callersClosed: {number: 113, level: 'warn', meaning: 'Connections were closed because the node holds too much for them or has too many; one line a second at most, with their number (`closed`).'},
 
--- a/packages/node/src/backend/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -211,7 +211,7 @@
 			reportFailure(head, failure) {
 				metrics.addCount('egress_failures_total', 1, {code: String(failure.code)});
 				logger.log('egressFailed', {
-					request: head.requestId, server: id, code: failure.code, detail: failure.detail, route: head.route,
+					request: head.requestId, server: id, code: failure.code, detail: failure.detail, route: head.route, priority: head.priority, isLastResort: head.isLastResort,
 				});
 			},
 		});
--- a/packages/node/src/routing/request-log.ts
+++ b/packages/node/src/routing/request-log.ts
@@ -13,12 +13,18 @@
 
 /** Logs the end of a request with all of its attempts. */
 export function logRequestEnd(logger: Logger, event: RequestEndEvent, request: RoutedRequest, {status, failure}: RequestEnd): void {
-	const {requestId, route, service, isRepeatable} = request.head;
+	const {
+		requestId, route, service, isRepeatable, priority, objectiveMs, remainingMs, organisation,
+	} = request.head;
 	logger.log(event, {
 		request: requestId,
 		route,
 		service,
 		isRepeatable,
+		priority,
+		objectiveMs,
+		deadlineMs: Math.round(remainingMs),
+		...(organisation !== '' && {organisation}),
 		status,
 		code: failure?.code,
 		detail: failure?.detail,
--- a/packages/node/src/sidecar-node.ts
+++ b/packages/node/src/sidecar-node.ts
@@ -30,6 +30,7 @@
 import {type SidecarOptions, type StartupState} from './sidecar-options.js';
 import {selectResourceLimits} from './sidecar-settings.js';
 import {StoreDiscovery} from './fleet/store-discovery.js';
+import {TimerDelay} from './timer-delay.js';
 import {WatcherRole} from './fleet/watcher-role.js';
 
 /** Announcement periods for which an announcement is valid; a backend server that misses that many in a row is dropped. */
@@ -266,7 +267,9 @@
 		this.#peerConfigurationFetcher.start();
 		this.#configurationProof.start();
 		this.#quotas.start();
+		const delay = new TimerDelay(announcementSweepMs, this.#options.logger);
 		this.#sweepTimer = setInterval(() => {
+			delay.recordRun();
 			this.#announcements.sweep();
 			this.#egress.sweep();
 			this.#discovery.applyHeardEra(Math.max(0, ...this.#table.listLive().map(({record: {storeEra = 0}}) => storeEra)));
