Serve requests of the last priority that would be too late behind more urgent ones

Cause: the queue of a backend server goes strictly by priority, and a missing priority is the last one. Where a queue doesn't empty, the last priority waits for everyone, whoever comes. A request with 1 s left was told 0.4 to 3 s at every healthy backend server and refused; the failing ones, which always have room, were what was left, so most of them ended with a 500 (the users' record). The class: priorities without a least share for the lower ones.

Why it works: a request that would be too late in its turn goes before more urgent ones, at the door or once it has become late, as long as its priority has not used more than its allowance: 5% of the backend server's time, shared by the priorities that owe, charged with the time that a request really took. So short ones cost the more urgent next to nothing, and a flood of long ones gets its 5%. The hint that other requests get still tells the wait in turn.

--- a/packages/admission/src/__tests__/unit/wait-queue.test.ts
+++ b/packages/admission/src/__tests__/unit/wait-queue.test.ts
@@ -40,6 +40,38 @@
 		});
 	});
 
+	describe('with advanced requests', () => {
+		it('puts them before all others by due time, and counts them among those ahead of a new one', () => {
+			const queue = new WaitQueue<Named>();
+			const items = [createItem('urgent', {priority: 0}), createItem('late', {priority: 2, dueAt: 900}), createItem('later', {priority: 3, dueAt: 950}), createItem('last', {priority: 3})];
+			items.forEach(item => {
+				queue.add(item);
+			});
+			queue.advance(items[2]!);
+			queue.advance(items[1]!);
+			expect(listNames(queue)).to.deep.equal(['late', 'later', 'urgent', 'last']);
+			expect(queue.listAdvanced().map(({name}) => name)).to.deep.equal(['late', 'later']);
+			['', 'organisation'].forEach(organisation => {
+				expect(queue.selectAhead(createItem('new', {priority: 0, organisation})).map(({name}) => name)).to.deep.equal(['late', 'later', 'urgent']);
+			});
+			expect(queue.takeNext()?.name).to.equal('late');
+			queue.remove(items[2]!);
+			expect(queue.listAdvanced()).to.deep.equal([]);
+		});
+
+		it('does not give them up for another organisation', () => {
+			const queue = new WaitQueue<Named>();
+			const items = ['one', 'two'].map(name => createItem(name, {priority: 3, organisation: 'large', workMs: 1000}));
+			items.forEach(item => {
+				queue.add(item);
+			});
+			queue.advance(items[1]!);
+			expect(queue.findDisplaced({
+				priority: 1, organisation: 'small', workMs: 10, dueAt: 0,
+			})?.name).to.equal('one');
+		});
+	});
+
 	describe('under overload', () => {
 		it('removes requests that can no longer end in time, and keeps the others', () => {
 			const queue = new WaitQueue<Named>();
--- a/packages/admission/src/admission-controller.ts
+++ b/packages/admission/src/admission-controller.ts
@@ -153,13 +153,13 @@
 		}
 
 		if (waitMs > maxWaitMs) {
-			return createFailure('queueDeadline', this.#describeWait(request, load, {waitMs, workMs}), waitMs);
+			return createFailure('queueDeadline', this.#formatWait(request, load, {waitMs, workMs}), waitMs);
 		}
 
 		return request.isLastResort ? undefined : this.#findHealthRefusal(request, workMs, load, now);
 	}
 
-	#describeWait({route, patienceMs, remainingMs}: AdmissionRequest, {ahead, waitingCount, running}: ServerLoad, {waitMs, workMs}: {readonly waitMs: number; readonly workMs: number}): string {
+	#formatWait({route, patienceMs, remainingMs}: AdmissionRequest, {ahead, waitingCount, running}: ServerLoad, {waitMs, workMs}: {readonly waitMs: number; readonly workMs: number}): string {
 		const source = this.#times.hasRecord(route) ? '' : ' (no record of the route)';
 		return `expected wait ${Math.round(waitMs)} ms behind ${ahead.length} of ${waitingCount} queued and ${running.length} running requests, expected duration ${Math.round(workMs)} ms${source}, `
 			+ `longest accepted wait ${Math.round(patienceMs)} ms, ${Math.round(remainingMs)} ms until the deadline`;
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -36,3 +36,9 @@
 
 /** Share of the latency objective above which the expected duration of a request makes the backend server too slow for it. */
 export const maxObjectiveShare = 0.85;
+
+/** Share of a backend server's time that requests of worse priorities may use before more urgent ones. */
+export const allowanceShare = 0.05;
+
+/** Debt up to which further requests of a priority are granted an earlier start, in milliseconds: some short ones at once. */
+export const maxAllowanceDebtMs = 50;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -5,4 +5,5 @@
 export * from './wait-queue.js';
 export * from './wait-estimate.js';
 export * from './admission-controller.js';
+export * from './priority-allowance.js';
 export * from './server-rate-limit.js';
--- a/packages/admission/src/wait-estimate.ts
+++ b/packages/admission/src/wait-estimate.ts
@@ -22,13 +22,20 @@
 	return Math.max(workMs * minRemainingShare, workMs - (now - startedAt));
 }
 
-/** Estimates the time until a slot is free after the requests `ahead` have been started in order, in milliseconds. */
-export function estimateWait(slots: number, running: readonly RunningRequest[], ahead: ReadonlyArray<Pick<RunningRequest, 'workMs'>>, now: number): number {
+/** Estimates for each queued request, in order, the time until it has a slot, in milliseconds, and at the end that of one after them. */
+export function estimateWaits(slots: number, running: readonly RunningRequest[], queued: ReadonlyArray<Pick<RunningRequest, 'workMs'>>, now: number): readonly number[] {
 	const busySlotsMs = running.map(run => estimateRemaining(run, now));
 	const freeSlotsMs = Array.from({length: Math.max(0, slots - busySlotsMs.length)}, () => 0);
-	const waitsMs = ahead.reduce<readonly number[]>((times, {workMs}) => {
-		const [first = 0, ...others] = times;
-		return [...others, first + workMs].toSorted((a, b) => a - b);
-	}, [...freeSlotsMs, ...busySlotsMs].toSorted((a, b) => a - b));
-	return waitsMs[0] ?? 0;
+	let slotsMs: readonly number[] = [...freeSlotsMs, ...busySlotsMs].toSorted((a, b) => a - b);
+	const waitsMs = queued.map(({workMs}) => {
+		const [first = 0, ...others] = slotsMs;
+		slotsMs = [...others, first + workMs].toSorted((a, b) => a - b);
+		return first;
+	});
+	return [...waitsMs, slotsMs[0] ?? 0];
+}
+
+/** Estimates the time until a slot is free after the requests `ahead` have been started in order, in milliseconds. */
+export function estimateWait(slots: number, running: readonly RunningRequest[], ahead: ReadonlyArray<Pick<RunningRequest, 'workMs'>>, now: number): number {
+	return estimateWaits(slots, running, ahead, now).at(-1)!;
 }
--- a/packages/admission/src/wait-queue.ts
+++ b/packages/admission/src/wait-queue.ts
@@ -1,6 +1,6 @@
 /**
  * Priority queue of requests that wait for a slot: ordered by priority, then in fair shares between organisations, then by
- * the earliest due time.
+ * the earliest due time. Requests that were advanced go before all others; `PriorityAllowance` limits their work.
  *
  * Under overload, urgent and less urgent requests share the same slots. An urgent request never waits behind a less
  * urgent one, a short call that another request depends on is started before long work of the same priority, and a request
@@ -49,6 +49,8 @@
 	#items: readonly Item[] = [];
 	/** The order in which they are started, if it has been computed since the last change. */
 	#order: readonly Item[] | undefined;
+	/** The requests that go before all others, whatever their priority. */
+	readonly #advanced = new Set<QueuedRequest>();
 	/** Start tags of the organisations by priority, for the priorities that organisations have requests of. */
 	readonly #shares = new Map<number, FairShares>();
 
@@ -68,7 +70,7 @@
 	 */
 	selectAhead({organisation = absentOrganisation, ...request}: NewRequest): readonly Item[] {
 		if (organisation === '' && this.#shares.size === 0) {
-			return this.#items.filter(({priority}) => priority <= request.priority);
+			return this.list().filter(item => item.priority <= request.priority || this.#advanced.has(item));
 		}
 
 		const newItem: QueuedRequest = {...request, organisation, latestStartAt: Number.POSITIVE_INFINITY};
@@ -77,6 +79,17 @@
 		return this.list().filter(item => ahead.has(item) || (organisation === '' && item.organisation === '' && item.priority === request.priority));
 	}
 
+	/** Moves a queued request before all that aren't advanced. */
+	advance(item: Item): void {
+		this.#advanced.add(item);
+		this.#order = undefined;
+	}
+
+	/** Lists the advanced requests in the order in which they are started. */
+	listAdvanced(): readonly Item[] {
+		return this.#selectAdvanced(this.#items);
+	}
+
 	/**
 	 * Finds the request that gives way to a new one when the queue is full: the last one of the organisation with most work in
 	 * the queue, among those of no better priority than the new one. Undefined unless that is more work than the organisation of
@@ -86,7 +99,7 @@
 		const workOf = new Map([...groupItems(this.#items, item => item.organisation)].map(([name, items]) => [name, items.reduce((sum, item) => sum + item.workMs, 0)]));
 		const newWorkMs = (workOf.get(organisation) ?? 0) + workMs;
 		return this.list()
-			.filter(item => item.organisation !== '' && item.organisation !== organisation && item.priority >= priority && workOf.get(item.organisation)! > newWorkMs)
+			.filter(item => item.organisation !== '' && item.organisation !== organisation && !this.#advanced.has(item) && item.priority >= priority && workOf.get(item.organisation)! > newWorkMs)
 			.reduce<Item | undefined>((found, item) => found && workOf.get(found.organisation)! > workOf.get(item.organisation)! ? found : item, undefined);
 	}
 
@@ -136,6 +149,9 @@
 	#replaceItems(items: readonly Item[]): void {
 		this.#items = items;
 		this.#order = undefined;
+		[...this.#advanced].filter(item => !items.includes(item as Item)).forEach(item => {
+			this.#advanced.delete(item);
+		});
 		[...this.#shares].forEach(([priority, shares]) => {
 			const queued = listOrganisations(items, priority);
 			if (queued.size === 0) {
@@ -147,6 +163,15 @@
 	}
 
 	#computeOrder<Ordered extends QueuedRequest>(items: readonly Ordered[]): readonly Ordered[] {
+		const advanced = this.#selectAdvanced(items);
+		return advanced.length === 0 ? this.#computePriorityOrder(items) : [...advanced, ...this.#computePriorityOrder(items.filter(item => !this.#advanced.has(item)))];
+	}
+
+	#selectAdvanced<Ordered extends QueuedRequest>(items: readonly Ordered[]): readonly Ordered[] {
+		return this.#advanced.size === 0 ? [] : items.filter(item => this.#advanced.has(item)).toSorted((one, other) => one.dueAt - other.dueAt);
+	}
+
+	#computePriorityOrder<Ordered extends QueuedRequest>(items: readonly Ordered[]): readonly Ordered[] {
 		if (items.every(({organisation}) => organisation === '')) {
 			return items;
 		}
--- a/packages/node/src/__tests__/unit/starved-routes.test.ts
+++ b/packages/node/src/__tests__/unit/starved-routes.test.ts
@@ -49,7 +49,7 @@
 		await result;
 	}
 
-	async function queueLong(prefix: string, count: number): Promise<void> {
+	async function sendLong(prefix: string, count: number): Promise<void> {
 		const before = fixture.egress.findLoad('server-1', {})!.queued;
 		Array.from({length: count}, (_, index) => `${prefix}-${index}`).forEach(requestId => {
 			void send(requestId, 'long', urgent);
@@ -81,7 +81,7 @@
 	});
 
 	it('runs a short one of the last priority that would be too late behind them', async () => {
-		await queueLong('long', queuedCount);
+		await sendLong('long', queuedCount);
 		void send('hurried', 'short', lastPriority, hurriedMs);
 		await finishNext(longMs);
 		await finishNext(shortMs);
@@ -90,20 +90,34 @@
 	});
 
 	it('runs one that was to be in time until more urgent ones came', async () => {
-		await queueLong('early', 1);
+		await sendLong('early', 1);
 		void send('hurried', 'short', lastPriority, hurriedMs);
-		await queueLong('late', queuedCount);
+		await sendLong('late', queuedCount);
 		await finishNext(longMs);
 		await finishNext(shortMs);
 		expect(outcomes.get('hurried')).to.equal('200');
 	});
 
 	it('lets those that can wait go after them', async () => {
-		await queueLong('long', 2);
+		await sendLong('long', 2);
 		void send('patient', 'short', lastPriority);
 		await finishNext(longMs);
 		await finishNext(longMs);
 		await finishNext(longMs);
 		expect(listRunIds().slice(2)).to.deep.equal(['long-running', 'long-0', 'long-1', 'patient']);
 	});
+
+	// The time of urgent requests is lent to others in small parts only, or these would displace them.
+	it('runs few long ones of the last priority, and refuses the others at once', async () => {
+		await sendLong('long', queuedCount);
+		Array.from({length: 5}, (_, index) => `flood-${index}`).forEach(requestId => {
+			void send(requestId, 'long', lastPriority, hurriedMs);
+		});
+		await waitFor(() => outcomes.size === 6);
+		expect([...outcomes.values()].filter(outcome => outcome === 'queueDeadline')).to.have.length(4);
+		await finishNext(longMs);
+		await finishNext(longMs);
+		await finishNext(longMs);
+		expect(listRunIds().slice(2)).to.deep.equal(['long-running', 'flood-0', 'long-0', 'long-1']);
+	});
 });
--- a/packages/node/src/backend/gated-server.ts
+++ b/packages/node/src/backend/gated-server.ts
@@ -9,6 +9,8 @@
 import {type WorkOutcome} from '@limpetbarrow/detect';
 import {BackendExchange} from './backend-exchange.js';
 import {CrashDetector} from './crash-detector.js';
+import {EarlyStarts, type SelectedLoad} from './early-starts.js';
+import {ServerCalls} from './server-calls.js';
 import {ServerConnections} from './server-connections.js';
 import {type QueuedExchange, type SlotReservation} from './gated-exchanges.js';
 import {
@@ -24,10 +26,12 @@
 
 /** Manages the slots of one backend server. No other object starts requests on it or decides whether a request ran. */
 export class GatedServer {
+	readonly calls: ServerCalls;
 	readonly #options: GatedServerOptions;
 	readonly #gate = new AdmissionController(performance.now());
 	readonly #outcomes: ServerOutcomes;
 	readonly #queue = new WaitQueue<QueuedExchange>();
+	readonly #earlyStarts = new EarlyStarts(this.#queue, this.#gate);
 	readonly #started = new StartedExchanges();
 	/** Reservations of the requests whose body has not ended. */
 	readonly #reservations = new Map<BackendExchange, SlotReservation>();
@@ -42,6 +46,7 @@
 		this.#announcement = server;
 		this.#limit = new ServerLimit(options.reportLimit);
 		this.#outcomes = new ServerOutcomes(this.#gate, options);
+		this.calls = new ServerCalls(this.#started, this.#outcomes.calls);
 		this.#crashDetector = new CrashDetector({address: server.address, isInUse: () => this.#started.countRunning() > 0});
 		this.#connections = new ServerConnections({
 			address: server.address,
@@ -113,27 +118,6 @@
 		};
 	}
 
-	/** Finds the requests that caused calls of the backend server. */
-	get parents(): Pick<StartedExchanges, 'findParentRequest' | 'isCallOfEnded'> {
-		return this.#started;
-	}
-
-	/** Records that the backend server began a call for one of its running requests. */
-	recordCallStart(callId: string): void {
-		const parent = this.#started.findParentRequest(callId);
-		if (parent) {
-			this.#outcomes.calls.recordStart(parent.requestId);
-		}
-	}
-
-	/** Records that such a call ended. */
-	recordCallEnd(callId: string, isServed: boolean): void {
-		const parent = this.#started.findParentRequest(callId);
-		if (parent) {
-			this.#outcomes.calls.recordEnd(parent.requestId, isServed);
-		}
-	}
-
 	/** Number of requests that are running, waiting, or whose body is arriving, and of responses whose end is being judged. */
 	countRequests(): number {
 		return this.#started.count() + this.#queue.count() + this.#reservations.size;
@@ -168,7 +152,7 @@
 		return Math.max(1, Math.min(this.#announcement.slots, this.#announcement.maxConnections));
 	}
 
-	/** Load that a request meets when the queued request `displaced` gives way to it. */
+	/** Load that a request meets in its turn when the queued request `displaced` gives way to it. */
 	#createLoad(head: LoadedHead, displaced?: QueuedExchange): ServerLoad {
 		const ahead = this.#queue.selectAhead(createNewRequest(head, this.#gate, performance.now())).filter(queuedExchange => queuedExchange !== displaced);
 		return {
@@ -180,18 +164,28 @@
 		};
 	}
 
+	/** Load that a request meets, by an earlier start if it is allowed one. */
+	#selectLoad(head: RequestHead, displaced: QueuedExchange | undefined): SelectedLoad {
+		const request = createNewRequest(head, this.#gate, performance.now());
+		const load = this.#earlyStarts.selectLoad({...request, remainingMs: head.remainingMs}, this.#createLoad(head, displaced), performance.now());
+		return load.isEarly ? {...load, limitWaitMs: this.#limit.computeWait(head, load.ahead.length + this.#reservations.size)} : load;
+	}
+
 	#admit(exchange: BackendExchange, head: RequestHead, handler: ExchangeHandler): void {
 		const request = createAdmissionRequest(head, exchange.getRemainingMs());
 		const isHealthIgnored = request.isLastResort || !this.#gate.isFitFor(request, performance.now());
 		this.#limit.recordRequest(head);
 		const displaced = this.#queue.count() >= maxQueuedRequests ? this.#queue.findDisplaced(createNewRequest(head, this.#gate, performance.now())) : undefined;
-		const refusal = this.#findRefusal(request, head, displaced);
+		const load = this.#selectLoad(head, displaced);
+		const refusal = this.#findRefusal(request, head, load);
 		if (refusal) {
 			this.#refuseExchange(exchange, head, refusal);
 			return;
 		}
 
-		if (displaced) {
+		if (load.isEarly) {
+			this.#earlyStarts.grant(exchange, createNewRequest(head, this.#gate, performance.now()));
+		} else if (displaced) {
 			this.#refuseDisplaced(displaced);
 		}
 
@@ -264,19 +258,20 @@
 	#removeExchange(exchange: BackendExchange): void {
 		clearTimeout(this.#reservations.get(exchange)?.timer);
 		this.#reservations.delete(exchange);
+		this.#earlyStarts.settle(exchange, 0);
 		this.#queue.list().filter(queuedExchange => queuedExchange.exchange === exchange).forEach(queuedExchange => {
 			this.#removeQueued(queuedExchange);
 		});
 	}
 
 	/** Returns why the request is refused, if it is. A retry counts against the budget only when the gate admits it. */
-	#findRefusal(request: AdmissionRequest, head: RequestHead, displaced: QueuedExchange | undefined): Failure | undefined {
+	#findRefusal(request: AdmissionRequest, head: RequestHead, load: ServerLoad): Failure | undefined {
 		if (this.#announcement.isLeaving) {
 			return createFailure('serverLeaving', `backend server ${this.#announcement.id} is leaving`);
 		}
 
 		const now = performance.now();
-		const refusal = this.#gate.findRefusal(request, this.#createLoad(head, displaced), now);
+		const refusal = this.#gate.findRefusal(request, load, now);
 		if (refusal) {
 			return refusal;
 		}
@@ -311,9 +306,11 @@
 			}, maxWaitMs),
 		};
 		this.#queue.add(queuedExchange);
+		this.#earlyStarts.recordQueued(queuedExchange);
 	}
 
 	#refuseExchange(exchange: BackendExchange, head: RequestHead, failure: Failure): void {
+		this.#earlyStarts.settle(exchange, 0);
 		this.#options.reportFailure(head, failure);
 		exchange.refuse(failure);
 	}
@@ -343,6 +340,7 @@
 			this.#outcomes.recordOverdue(head);
 			this.#refuseQueuedUnfit();
 		}, Math.max(minOverdueMs, workMs * overdueFactor));
+		this.#earlyStarts.recordStart(exchange, workMs);
 		this.#started.add({
 			exchange, head, startedAt: now, workMs, overdueTimer,
 		});
@@ -352,6 +350,7 @@
 
 	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		const finished = this.#started.remove(exchange);
+		this.#earlyStarts.settle(exchange, finished ? performance.now() - finished.startedAt : 0);
 		if (finished && failure) {
 			this.#options.reportFailure(finished.head, failure);
 		}
@@ -377,6 +376,7 @@
 			return;
 		}
 
+		this.#earlyStarts.advanceLate(this.#countSlots(), this.#started.listRunning(), now);
 		const next = this.#queue.takeNext(({head}) => this.#limit.computeWait(head) === 0);
 		if (!next) {
 			this.#waitForLimit();
--- a/packages/node/src/backend/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -80,12 +80,12 @@
 
 	/** Finds the running request that caused a call of this host's backend server; undefined for a request of a caller. */
 	findParentRequest(requestId: string): RequestHead | undefined {
-		return this.#listAllServers().map(server => server.parents.findParentRequest(requestId)).find(head => head !== undefined);
+		return this.#listAllServers().map(server => server.calls.findParentRequest(requestId)).find(head => head !== undefined);
 	}
 
 	/** True for a call whose parent has ended a short time ago. */
 	isCallOfEnded(requestId: string): boolean {
-		return this.#listAllServers().some(server => server.parents.isCallOfEnded(requestId));
+		return this.#listAllServers().some(server => server.calls.isCallOfEnded(requestId));
 	}
 
 	/** Finds why the backend server of this host sent a request; undefined for a request of a caller. */
@@ -101,14 +101,14 @@
 	/** Records that the backend server of this host began a call for a request that it runs. */
 	recordCallStart(callId: string): void {
 		this.#listAllServers().forEach(server => {
-			server.recordCallStart(callId);
+			server.calls.recordStart(callId);
 		});
 	}
 
 	/** Records that such a call ended; `isServed` is false if it failed or was given up. */
 	recordCallEnd(callId: string, isServed: boolean): void {
 		this.#listAllServers().forEach(server => {
-			server.recordCallEnd(callId, isServed);
+			server.calls.recordEnd(callId, isServed);
 		});
 	}
 
