Clear the marks of requests that any node has answered

Cause: whatever ran on a crashed backend server is marked, two crashes suffice, and an answer protects at the node that saw it and clears only marks of that node. The node that answers isn't the one that marks.

Evidence: quarantine.test.ts, 'refuses none that another node has answered': poisonRequest three times on the code before, answered three times now; the poison request beside it stays refused.

Why it works: a node that has answered a marked request, at most 5 s before the crash or after it, publishes a mark without a server. It ends all marks of crashes before that answer, at every node, and the node that made them drops them. A request that crashes whatever runs it is never answered. A later crash counts anew. Such an entry travels and is stored as marks do, and older builds take it for a mark that refuses nothing.

--- a/packages/bench/src/poison.ts
+++ b/packages/bench/src/poison.ts
@@ -135,7 +135,7 @@
 	#finishRuns(server: number, now: number): void {
 		const running = this.#running[server]!;
 		running.filter(({endsAt}) => endsAt <= now).forEach(({fingerprint}) => {
-			this.#nodes[server]!.recordAnswer(fingerprint);
+			this.#nodes[server]!.recordAnswer(fingerprint, now);
 		});
 		this.#running[server] = running.filter(({endsAt}) => endsAt > now);
 	}
--- a/packages/detect/src/__tests__/unit/poison.test.ts
+++ b/packages/detect/src/__tests__/unit/poison.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {type PoisonMark} from '@limpetbarrow/core';
 import {
-	isPoison, maxMarks, maxMergedMarks, mergePoisonMarks, PoisonRegister, quarantineMs,
+	isPoison, maxMarks, maxMergedMarks, mergePoisonMarks, PoisonRegister, quarantineMs, selectUncleared,
 } from '../../index.js';
 
 const seed = 20_254;
@@ -29,15 +29,54 @@
 
 		it('does not mark a request that was answered before, and clears the mark of one that is answered later', () => {
 			const register = new PoisonRegister();
-			register.recordAnswer('popular');
+			register.recordAnswer('popular', 0);
 			register.recordBrokenConnection('server-1', 'popular', 0);
 			register.recordBrokenConnection('server-1', 'rare', 0);
 			register.recordCrash('server-1', 10);
 			expect(register.listMarks(10).map(({fingerprint}) => fingerprint)).to.deep.equal(['rare']);
-			register.recordAnswer('rare');
+			register.recordAnswer('rare', 20);
 			expect(register.listMarks(10)).to.deep.equal([]);
 		});
 
+		// Guards against an innocent request that stays refused because the node that answered it isn't the one that marked it.
+		describe('with the marks of other nodes', () => {
+			const crashAt = 10_000;
+			const mark = createMark('page', ['server-1'], crashAt + quarantineMs);
+
+			it('clears those of requests that it answered shortly before the crash, or later', () => {
+				[crashAt - 1000, crashAt + 1000].forEach(answeredAt => {
+					const register = new PoisonRegister();
+					register.recordAnswer('page', answeredAt);
+					expect(register.applyFleetMarks([mark])).to.equal(true);
+					expect(selectUncleared([mark, ...register.listMarks(crashAt)])).to.deep.equal([]);
+					expect(register.applyFleetMarks([mark, ...register.listMarks(crashAt)])).to.equal(false);
+				});
+			});
+
+			it('keeps those of requests that it answered long before', () => {
+				const register = new PoisonRegister();
+				register.recordAnswer('page', crashAt - 6000);
+				expect(register.applyFleetMarks([mark])).to.equal(false);
+				expect(register.listMarks(crashAt)).to.deep.equal([]);
+			});
+
+			it('gives up its own that another node has cleared, and not a later one', () => {
+				const register = new PoisonRegister();
+				register.recordBrokenConnection('server-1', 'page', crashAt);
+				register.recordCrash('server-1', crashAt);
+				expect(register.applyFleetMarks([createMark('page', [], crashAt + quarantineMs - 1)])).to.equal(false);
+				expect(register.applyFleetMarks([createMark('page', [], crashAt + quarantineMs)])).to.equal(true);
+				expect(register.listMarks(crashAt)).to.deep.equal([]);
+			});
+
+			it('has its clearances again after a restart', () => {
+				const clearance = createMark('page', [], crashAt + quarantineMs);
+				const register = new PoisonRegister();
+				register.addEarlierMarks([clearance, createMark('guilty', ['server-1'], crashAt + quarantineMs)], crashAt);
+				expect(selectUncleared([mark, ...register.listMarks(crashAt)]).map(({fingerprint}) => fingerprint)).to.deep.equal(['guilty']);
+			});
+		});
+
 		it('drops marks after the quarantine and limits their number', () => {
 			const register = new PoisonRegister();
 			Array.from({length: 100}, (_, index) => index).forEach(index => {
--- a/packages/node/src/__tests__/unit/quarantine.test.ts
+++ b/packages/node/src/__tests__/unit/quarantine.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {
 	createFailure, Exchange, exchangeWindowBytes, type ExchangeHandler, type PoisonMark, type RequestHead,
@@ -15,6 +16,8 @@
 class FakeServer {
 	readonly id: string;
 	runs = 0;
+	/** True while whatever runs breaks off, because a poison request runs beside it. */
+	isCrashing = false;
 
 	constructor(id: string) {
 		this.id = id;
@@ -42,7 +45,7 @@
 
 	override endBody(): void {
 		this.#server.runs++;
-		if (this.#body === poison || this.#body === largePoison || this.#body === largePoison.slice(0, windowBytes)) {
+		if (this.#server.isCrashing || this.#body === poison || this.#body === largePoison || this.#body === largePoison.slice(0, windowBytes)) {
 			this.#handler.handleFailure(createFailure('serverBroke', 'crashed'));
 			return;
 		}
@@ -162,6 +165,49 @@
 		});
 	});
 
+	// Guards against a page that is closed to all callers because equal requests for it ran on two crashed servers.
+	describe('of requests that ran beside a poison request', () => {
+		const page = 'a page that many ask for';
+
+		function mergeMarks(nodes: ReturnType<typeof createNodes>): void {
+			nodes.forEach(({quarantine}) => {
+				quarantine.mergeFleetMarks();
+			});
+		}
+
+		async function crashTwo(nodes: ReturnType<typeof createNodes>): Promise<void> {
+			const [first, second] = nodes;
+			await [first!, second!].reduce(async (before, {quarantine, server}) => {
+				await before;
+				server.isCrashing = true;
+				await Promise.all([poison, page].map(async body => sendRequest(quarantine, server, body)));
+				server.isCrashing = false;
+			}, Promise.resolve());
+			mergeMarks(nodes);
+		}
+
+		it('refuses none that another node has answered, and goes on refusing the poison request', async () => {
+			const nodes = createNodes(true);
+			expect(await sendToEach([nodes[2]!], page)).to.deep.equal(['answered']);
+			await crashTwo(nodes);
+			mergeMarks(nodes);
+			expect(await sendToEach(nodes, page)).to.deep.equal(['answered', 'answered', 'answered']);
+			expect(await sendToEach(nodes, poison)).to.deep.equal(['poisonRequest', 'poisonRequest', 'poisonRequest']);
+			expect(nodes.flatMap(({quarantine}) => quarantine.listMarks()).filter(({serverIds}) => serverIds.length > 0)).to.have.length(2);
+		});
+
+		it('refuses them once a server crashes on them that did not before', async () => {
+			const nodes = createNodes(true);
+			await sendToEach([nodes[2]!], page);
+			await crashTwo(nodes);
+			mergeMarks(nodes);
+			const clock = install({toFake: ['Date'], now: Date.now() + 6000});
+			await crashTwo(nodes);
+			clock.uninstall();
+			expect(await sendToEach(nodes, page)).to.deep.equal(['poisonRequest', 'poisonRequest', 'poisonRequest']);
+		});
+	});
+
 	it('refuses nothing when connections broke but the servers still run', async () => {
 		const nodes = createNodes(false);
 		expect(await sendToEach(nodes, poison)).to.deep.equal(['serverBroke', 'serverBroke', 'serverBroke']);
--- a/packages/node/src/backend/quarantine.ts
+++ b/packages/node/src/backend/quarantine.ts
@@ -2,7 +2,9 @@
 import {
 	createFailure, Exchange, exchangeWindowBytes, Subject, type Address, type ExchangeHandler, type Failure, type PoisonMark, type RequestHead,
 } from '@limpetbarrow/core';
-import {isPoison, mergePoisonMarks, PoisonRegister} from '@limpetbarrow/detect';
+import {
+	isPoison, mergePoisonMarks, PoisonRegister, selectUncleared,
+} from '@limpetbarrow/detect';
 import {createClosedExchange, refuseExchange} from '../routing/closed-exchange.js';
 import {isRefusingConnections} from './address-probe.js';
 import {FingerprintBuilder} from './fingerprint.js';
@@ -50,7 +52,8 @@
 			openBackendExchange,
 			isFingerprintQuarantined: fingerprint => this.isQuarantined(fingerprint),
 			recordAnswer: fingerprint => {
-				if (this.#poisonRegister.recordAnswer(fingerprint)) {
+				const isOwnMark = this.#poisonRegister.recordAnswer(fingerprint, Date.now());
+				if (isOwnMark || this.#mergedMarks.has(fingerprint)) {
 					this.#publishMarks('answer');
 				}
 			},
@@ -84,10 +87,20 @@
 		}
 	}
 
-	/** Merges the marks that other nodes publish with this node's own; called periodically. */
+	/** Merges the marks and clearances that other nodes publish with this node's own; called periodically. */
 	mergeFleetMarks(): void {
-		this.#mergedMarks = mergePoisonMarks([...this.#listFleetMarks(), ...this.listMarks()], Date.now());
+		if (this.#mergeMarks()) {
+			this.changes.publish({cause: 'answer', marks: this.listMarks()});
+		}
+	}
+
+	/** Returns true if that changes what this node publishes. */
+	#mergeMarks(): boolean {
+		const fleetMarks = this.#listFleetMarks();
+		const isChanged = this.#poisonRegister.applyFleetMarks([...fleetMarks, ...this.listMarks()]);
+		this.#mergedMarks = mergePoisonMarks(selectUncleared([...fleetMarks, ...this.listMarks()]), Date.now());
 		this.#markedHeadHashes = new Set([...this.#mergedMarks.keys()].map(fingerprint => fingerprint.split('.', 1)[0]!));
+		return isChanged;
 	}
 
 	/** A broken connection is a crash only if nothing listens at the server's address afterwards. */
@@ -106,7 +119,7 @@
 	}
 
 	#publishMarks(cause: MarkChange['cause']): void {
-		this.mergeFleetMarks();
+		this.#mergeMarks();
 		this.changes.publish({cause, marks: this.listMarks()});
 	}
 }
