Log and count earlier starts

serverRan and serverRanBadly say isEarly, egress_early_starts_total counts them, so that the share of a backend server that goes to requests of worse priorities can be seen. The hurried request of starved-routes.test.ts is the one that is logged so.

--- a/packages/node/src/__tests__/unit/starved-routes.test.ts
+++ b/packages/node/src/__tests__/unit/starved-routes.test.ts
@@ -87,6 +87,7 @@
 		await finishNext(shortMs);
 		expect(outcomes.get('hurried')).to.equal('200');
 		expect(listRunIds().slice(2, 5)).to.deep.equal(['long-running', 'hurried', 'long-0']);
+		expect(fixture.logger.lines.filter(([, {isEarly}]) => isEarly === true).map(([event, {request}]) => [event, request])).to.deep.equal([['serverRan', 'hurried']]);
 	});
 
 	it('runs one that was to be in time until more urgent ones came', async () => {
--- a/packages/node/src/backend/early-starts.ts
+++ b/packages/node/src/backend/early-starts.ts
@@ -71,12 +71,18 @@
 		}
 	}
 
+	/** Records the start of a request; those that had no earlier start pay for the others. */
 	recordStart(exchange: BackendExchange, workMs: number): void {
 		this.#allowance.recordStart(exchange, workMs);
 	}
 
-	/** Settles the charge of a request that has ended, with the time for which it ran, in milliseconds; 0 if it has not run. */
-	settle(exchange: BackendExchange, usedMs: number): void {
+	/**
+	 * Settles the charge of a request that has ended, with the time for which it ran, in milliseconds; 0 if it has not run. Returns
+	 * whether it had an earlier start.
+	 */
+	settle(exchange: BackendExchange, usedMs: number): boolean {
+		const isEarly = this.#allowance.isGranted(exchange);
 		this.#allowance.settle(exchange, usedMs);
+		return isEarly;
 	}
 }
--- a/packages/node/src/backend/gated-server-options.ts
+++ b/packages/node/src/backend/gated-server-options.ts
@@ -1,6 +1,7 @@
 /** What a gated server needs of the node that it is in. */
 import {type Failure, type RequestHead} from '@limpetbarrow/core';
 import {type RetryPolicy} from '@limpetbarrow/choose';
+import {type WorkOutcome} from '@limpetbarrow/detect';
 import {type ExcessBytes} from './connection-requests.js';
 import {type EndEvidence} from './end-evidence.js';
 import {type ServerStateHandler} from './server-outcomes.js';
@@ -15,7 +16,7 @@
 	/** Called when a response shows that another backend server runs at the address. */
 	readonly handleReplaced: () => void;
 	/** Called after each exchange with the backend server that has an outcome. */
-	readonly reportExchange: (head: RequestHead, report: ExchangeReport) => void;
+	readonly reportExchange: (head: RequestHead, outcome: WorkOutcome, report: ExchangeReport) => void;
 	readonly reportLimit: ReportLimit;
 	/** Called when a response says that the backend server leaves. */
 	readonly handleLeaving: () => void;
@@ -27,11 +28,10 @@
 	readonly reportFailure: (head: RequestHead, failure: Failure) => void;
 };
 
-/** How one exchange with the backend server ended, for the log. */
+/** What the log says of an exchange with the backend server besides its outcome. */
 export type ExchangeReport = {
-	readonly outcome: string;
-	/** Time that the backend server used, in milliseconds. */
-	readonly ms: number;
 	/** Probability, after this exchange, that the backend server is failing. */
 	readonly sickness: number;
+	/** True if it was started before more urgent requests because it would have been too late behind them. */
+	readonly isEarly: boolean;
 };
--- a/packages/node/src/backend/gated-server.ts
+++ b/packages/node/src/backend/gated-server.ts
@@ -350,7 +350,7 @@
 
 	#handleExchangeEnd(exchange: BackendExchange, outcome: WorkOutcome | undefined, failure: Failure | undefined): void {
 		const finished = this.#started.remove(exchange);
-		this.#earlyStarts.settle(exchange, finished ? performance.now() - finished.startedAt : 0);
+		const isEarly = this.#earlyStarts.settle(exchange, finished ? performance.now() - finished.startedAt : 0);
 		if (finished && failure) {
 			this.#options.reportFailure(finished.head, failure);
 		}
@@ -360,7 +360,7 @@
 		} else if (finished && outcome) {
 			this.#outcomes.recordEnd(finished.head, outcome, failure);
 			this.#refuseQueuedUnfit();
-			this.#options.reportExchange(finished.head, {outcome: outcome.kind, ms: Math.round(outcome.durationMs), sickness: this.#gate.estimateFailingProbability(performance.now())});
+			this.#options.reportExchange(finished.head, outcome, {sickness: this.#gate.estimateFailingProbability(performance.now()), isEarly});
 		}
 
 		this.#startNext();
--- a/packages/node/src/backend/host-egress.ts
+++ b/packages/node/src/backend/host-egress.ts
@@ -191,9 +191,10 @@
 			reportShedding(isShedding) {
 				logger.log('sheddingChanged', {server: id, isShedding});
 			},
-			reportExchange({requestId, route, isRepeatable}, {outcome, ms, sickness}) {
+			reportExchange({requestId, route, isRepeatable}, {kind: outcome, durationMs}, {sickness, isEarly}) {
+				metrics.addCount('egress_early_starts_total', Number(isEarly));
 				logger.log(outcome === 'answered' ? 'serverRan' : 'serverRanBadly', {
-					request: requestId, server: id, route, isRepeatable, outcome, ms, sickness: sickness.toFixed(3),
+					request: requestId, server: id, route, isRepeatable, outcome, ms: Math.round(durationMs), sickness: sickness.toFixed(3), ...(isEarly && {isEarly}),
 				});
 			},
 			handleLeaving: () => {
