--- a/packages/admission/src/__tests__/unit/server-rate-limit.test.ts
+++ b/packages/admission/src/__tests__/unit/server-rate-limit.test.ts
@@ -2,7 +2,7 @@
 import {
 	array, assert as assertProperty, double, nat, property, record,
 } from 'fast-check';
-import {ServerRateLimit, type LimitedRequest} from '../../index.js';
+import {allowanceShare, ServerRateLimit, type LimitedRequest} from '../../index.js';
 
 /** The users' rule: in four seconds, one and a half times what the limit allows, and five more. */
 const spanMs = 4000;
@@ -140,6 +140,18 @@
 			expect(counts.get(repeat)).to.be.below(10);
 		});
 
+		// Guards against requests of the last priority that are all refused while more urgent ones ask for the whole limit.
+		it('leaves a share of it to worse priorities', () => {
+			const requests = [0, 1, 2, 9].map(priority => ({priority, isRepeat: false}));
+			const counts = playMixed([requests[0]!, requests[1]!, requests[0]!, requests[2]!, requests[0]!, requests[3]!]);
+			const sum = [...counts.values()].reduce((total, count) => total + count, 0);
+			const others = requests.slice(1).map(request => counts.get(request)!);
+			expect(others.reduce((total, count) => total + count, 0) / sum).to.be.within(allowanceShare / 2, allowanceShare * 2);
+			others.forEach(count => {
+				expect(count).to.be.at.least(1);
+			});
+		});
+
 		it('gives it all to the lowest priority when nothing else asks', () => {
 			const [[, count] = []] = playMixed([{priority: 9, isRepeat: true}]);
 			expect(count).to.be.above(110);
